--- a/packages/heronthread-daemon/src/heronthread_daemon/wire.thrift
+++ b/packages/heronthread-daemon/src/heronthread_daemon/wire.thrift
@@ -37,6 +37,13 @@
   EXPLAIN = 5
   SETTLE = 6
   HISTOGRAMS = 7
+  ACCEPT_JOB = 8
+  CANCEL_JOB = 9
+  JOB_STATE = 10
+  QUEUE_COUNT = 11
+  NOTE_JOB = 12
+  NEWS = 13
+  CONFIGURATION = 14
 }
 
 /** A caller's request on its way from an entry host to the owner of a cell. */
--- a/packages/heronthread-daemon/src/heronthread_daemon/wire/ttypes.py
+++ b/packages/heronthread-daemon/src/heronthread_daemon/wire/ttypes.py
@@ -24,6 +24,13 @@
     EXPLAIN = 5
     SETTLE = 6
     HISTOGRAMS = 7
+    ACCEPT_JOB = 8
+    CANCEL_JOB = 9
+    JOB_STATE = 10
+    QUEUE_COUNT = 11
+    NOTE_JOB = 12
+    NEWS = 13
+    CONFIGURATION = 14
 
     _VALUES_TO_NAMES = {
         1: "SUBMIT",
@@ -33,6 +40,13 @@
         5: "EXPLAIN",
         6: "SETTLE",
         7: "HISTOGRAMS",
+        8: "ACCEPT_JOB",
+        9: "CANCEL_JOB",
+        10: "JOB_STATE",
+        11: "QUEUE_COUNT",
+        12: "NOTE_JOB",
+        13: "NEWS",
+        14: "CONFIGURATION",
     }
 
     _NAMES_TO_VALUES = {
@@ -43,6 +57,13 @@
         "EXPLAIN": 5,
         "SETTLE": 6,
         "HISTOGRAMS": 7,
+        "ACCEPT_JOB": 8,
+        "CANCEL_JOB": 9,
+        "JOB_STATE": 10,
+        "QUEUE_COUNT": 11,
+        "NOTE_JOB": 12,
+        "NEWS": 13,
+        "CONFIGURATION": 14,
     }
 
 
--- /dev/null
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs of steps on leased executors: decisions, ownership, recovery."""
--- /dev/null
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
@@ -0,0 +1,121 @@
+"""The executors as the owner knows them: room, clocks, holding times and health."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import trio
+
+from .model import NOTHING, Executor, Resources, TaskKey
+from .progress import Attempt, Phase
+
+CLOCK_DRIFT = 0.03
+LAPSE_MARGIN_S = 0.3
+REST_S = 0.7
+LONGEST_REST_S = 6.0
+
+
+@dataclass(slots=True, eq=False)
+class ExecutorState:
+    """One life of an executor; times are on trio's clock unless said otherwise.
+
+    `clock` is (sent, received, its clock in ms) of the reading with the shortest trip.
+    `lapse_by` is when everything there has certainly ended unless it is held again.
+    `noted` is the highest end taken in, `seen` the highest that is recorded, `told_seen`
+    the highest that the executor has been told. `recorded`: the store names it as in use.
+    """
+
+    executor: Executor
+    attempts: dict[TaskKey, Attempt] = field(default_factory=dict)
+    free: Resources = NOTHING
+    clock: tuple[float, float, int] | None = None
+    lapse_by: float = float("-inf")
+    noted: int = 0
+    seen: int = 0
+    told_seen: int = 0
+    heard: bool = False
+    listed: bool = True
+    recorded: bool = False
+    dead: bool = False
+    leaves_at: float | None = None
+    rest_until: float = 0.0
+    bad_streak: int = 0
+    failed_streak: int = 0
+    slowness: float = 1.0
+    wake: trio.Event = field(default_factory=trio.Event)
+
+    @property
+    def id(self) -> str:
+        """The id of this life."""
+        return self.executor.id
+
+    def accepts_work(self, now: float) -> bool:
+        """Whether new runs may be started here."""
+        return (
+            self.heard
+            and self.recorded
+            and self.listed
+            and not self.dead
+            and self.leaves_at is None
+            and now >= self.rest_until
+        )
+
+    def occupy(self, attempt: Attempt) -> None:
+        """Take room for an attempt."""
+        self.attempts[attempt.task] = attempt
+        self.free = self.free.minus(attempt.need)
+        self.wake.set()
+
+    def release(self, attempt: Attempt) -> None:
+        """Give an attempt's room back."""
+        if self.attempts.get(attempt.task) is attempt:
+            del self.attempts[attempt.task]
+            self.free = self.free.plus(attempt.need)
+
+    def room_soon(self) -> Resources:
+        """Return the room once everything that is being stopped has ended."""
+        soon = self.free
+        for attempt in self.attempts.values():
+            if attempt.phase is Phase.STOPPING:
+                soon = soon.plus(attempt.need)
+        return soon
+
+    def read_clock(self, sent: float, received: float, clock_ms: int) -> None:
+        """Keep a reading of its clock if it bounds it better than the last one did."""
+        if self.clock is not None:
+            old_sent, old_received, _ = self.clock
+            widened = old_received - old_sent + (received - old_received) * CLOCK_DRIFT
+            if received - sent > widened:
+                return
+        self.clock = (sent, received, clock_ms)
+
+    def deadline_ms(self, now: float, hold_s: float) -> int | None:
+        """Return the time on its clock that is `hold_s` from now, and remember the bound."""
+        if self.clock is None:
+            return None
+        sent, received, clock_ms = self.clock
+        elapsed = now - sent
+        until_ms = clock_ms + int((elapsed + hold_s) * 1000)
+        remaining = (until_ms - clock_ms) / 1000
+        lapse = received + remaining * (1 + CLOCK_DRIFT) + LAPSE_MARGIN_S
+        self.lapse_by = max(self.lapse_by, lapse)
+        return until_ms
+
+    def note_bad(self, now: float) -> None:
+        """Keep new work away for a while, longer each time in a row."""
+        self.bad_streak += 1
+        self.rest_until = now + min(LONGEST_REST_S, REST_S * 2 ** (self.bad_streak - 1))
+
+    def note_good(self) -> None:
+        """It has finished work."""
+        self.bad_streak = 0
+        self.failed_streak = 0
+        self.rest_until = 0.0
+
+
+def make_executor(executor: Executor, now: float) -> ExecutorState:
+    """Return the state of an executor that hasn't been heard."""
+    state = ExecutorState(executor, free=executor.capacity)
+    if executor.leaves_in_s is not None:
+        state.leaves_at = now + executor.leaves_in_s
+    return state
--- /dev/null
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/follow.py
@@ -0,0 +1,58 @@
+"""Following the keys under a prefix: read all, then watch, and read again when in doubt."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import trio
+from heronthread_coordination import Unavailable
+
+from .keystore import Gone, HistoryLost, Item, KeyStore, Listing
+
+WATCH_S = 2.5
+PAUSE_S = 0.15
+
+
+@dataclass(slots=True)
+class Follower:
+    """Calls `on_listing` with everything there is and `on_change` with each later change.
+
+    `at` is the revision up to which changes are known; None before the first listing.
+    """
+
+    store: KeyStore
+    prefix: str
+    on_listing: Callable[[Listing], None]
+    on_change: Callable[[Item | Gone], None]
+    wait_s: float = WATCH_S
+    at: int | None = None
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            if self.at is None and not await self.read_all():
+                await trio.sleep(PAUSE_S)
+                continue
+            await self._watch_once()
+
+    async def read_all(self) -> bool:
+        """Read everything once; False if the store did not answer."""
+        listing = await self.store.list(self.prefix)
+        if isinstance(listing, Unavailable):
+            return False
+        self.at = listing.at
+        self.on_listing(listing)
+        return True
+
+    async def _watch_once(self) -> None:
+        assert self.at is not None
+        outcome = await self.store.watch(self.prefix, self.at, self.wait_s)
+        if isinstance(outcome, HistoryLost):
+            self.at = None
+        elif isinstance(outcome, Unavailable):
+            await trio.sleep(PAUSE_S)
+        else:
+            self.at = max(self.at, outcome.at)
+            for event in outcome.events:
+                self.on_change(event)
--- /dev/null
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/http_client.py
@@ -0,0 +1,164 @@
+"""HTTP/1.1 calls with h11 on trio: connections are kept, and outcomes are values.
+
+httpx takes 1.0 ms of processor time for a call, this 0.3 ms (docs/design/platform.md).
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import h11
+import trio
+
+RECEIVE_BYTES = 65536
+MAX_IDLE_S = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """A complete answer."""
+
+    status: int
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class NoReply:
+    """No complete answer; with `unsent` the other side certainly did nothing."""
+
+    reason: str
+    unsent: bool
+
+
+@dataclass(slots=True)
+class _Connection:
+    stream: trio.SocketStream
+    protocol: h11.Connection
+    idle_since: float = 0.0
+
+
+@dataclass(slots=True)
+class HttpClient:
+    """Connections to any number of addresses; use it as a context manager."""
+
+    idle: dict[str, list[_Connection]] = field(default_factory=dict)
+
+    def __enter__(self) -> HttpClient:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for connections in self.idle.values():
+            for connection in connections:
+                connection.stream.socket.close()
+        self.idle.clear()
+
+    async def call(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        *,
+        body: bytes = b"",
+        headers: tuple[tuple[str, str], ...] = (),
+        timeout_s: float,
+    ) -> Reply | NoReply:
+        """Make one call; a kept connection that turns out closed is replaced once."""
+        sent = False
+        with trio.move_on_after(timeout_s):
+            connection, fresh = None, False
+            try:
+                while True:
+                    connection = self._take_idle(address)
+                    fresh = connection is None
+                    if connection is None:
+                        connection = await self._connect(address)
+                    sent = True
+                    reply = await self._exchange(connection, address, method, target, headers, body)
+                    if isinstance(reply, Reply):
+                        self._give_back(address, connection)
+                        connection = None
+                        return reply
+                    if fresh or not _closed_before_use(connection):
+                        return reply
+                    connection.stream.socket.close()
+                    connection = None
+            except OSError as error:
+                return NoReply(f"{address}: {error.strerror or error}", unsent=not sent)
+            finally:
+                if connection is not None:
+                    connection.stream.socket.close()
+        return NoReply(f"{address}: no answer in {timeout_s:g} s", unsent=not sent)
+
+    def _take_idle(self, address: str) -> _Connection | None:
+        connections = self.idle.get(address)
+        while connections:
+            connection = connections.pop()
+            if trio.current_time() - connection.idle_since < MAX_IDLE_S:
+                return connection
+            connection.stream.socket.close()
+        return None
+
+    def _give_back(self, address: str, connection: _Connection) -> None:
+        if connection.protocol.our_state is not h11.DONE:
+            connection.stream.socket.close()
+            return
+        if connection.protocol.their_state is not h11.DONE:
+            connection.stream.socket.close()
+            return
+        connection.protocol.start_next_cycle()
+        connection.idle_since = trio.current_time()
+        self.idle.setdefault(address, []).append(connection)
+
+    async def _connect(self, address: str) -> _Connection:
+        host, _, port = address.rpartition(":")
+        stream = await trio.open_tcp_stream(host, int(port))
+        return _Connection(stream, h11.Connection(h11.CLIENT))
+
+    async def _exchange(
+        self,
+        connection: _Connection,
+        address: str,
+        method: str,
+        target: str,
+        headers: tuple[tuple[str, str], ...],
+        body: bytes,
+    ) -> Reply | NoReply:
+        fields = [("Host", address), *headers]
+        if body or method == "POST":
+            fields += [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
+        protocol = connection.protocol
+        request = h11.Request(method=method, target=target, headers=fields)
+        try:
+            data = protocol.send(request) or b""
+            if body:
+                data += protocol.send(h11.Data(data=body)) or b""
+            data += protocol.send(h11.EndOfMessage()) or b""
+            await connection.stream.send_all(data)
+            return await self._receive(connection, address)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            return NoReply(f"{address}: {error.__cause__ or error}", unsent=False)
+        except h11.ProtocolError as error:
+            return NoReply(f"{address}: {error}", unsent=False)
+
+    async def _receive(self, connection: _Connection, address: str) -> Reply | NoReply:
+        status = 0
+        parts: list[bytes] = []
+        while True:
+            event = connection.protocol.next_event()
+            if event is h11.NEED_DATA:
+                connection.protocol.receive_data(
+                    await connection.stream.receive_some(RECEIVE_BYTES)
+                )
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return Reply(status, b"".join(parts))
+            elif isinstance(event, h11.ConnectionClosed):
+                return NoReply(f"{address}: closed", unsent=False)
+
+
+def _closed_before_use(connection: _Connection) -> bool:
+    """Whether a kept connection ended before any byte of an answer came."""
+    return connection.protocol.their_state in (h11.IDLE, h11.SEND_RESPONSE, h11.CLOSED)
--- /dev/null
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/model.py
@@ -0,0 +1,165 @@
+"""What callers ask for and what executors offer, as plain values."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+ACCELERATOR_IN_CORES = 8
+
+
+class Resources(NamedTuple):
+    """Processors in thousandths of a core, memory in MB, whole accelerators."""
+
+    cpu: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def fits_in(self, room: Resources) -> bool:
+        """Whether `room` has at least this much of everything."""
+        return self[0] <= room[0] and self[1] <= room[1] and self[2] <= room[2]
+
+    def plus(self, other: Resources) -> Resources:
+        """Return the sum."""
+        return Resources(self[0] + other[0], self[1] + other[1], self[2] + other[2])
+
+    def minus(self, other: Resources) -> Resources:
+        """Return the difference, which may be negative."""
+        return Resources(self[0] - other[0], self[1] - other[1], self[2] - other[2])
+
+    @property
+    def cores(self) -> float:
+        """Weight in cores; an accelerator counts as `ACCELERATOR_IN_CORES`."""
+        return self.cpu / 1000 + self.accelerators * ACCELERATOR_IN_CORES
+
+
+NOTHING = Resources()
+
+
+class TaskKey(NamedTuple):
+    """One task of one job; it keeps its name over all of its attempts."""
+
+    job: str
+    step: int
+    index: int
+
+
+@dataclass(frozen=True, slots=True)
+class StepSpec:
+    """`count` equal tasks that become ready once all steps in `after` are done.
+
+    A `gang` works only while all of its tasks are there. `same_rack` and `data_rack` cost
+    speed when not met; `label` and `spread_limit` (tasks for each executor, 0 for any
+    number) must be met. `estimate_s` is the caller's guess of one task's time.
+    """
+
+    count: int
+    need: Resources
+    estimate_s: float
+    after: tuple[int, ...] = ()
+    gang: bool = False
+    same_rack: bool = False
+    label: str = ""
+    data_rack: str = ""
+    spread_limit: int = 0
+    checkpointing: bool = False
+    lasting: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Queue:
+    """Where jobs of one kind enter, and how they are to be treated.
+
+    A job is on time within `stretch` times its longest chain plus `target_s`.
+    Priority 0 comes first and may take capacity back from the others.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    pool: str
+    priority: int
+    max_attempts: int
+    stretch: float
+    target_s: float
+    public: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class JobSpec:
+    """One accepted job; `accepted_at` is in seconds since the epoch.
+
+    `queue` is the queue as it was then; it counts when no newer configuration has it.
+    """
+
+    id: str
+    queue: Queue
+    tenant: str
+    payload: str
+    steps: tuple[StepSpec, ...]
+    accepted_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    """A customer: its keys, and the accelerators that are its own for urgent jobs."""
+
+    name: str
+    keys: tuple[str, ...]
+    guaranteed: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class DesiredState:
+    """One whole configuration; versions only rise."""
+
+    version: int
+    queues: tuple[Queue, ...] = ()
+    tenants: tuple[Tenant, ...] = ()
+    max_body_bytes: int = 262_144
+    by_key: dict[str, Tenant] = field(default_factory=dict)
+    by_name: dict[str, Queue] = field(default_factory=dict)
+
+    @classmethod
+    def build(
+        cls, version: int, queues: list[Queue], tenants: list[Tenant], max_body_bytes: int
+    ) -> DesiredState:
+        """Return a configuration with its indexes."""
+        by_key = {key: tenant for tenant in tenants for key in tenant.keys}
+        by_name = {queue.name: queue for queue in queues}
+        return cls(version, tuple(queues), tuple(tenants), max_body_bytes, by_key, by_name)
+
+    def current_queue(self, job: JobSpec) -> Queue:
+        """Return a job's queue as it is now, or as it was when the job was accepted."""
+        return self.by_name.get(job.queue.name, job.queue)
+
+    def find_queue(self, host: str, path: str) -> Queue | None:
+        """Return the queue of the longest prefix that begins a path."""
+        found = None
+        for queue in self.queues:
+            if queue.host == host and path.startswith(queue.prefix):
+                if found is None or len(queue.prefix) > len(found.prefix):
+                    found = queue
+        return found
+
+
+@dataclass(frozen=True, slots=True)
+class Executor:
+    """One life of an executor; a new life has a new id.
+
+    `leaves_in_s` is the least time until it leaves, None while it is not draining.
+    """
+
+    id: str
+    address: str
+    pool: str
+    zone: str
+    rack: str
+    labels: tuple[str, ...]
+    capacity: Resources
+    leaves_in_s: float | None = None
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether it takes no new work."""
+        return self.leaves_in_s is not None
--- /dev/null
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
@@ -0,0 +1,181 @@
+"""Giving starts and stops, each until it is answered or can't matter any more."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import trio
+
+from .events import log_event
+from .executor_link import (
+    Obeyed,
+    OrderOutcome,
+    OtherLife,
+    Refusal,
+    Refused,
+    StartOrder,
+    StopOrder,
+    Unanswered,
+    Unhealthy,
+)
+from .fleet import ExecutorState
+from .model import TaskKey
+from .owned import OwnedCell
+from .planner import Start
+from .progress import Attempt, Phase
+
+START_TRIES = 3
+RETRY_S = 0.05
+STOP_RETRY_S = 0.25
+NO_ROOM_REST_S = 0.2
+
+
+class Orders:
+    """Carries out plans: one task for each order."""
+
+    def __init__(self, cell: OwnedCell, nursery: trio.Nursery, depose: Callable[[], None]) -> None:
+        self.cell = cell
+        self._nursery = nursery
+        self._depose = depose
+
+    def start_group(self, group: list[Start]) -> None:
+        """Start tasks; the members of a gang get one run number."""
+        if group[0].step.spec.gang:
+            self._start_together(group)
+        else:
+            for start in group:
+                self._start_together([start])
+
+    def _start_together(self, group: list[Start]) -> None:
+        run = self.cell.next_run([start.task for start in group])
+        checkpoint = _choose_checkpoint(group)
+        now = trio.current_time()
+        for start in group:
+            key = _task_key(start)
+            attempt = Attempt(key, run, start.executor.id, start.step.spec.need, now)
+            attempt.moved_at = now
+            self.cell.place(start.task, attempt, start.executor)
+            self._nursery.start_soon(self._start, start, attempt, checkpoint)
+        log_event(
+            "start.decided",
+            job=group[0].job.spec.id,
+            step=group[0].job.steps.index(group[0].step),
+            run=run,
+            executors=[start.executor.id for start in group],
+            waited_s=round(now - (group[0].step.ready_at or now), 3),
+            term=self.cell.term.number,
+        )
+
+    async def _start(self, start: Start, attempt: Attempt, checkpoint: str) -> None:
+        state = start.executor
+        payload = start.job.spec.payload
+        for _ in range(START_TRIES):
+            if attempt.phase is not Phase.STARTING or start.task.attempt is not attempt:
+                return
+            if not self.cell.parts.may_order():
+                break
+            now = trio.current_time()
+            until = state.deadline_ms(now, self.cell.parts.timing.hold_s)
+            assert until is not None, "an executor that was heard has a clock"
+            order = StartOrder(
+                attempt.task, attempt.run, payload, checkpoint, self.cell.term.number, until
+            )
+            outcome = await self.cell.parts.link.start(state.executor, order)
+            if not isinstance(outcome, Unanswered):
+                self._settle_start(start, attempt, outcome)
+                return
+            state.wake.set()
+            await trio.sleep(RETRY_S)
+        if attempt.phase is Phase.STARTING and start.task.attempt is attempt:
+            state.note_bad(trio.current_time())
+            self.cell.request_stop(attempt, "the start was not answered")
+            self.cell.stop_gang(attempt, "a member's start was not answered")
+
+    def _settle_start(self, start: Start, attempt: Attempt, outcome: OrderOutcome) -> None:
+        now = trio.current_time()
+        state = start.executor
+        if isinstance(outcome, Obeyed):
+            if not start.job.begun:
+                start.job.begun = True
+                self.cell.recorder.mark(start.job)
+            if attempt.phase is Phase.STARTING:
+                attempt.phase = Phase.RUNNING
+                attempt.settled_at = now
+                attempt.moved_at = now
+            return
+        reason = _reason(outcome)
+        log_event(
+            "start.refused", job=attempt.task.job, run=attempt.run, executor=state.id, reason=reason
+        )
+        if isinstance(outcome, Unhealthy):
+            state.note_bad(now)
+        elif isinstance(outcome, OtherLife):
+            state.dead = True
+            state.wake.set()
+        elif outcome.reason is Refusal.FENCED:  # type: ignore[union-attr]
+            self._depose()
+            return
+        else:
+            state.rest_until = max(state.rest_until, now + NO_ROOM_REST_S)
+        if start.task.attempt is attempt:
+            self.cell.close(attempt, f"refused: {reason}")
+            self.cell.stop_gang(attempt, f"a member was refused: {reason}")
+
+    async def run_stops(self) -> None:
+        """Start a task for each stop that is wanted, until cancelled."""
+        while True:
+            await self.cell.stop_wanted.wait()
+            self.cell.stop_wanted = trio.Event()
+            wanted, self.cell.to_stop = self.cell.to_stop, []
+            for attempt, reason in wanted:
+                log_event(
+                    "stop.decided",
+                    job=attempt.task.job,
+                    task=str(attempt.task),
+                    run=attempt.run,
+                    executor=attempt.executor,
+                    reason=reason,
+                )
+                self._nursery.start_soon(self._stop, attempt)
+
+    async def _stop(self, attempt: Attempt) -> None:
+        while True:
+            state = self.cell.executors.get(attempt.executor)
+            if state is None or state.attempts.get(attempt.task) is not attempt:
+                return
+            if self.cell.parts.may_order():
+                order = StopOrder(attempt.task, attempt.run, self.cell.term.number)
+                outcome = await self.cell.parts.link.stop(state.executor, order)
+                if self._settle_stop(attempt, state, outcome):
+                    return
+            await trio.sleep(STOP_RETRY_S)
+
+    def _settle_stop(self, attempt: Attempt, state: ExecutorState, outcome: OrderOutcome) -> bool:
+        if isinstance(outcome, Obeyed):
+            attempt.settled_at = trio.current_time()
+            return True
+        if isinstance(outcome, OtherLife):
+            state.dead = True
+            state.wake.set()
+            return True
+        if isinstance(outcome, Refused) and outcome.reason is Refusal.FENCED:
+            self._depose()
+            return True
+        return False
+
+
+def _task_key(start: Start) -> TaskKey:
+    """Return the key of the task to be started."""
+    return TaskKey(start.job.spec.id, start.job.steps.index(start.step), start.task.index)
+
+
+def _choose_checkpoint(group: list[Start]) -> str:
+    """Return the newest checkpoint; any member's is good for its whole gang."""
+    newest = max(group, key=lambda start: start.task.checkpoint_run if start.task.checkpoint else -1)
+    return newest.task.checkpoint
+
+
+def _reason(outcome: OrderOutcome) -> str:
+    if isinstance(outcome, Refused):
+        return outcome.reason.value
+    return "unhealthy" if isinstance(outcome, Unhealthy) else "other life"
--- /dev/null
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
@@ -0,0 +1,236 @@
+"""What an owner of the cell has in memory, and the changes that ends and news make to it."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import trio
+
+from .events import log_event
+from .executor_link import EndedRun, EndKind, ExecutorLink
+from .fleet import ExecutorState
+from .keystore import KeyStore
+from .model import DesiredState, Executor, TaskKey
+from .progress import Attempt, JobState, Phase, TaskState, make_job
+from .record import JobRecord
+from .recorder import Recorder
+from .tenure import Term
+
+JOB_PREFIX = "job/"
+RUNS_PER_TERM = 1000
+AVOID_S = 5.0
+BAD_AFTER_FAILURES = 2
+
+
+def job_key(job_id: str) -> str:
+    """Return the key of an accepted job."""
+    return f"{JOB_PREFIX}{job_id}"
+
+
+@dataclass(frozen=True, slots=True)
+class DirectoryFormat:
+    """Where executors register in the store, and how an entry is read (None: not one)."""
+
+    prefix: str
+    parse: Callable[[str, bytes], Executor | None]
+
+
+@dataclass(frozen=True, slots=True)
+class Timing:
+    """Times in seconds that the deployment sets.
+
+    `hold_s` is how long an executor keeps what runs without hearing from its owner;
+    `stop_s` what a stop may take.
+    """
+
+    hold_s: float = 6.0
+    stop_s: float = 0.9
+    gang_timeout_s: float = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerParts:
+    """What an owner is given."""
+
+    store: KeyStore
+    link: ExecutorLink
+    directory: DirectoryFormat
+    timing: Timing
+    wall_clock: Callable[[], float]
+    desired: Callable[[], DesiredState]
+    may_order: Callable[[], bool]
+    random: random.Random = field(default_factory=random.Random)
+
+
+class OwnedCell:
+    """Jobs and executors of one term, and what follows from each piece of news."""
+
+    def __init__(self, parts: OwnerParts, term: Term) -> None:
+        self.parts = parts
+        self.term = term
+        self.recorder = Recorder(parts.store, term.guard)
+        self.jobs: dict[str, JobState] = {}
+        self.active: dict[str, JobState] = {}
+        self.executors: dict[str, ExecutorState] = {}
+        self.changed = trio.Event()
+        self.to_stop: list[tuple[Attempt, str]] = []
+        self.stop_wanted = trio.Event()
+
+    def wake_planner(self) -> None:
+        """Have a plan made soon."""
+        self.changed.set()
+
+    # Jobs
+
+    def note_job(self, record: JobRecord) -> None:
+        """Take in an accepted job, or that it is to be cancelled."""
+        job = self.jobs.get(record.spec.id)
+        if job is None:
+            job = make_job(record.spec, trio.current_time())
+            self.jobs[record.spec.id] = job
+            self.active[record.spec.id] = job
+            log_event("job.known", job=job.spec.id, term=self.term.number)
+        if record.cancelled and not job.cancelled:
+            self._cancel(job)
+        self.wake_planner()
+
+    def _cancel(self, job: JobState) -> None:
+        job.cancelled = True
+        log_event("job.cancelled", job=job.spec.id, status=job.status.value)
+        self._end_attempts(job, "cancelled")
+        self._settle(job)
+
+    def _end_attempts(self, job: JobState, reason: str) -> None:
+        for attempt in job.attempts():
+            self.request_stop(attempt, reason)
+
+    def _settle(self, job: JobState) -> None:
+        """Record what changed; a job that can't change any more is no longer planned."""
+        self.recorder.mark(job)
+        if job.status.is_final:
+            self.active.pop(job.spec.id, None)
+        self.wake_planner()
+
+    # Attempts
+
+    def next_run(self, tasks: list[TaskState]) -> int:
+        """Return a run number above all earlier ones of the tasks, in any term."""
+        floor = (self.term.number - 1) * RUNS_PER_TERM
+        run = max(floor, *(task.last_run for task in tasks)) + 1
+        for task in tasks:
+            task.last_run = run
+        return run
+
+    def place(self, task: TaskState, attempt: Attempt, state: ExecutorState) -> None:
+        """Note that an attempt is, or may be, at an executor."""
+        task.attempt = attempt
+        state.occupy(attempt)
+
+    def close(self, attempt: Attempt, why: str) -> None:
+        """Note that an attempt is nowhere any more."""
+        state = self.executors.get(attempt.executor)
+        if state is not None:
+            state.release(attempt)
+        task = self.find_task(attempt.task)
+        if task is not None and task.attempt is attempt:
+            task.attempt = None
+        log_event(
+            "attempt.closed",
+            job=attempt.task.job,
+            step=attempt.task.step,
+            index=attempt.task.index,
+            run=attempt.run,
+            executor=attempt.executor,
+            why=why,
+        )
+        self.wake_planner()
+
+    def request_stop(self, attempt: Attempt, reason: str) -> None:
+        """Have an attempt stopped."""
+        if attempt.phase is not Phase.STOPPING:
+            attempt.phase = Phase.STOPPING
+            attempt.stop_reason = reason
+            attempt.settled_at = float("inf")
+            self.to_stop.append((attempt, reason))
+            self.stop_wanted.set()
+
+    def stop_gang(self, attempt: Attempt, reason: str) -> None:
+        """Have the other members of an attempt's gang run stopped."""
+        job = self.jobs.get(attempt.task.job)
+        if job is None or not job.steps[attempt.task.step].spec.gang:
+            return
+        for task in job.steps[attempt.task.step].tasks:
+            other = task.attempt
+            if other is not None and other is not attempt and other.run == attempt.run:
+                self.request_stop(other, reason)
+
+    def find_task(self, key: TaskKey) -> TaskState | None:
+        """Return a task by its key."""
+        job = self.jobs.get(key.job)
+        return job.task(key) if job else None
+
+    def note_checkpoint(self, task: TaskState, run: int, checkpoint: str) -> None:
+        """Keep the newest checkpoint of a task."""
+        if checkpoint and run >= task.checkpoint_run:
+            task.checkpoint = checkpoint
+            task.checkpoint_run = run
+
+    # Ends
+
+    def note_end(self, state: ExecutorState, end: EndedRun) -> None:
+        """Take in one end that an executor lists."""
+        job = self.jobs.get(end.task.job)
+        task = self.find_task(end.task)
+        if job is None or task is None:
+            log_event("end.unknown", task=str(end.task), executor=state.id, kind=end.kind.value)
+            return
+        task.last_run = max(task.last_run, end.run)
+        attempt = task.attempt
+        is_current = attempt is not None and attempt.run == end.run
+        if is_current and attempt is not None:
+            self.close(attempt, end.kind.value)
+        self.note_checkpoint(task, end.run, end.checkpoint)
+        if end.kind is EndKind.DONE:
+            self._note_done(state, job, task, end)
+        elif end.kind is EndKind.FAILED:
+            self._note_failed(state, job, task, end)
+        elif end.kind in (EndKind.STOPPED, EndKind.LAPSED) and end.checkpoint:
+            self.recorder.mark(job)
+        if is_current and attempt is not None and end.kind is not EndKind.DONE:
+            self.stop_gang(attempt, f"a member ended {end.kind.value}")
+
+    def _note_done(
+        self, state: ExecutorState, job: JobState, task: TaskState, end: EndedRun
+    ) -> None:
+        state.note_good()
+        step = job.steps[end.task.step]
+        if step.spec.lasting or task.done:
+            return
+        finished = step.tasks if step.spec.gang else [task]
+        for member in finished:
+            member.done = True
+            if member.attempt is not None and member.attempt.run != end.run:
+                self.request_stop(member.attempt, "done in an earlier run")
+        job.begun = True
+        self._settle(job)
+
+    def _note_failed(
+        self, state: ExecutorState, job: JobState, task: TaskState, end: EndedRun
+    ) -> None:
+        now = trio.current_time()
+        task.avoid[state.id] = now + AVOID_S
+        state.failed_streak += 1
+        if state.failed_streak >= BAD_AFTER_FAILURES:
+            state.note_bad(now)
+        step = job.steps[end.task.step]
+        if end.run in task.failed_runs or step.spec.lasting:
+            return
+        task.failed_runs.add(end.run)
+        limit = self.parts.desired().current_queue(job.spec).max_attempts
+        if step.count_failures(task) >= limit and not job.status.is_final:
+            job.failed = True
+            log_event("job.failed", job=job.spec.id, step=end.task.step, index=end.task.index)
+            self._end_attempts(job, "job failed")
+        self._settle(job)
--- /dev/null
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -0,0 +1,367 @@
+"""The owner of the cell: takes everything over, then decides until it is deposed."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+
+import trio
+from heronthread_coordination import Unavailable
+
+from .events import log_event
+from .fleet import ExecutorState, make_executor
+from .follow import Follower
+from .keystore import Committed, Gone, Item, Listing, Mismatch, Put, Transaction
+from .model import Executor, Resources
+from .orders import Orders
+from .owned import JOB_PREFIX, OwnedCell, OwnerParts
+from .planner import Planner
+from .progress import Attempt, JobState, Phase
+from .record import JobRecord, JobStatus, ProgressRecord
+from .recorder import PROGRESS_PREFIX, Deposed, progress_key
+from .tenure import Term
+from .watching import ExecutorWatch
+
+USED_KEY = "used/0"
+PAUSE_S = 0.15
+COALESCE_S = 0.012
+PLAN_EVERY_S = 0.5
+HOUSEKEEPING_S = 0.4
+STALL_S = 3.2
+LATE_OWNER_S = 2.0
+LEAVE_MARGIN_S = 0.35
+
+
+@dataclass(frozen=True, slots=True)
+class JobView:
+    """What may be told of a job."""
+
+    status: JobStatus
+    tenant: str
+    queue: str
+
+
+class Owner:
+    """One term of ownership; `run` returns when it is over."""
+
+    def __init__(self, parts: OwnerParts, term: Term) -> None:
+        self.parts = parts
+        self.cell = OwnedCell(parts, term)
+        self.is_ready = False
+        self._scope = trio.CancelScope()
+        self._used: dict[str, tuple[str, str]] = {}
+        self._used_revision = 0
+        self._used_changed = trio.Event()
+        self._nursery: trio.Nursery | None = None
+        self._orders: Orders | None = None
+
+    def depose(self) -> None:
+        """End this term: somebody else owns the cell, or nobody can tell."""
+        if not self._scope.cancel_called:
+            log_event("owner.deposed", term=self.cell.term.number)
+        self.is_ready = False
+        self._scope.cancel()
+
+    async def run(self) -> None:
+        """Take over, then decide until deposed."""
+        started = trio.current_time()
+        with self._scope:
+            jobs = Follower(self.parts.store, JOB_PREFIX, self._take_jobs, self._take_job)
+            directory = Follower(
+                self.parts.store, self.parts.directory.prefix, self._take_listing, self._take_entry
+            )
+            await self._read_used()
+            await _read(directory)
+            await _read(jobs)
+            await self._read_progress()
+            await self._write_used()
+            log_event(
+                "owner.loaded",
+                term=self.cell.term.number,
+                jobs=len(self.cell.jobs),
+                active=len(self.cell.active),
+                executors=len(self.cell.executors),
+                seconds=round(trio.current_time() - started, 3),
+            )
+            await self._work(jobs, directory)
+        self.is_ready = False
+
+    async def _work(self, jobs: Follower, directory: Follower) -> None:
+        try:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                self._orders = Orders(self.cell, nursery, self.depose)
+                nursery.start_soon(self.cell.recorder.run)
+                nursery.start_soon(self._orders.run_stops)
+                for state in list(self.cell.executors.values()):
+                    self._watch(state)
+                nursery.start_soon(jobs.run)
+                nursery.start_soon(directory.run)
+                nursery.start_soon(self._record_used)
+                nursery.start_soon(self._keep_house)
+                self.is_ready = True
+                await self._pass_barrier()
+                await self._plan_for_ever()
+        except* Deposed:
+            self.depose()
+
+    # Taking over
+
+    async def _read_used(self) -> None:
+        """Read which executors an earlier owner may have used."""
+        while True:
+            item = await self.parts.store.read(USED_KEY)
+            if not isinstance(item, Unavailable):
+                break
+            await trio.sleep(PAUSE_S)
+        if isinstance(item, Item):
+            self._used_revision = item.revision
+            self._used = {key: tuple(value) for key, value in json.loads(item.value).items()}
+        now = trio.current_time()
+        unheard_until = now + LATE_OWNER_S + self.parts.timing.hold_s * 1.05
+        for executor_id, (address, pool) in self._used.items():
+            executor = Executor(executor_id, address, pool, "", "", (), Resources())
+            state = make_executor(executor, now)
+            state.listed = False
+            state.recorded = True
+            state.lapse_by = unheard_until
+            self.cell.executors[executor_id] = state
+
+    async def _read_progress(self) -> None:
+        while True:
+            listing = await self.parts.store.list(PROGRESS_PREFIX)
+            if not isinstance(listing, Unavailable):
+                break
+            await trio.sleep(PAUSE_S)
+        for item in listing.items:
+            job = self.cell.jobs.get(item.key.removeprefix(PROGRESS_PREFIX))
+            if job is not None:
+                job.restore(ProgressRecord.decode(item.value), item.revision)
+        for job in list(self.cell.active.values()):
+            if job.status.is_final:
+                del self.cell.active[job.spec.id]
+            if job.recorded is not job.status and job.status.is_final:
+                self.cell.recorder.mark(job)
+
+    async def _pass_barrier(self) -> None:
+        """Wait until nothing of an earlier owner can run at an executor that is silent."""
+        started = trio.current_time()
+        while True:
+            now = trio.current_time()
+            silent = [
+                s.id
+                for s in self.cell.executors.values()
+                if s.recorded and not s.heard and not s.dead and now < s.lapse_by
+            ]
+            if not silent:
+                break
+            await trio.sleep(0.02)
+        log_event(
+            "owner.ready",
+            term=self.cell.term.number,
+            barrier_s=round(trio.current_time() - started, 3),
+        )
+
+    # Executors
+
+    def _take_listing(self, listing: Listing) -> None:
+        present = set()
+        for item in listing.items:
+            self._take_entry(item)
+            present.add(item.key.removeprefix(self.parts.directory.prefix))
+        for state in self.cell.executors.values():
+            if state.id not in present:
+                state.listed = False
+                state.wake.set()
+
+    def _take_entry(self, event: Item | Gone) -> None:
+        executor_id = event.key.removeprefix(self.parts.directory.prefix)
+        state = self.cell.executors.get(executor_id)
+        if isinstance(event, Gone):
+            if state is not None:
+                state.listed = False
+                state.wake.set()
+            return
+        executor = self.parts.directory.parse(executor_id, event.value)
+        if executor is None:
+            return
+        now = trio.current_time()
+        if state is None:
+            state = make_executor(executor, now)
+            self.cell.executors[executor_id] = state
+            log_event("executor.found", executor=executor_id, pool=executor.pool)
+            if self._nursery is not None:
+                self._watch(state)
+        else:
+            self._renew_entry(state, executor, now)
+        self._used_changed.set()
+        self.cell.wake_planner()
+
+    def _renew_entry(self, state: ExecutorState, executor: Executor, now: float) -> None:
+        used = Resources()
+        for attempt in state.attempts.values():
+            used = used.plus(attempt.need)
+        state.executor = executor
+        state.free = executor.capacity.minus(used)
+        state.listed = True
+        if executor.leaves_in_s is not None and state.leaves_at is None:
+            state.leaves_at = now + executor.leaves_in_s
+            log_event("executor.draining", executor=state.id, leaves_in_s=executor.leaves_in_s)
+
+    def _watch(self, state: ExecutorState) -> None:
+        assert self._nursery is not None
+        watch = ExecutorWatch(self.cell, state, self.depose)
+        self._nursery.start_soon(watch.run)
+
+    async def _record_used(self) -> None:
+        """Name executors in the store before the first start there."""
+        while True:
+            await self._used_changed.wait()
+            self._used_changed = trio.Event()
+            await self._write_used()
+            await trio.sleep(0.1)
+
+    async def _write_used(self) -> None:
+        while True:
+            states = [s for s in self.cell.executors.values() if not s.dead]
+            if all(state.recorded for state in states):
+                return
+            used = {s.id: (s.executor.address, s.executor.pool) for s in states}
+            transaction = Transaction(
+                (self.cell.term.guard, (USED_KEY, self._used_revision)),
+                (Put(USED_KEY, json.dumps(used).encode()),),
+            )
+            outcome = await self.parts.store.commit(transaction)
+            if isinstance(outcome, Committed):
+                self._used_revision = outcome.revision
+                for state in states:
+                    state.recorded = True
+                self.cell.wake_planner()
+                return
+            if isinstance(outcome, Mismatch):
+                key, revision = self.cell.term.guard
+                guard = outcome.items.get(key)
+                if guard is None or guard.revision != revision:
+                    self.depose()
+                item = outcome.items.get(USED_KEY)
+                self._used_revision = item.revision if item else 0
+            await trio.sleep(PAUSE_S)
+
+    # Jobs
+
+    def _take_jobs(self, listing: Listing) -> None:
+        for item in listing.items:
+            self._take_job(item)
+
+    def _take_job(self, event: Item | Gone) -> None:
+        if isinstance(event, Item):
+            self.cell.note_job(JobRecord.decode(event.value))
+
+    def note_job(self, record: JobRecord) -> None:
+        """Take in a job or a cancel that a peer tells of."""
+        if self.is_ready:
+            self.cell.note_job(record)
+
+    def view(self, job_id: str) -> JobView | None:
+        """Return what may be told of a job; None if this owner doesn't know it."""
+        job = self.cell.jobs.get(job_id)
+        if job is None or not self.is_ready:
+            return None
+        return JobView(job.shown, job.spec.tenant, job.spec.queue.name)
+
+    def count_pending(self, queue: str) -> int | None:
+        """Return how many accepted jobs of a queue have not begun."""
+        if not self.is_ready:
+            return None
+        jobs = self.cell.active.values()
+        return sum(1 for j in jobs if j.spec.queue.name == queue and not j.begun)
+
+    # Deciding
+
+    async def _plan_for_ever(self) -> None:
+        recheck = PLAN_EVERY_S
+        while True:
+            with trio.move_on_after(recheck):
+                await self.cell.changed.wait()
+            await trio.sleep(COALESCE_S)
+            self.cell.changed = trio.Event()
+            if not self.parts.may_order():
+                await trio.sleep(PAUSE_S)
+                continue
+            recheck = self._plan_once()
+
+    def _plan_once(self) -> float:
+        assert self._orders is not None
+        planner = Planner(
+            self.cell.active.values(),
+            self.cell.executors.values(),
+            self.parts.desired(),
+            trio.current_time(),
+            self.parts.wall_clock(),
+        )
+        plan = planner.make()
+        for attempt in plan.stops:
+            self.cell.request_stop(attempt, "taken back for urgent work")
+        for group in plan.groups:
+            self._orders.start_group(group)
+        if plan.recheck_in_s is None:
+            return PLAN_EVERY_S
+        return min(PLAN_EVERY_S, max(0.02, plan.recheck_in_s))
+
+    async def _keep_house(self) -> None:
+        """Look after runs that stand still and executors that leave."""
+        while True:
+            await trio.sleep(HOUSEKEEPING_S)
+            now = trio.current_time()
+            for state in list(self.cell.executors.values()):
+                if state.leaves_at is not None:
+                    self._move_from(state, now)
+                for attempt in list(state.attempts.values()):
+                    self._check_stall(state, attempt, now)
+
+    def _move_from(self, state: ExecutorState, now: float) -> None:
+        """Stop what checkpoints shortly before its executor leaves."""
+        assert state.leaves_at is not None
+        if now < state.leaves_at - self.parts.timing.stop_s - LEAVE_MARGIN_S - HOUSEKEEPING_S:
+            return
+        for attempt in list(state.attempts.values()):
+            job = self.cell.jobs.get(attempt.task.job)
+            if job is not None and job.steps[attempt.task.step].spec.checkpointing:
+                self.cell.request_stop(attempt, "the executor leaves")
+                self.cell.stop_gang(attempt, "a member's executor leaves")
+
+    def _check_stall(self, state: ExecutorState, attempt: Attempt, now: float) -> None:
+        if attempt.phase is not Phase.RUNNING or attempt.percent >= 99:
+            return
+        if now - attempt.moved_at < STALL_S or not state.heard:
+            return
+        job = self.cell.jobs.get(attempt.task.job)
+        if job is None:
+            return
+        step = job.steps[attempt.task.step]
+        if step.spec.lasting:
+            return
+        if step.spec.gang and not _gang_is_whole(job, attempt):
+            return
+        state.note_bad(now)
+        task = job.task(attempt.task)
+        if task is not None:
+            task.avoid[state.id] = now + 2 * STALL_S
+        self.cell.request_stop(attempt, "no progress")
+        self.cell.stop_gang(attempt, "a member makes no progress")
+
+
+def _gang_is_whole(job: JobState, attempt: Attempt) -> bool:
+    tasks = job.steps[attempt.task.step].tasks
+    return all(
+        t.attempt is not None and t.attempt.phase is Phase.RUNNING and t.attempt.run == attempt.run
+        for t in tasks
+    )
+
+
+async def _read(follower: Follower) -> None:
+    while not await follower.read_all():
+        await trio.sleep(PAUSE_S)
+
+
+__all__ = ["JobView", "Owner", "progress_key"]
--- /dev/null
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/peering.py
@@ -0,0 +1,80 @@
+"""Messages between the hosts of one cell: thrift frames with a JSON body."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import asdict, dataclass
+from typing import Any
+
+from heronthread_daemon.peer import Peers, PeerUnreachable
+from heronthread_daemon.wire.ttypes import Forward, ForwardReply, Frame, Operation
+
+CALL_S = 0.8
+
+OK = 200
+NOT_HERE = 421
+NOT_TAKEN = 503
+UNSETTLED = 504
+
+
+@dataclass(frozen=True, slots=True)
+class News:
+    """What a host tells its peers of itself; `term` and `owner` name the owner it knows."""
+
+    host: str
+    address: str
+    version: int
+    store_ok: bool
+    term: int = 0
+    owner: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class PeerReply:
+    """A peer's answer; status as in HTTP."""
+
+    status: int
+    body: dict[str, Any]
+
+
+async def call_peer(
+    peers: Peers, address: str, operation: int, body: dict[str, Any], timeout_s: float = CALL_S
+) -> PeerReply | PeerUnreachable:
+    """Ask a peer for one operation."""
+    forward = Forward(operation, "0", json.dumps(body).encode(), int(timeout_s * 1000))
+    reply = await peers.call(address, Frame(forward=forward), timeout_s)
+    if isinstance(reply, PeerUnreachable):
+        return reply
+    answer = reply.forward_reply
+    return PeerReply(answer.status, json.loads(answer.body))
+
+
+def make_reply(status: int, body: dict[str, Any]) -> Frame:
+    """Return the frame that answers an operation."""
+    return Frame(forward_reply=ForwardReply(status, json.dumps(body).encode()))
+
+
+def encode_news(news: News) -> dict[str, Any]:
+    """Return news as a body."""
+    return asdict(news)
+
+
+def decode_news(body: dict[str, Any]) -> News:
+    """Read news from a body."""
+    return News(**{name: body[name] for name in News.__slots__ if name in body})
+
+
+__all__ = [
+    "CALL_S",
+    "NOT_HERE",
+    "NOT_TAKEN",
+    "OK",
+    "UNSETTLED",
+    "News",
+    "Operation",
+    "PeerReply",
+    "call_peer",
+    "decode_news",
+    "encode_news",
+    "make_reply",
+]
--- /dev/null
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -0,0 +1,477 @@
+"""Which tasks start where, and which attempts are taken back for urgent work."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from .fleet import ExecutorState
+from .model import DesiredState, Queue, Resources, StepSpec
+from .progress import Attempt, JobState, Phase, StepState, TaskState, latest_start
+
+URGENT = 0
+REMOTE_PATIENCE_S = 1.2
+SPREAD_PATIENCE_S = 1.5
+RESERVATIONS = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Start:
+    """A run of a task to be started at an executor."""
+
+    job: JobState
+    step: StepState
+    task: TaskState
+    executor: ExecutorState
+
+
+@dataclass(slots=True)
+class Plan:
+    """Starts in groups (a gang is one group), and attempts to take back."""
+
+    groups: list[list[Start]] = field(default_factory=list)
+    stops: list[Attempt] = field(default_factory=list)
+    recheck_in_s: float | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Room:
+    """What is left at one executor while a plan is made."""
+
+    state: ExecutorState
+    now: Resources
+    soon: Resources
+
+    def take(self, need: Resources) -> None:
+        """Use room for one task."""
+        self.now = self.now.minus(need)
+        self.soon = self.soon.minus(need)
+
+    def fits(self, need: Resources) -> bool:
+        """Whether one more task fits now without what was promised to others."""
+        return need.fits_in(self.now) and need.fits_in(self.soon)
+
+
+@dataclass(slots=True, eq=False)
+class Candidate:
+    """A step that has tasks to start, with what decides its turn."""
+
+    job: JobState
+    step: StepState
+    queue: Queue
+    tasks: list[TaskState]
+    guaranteed: bool
+    order: tuple[float, ...]
+
+
+class Planner:
+    """Makes one plan for one pool of executors at one moment."""
+
+    def __init__(
+        self,
+        jobs: Iterable[JobState],
+        executors: Iterable[ExecutorState],
+        desired: DesiredState,
+        now: float,
+        wall_now: float,
+    ) -> None:
+        self.jobs = list(jobs)
+        self.desired = desired
+        self.now = now
+        self.wall_now = wall_now
+        self.by_id = {state.id: state for state in executors}
+        self.rooms: dict[str, list[Room]] = {}
+        for state in self.by_id.values():
+            if state.accepts_work(now):
+                room = Room(state, state.free, state.room_soon())
+                self.rooms.setdefault(state.executor.pool, []).append(room)
+        self.plan = Plan()
+        self.guaranteed = find_guaranteed(self.jobs, desired)
+        self._reserved = 0
+        self._full: set[tuple[str, Resources, str]] = set()
+
+    def make(self) -> Plan:
+        """Return what to start and what to take back now."""
+        for candidate in sorted(self._candidates(), key=lambda c: c.order):
+            self._serve(candidate)
+        return self.plan
+
+    def _candidates(self) -> Iterable[Candidate]:
+        for job in self.jobs:
+            if not job.is_active:
+                continue
+            queue = self.desired.current_queue(job.spec)
+            for step in job.steps:
+                if not job.is_ready(step):
+                    continue
+                if step.ready_at is None:
+                    step.ready_at = self.now
+                tasks = step.open_tasks()
+                if not tasks or (step.spec.gang and any(t.attempt for t in step.tasks)):
+                    continue
+                yield Candidate(job, step, queue, tasks, *self._rank(job, queue))
+
+    def _rank(self, job: JobState, queue: Queue) -> tuple[bool, tuple[float, ...]]:
+        guaranteed = job.spec.id in self.guaranteed
+        latest = latest_start(job, queue, self.now, self.wall_now)
+        late = latest < self.now
+        first = 0 if guaranteed else 1
+        return guaranteed, (queue.priority, first, late, latest)
+
+    def _serve(self, candidate: Candidate) -> None:
+        rooms = self._usable(candidate)
+        if candidate.step.spec.gang and len(candidate.tasks) > 1:
+            placed = self._place_gang(candidate, rooms)
+        else:
+            placed = self._place_single(candidate, rooms)
+        if placed:
+            group = [
+                Start(candidate.job, candidate.step, task, room.state) for task, room in placed
+            ]
+            self.plan.groups.append(group)
+        missing = len(candidate.tasks) - len(placed)
+        if missing and candidate.queue.priority == URGENT:
+            self._take_back(candidate, candidate.tasks[-missing:], rooms)
+        elif missing and candidate.step.spec.gang:
+            self._reserve(candidate, rooms)
+
+    def _usable(self, candidate: Candidate) -> list[Room]:
+        spec = candidate.step.spec
+        rooms = self.rooms.get(candidate.queue.pool, [])
+        if spec.label:
+            rooms = [r for r in rooms if spec.label in r.state.executor.labels]
+        return rooms
+
+    def _waited(self, candidate: Candidate) -> float:
+        ready_at = candidate.step.ready_at
+        return self.now - (self.now if ready_at is None else ready_at)
+
+    # One task at a time
+
+    def _place_single(
+        self, candidate: Candidate, rooms: list[Room]
+    ) -> list[tuple[TaskState, Room]]:
+        spec = candidate.step.spec
+        full_key = (candidate.queue.pool, spec.need, spec.label)
+        if full_key in self._full:
+            return []
+        fitting = [r for r in rooms if r.fits(spec.need)]
+        if not fitting:
+            self._full.add(full_key)
+            return []
+        if spec.data_rack:
+            near = [r for r in fitting if r.state.executor.rack == spec.data_rack]
+            if near or not self._may_go_remote(candidate, rooms):
+                fitting = near
+        fitting.sort(key=_tightness)
+        counts = _count_by_executor(candidate.step)
+        return self._fill(candidate, fitting, counts)
+
+    def _fill(
+        self, candidate: Candidate, fitting: list[Room], counts: dict[str, int]
+    ) -> list[tuple[TaskState, Room]]:
+        spec = candidate.step.spec
+        placed = []
+        for task in candidate.tasks:
+            for room in fitting:
+                if not room.fits(spec.need) or self._avoids(task, room):
+                    continue
+                if spec.spread_limit and counts.get(room.state.id, 0) >= spec.spread_limit:
+                    continue
+                room.take(spec.need)
+                counts[room.state.id] = counts.get(room.state.id, 0) + 1
+                placed.append((task, room))
+                break
+        return placed
+
+    def _avoids(self, task: TaskState, room: Room) -> bool:
+        until = task.avoid.get(room.state.id)
+        return until is not None and until > self.now
+
+    def _may_go_remote(self, candidate: Candidate, rooms: list[Room]) -> bool:
+        rack = candidate.step.spec.data_rack
+        if not any(r.state.executor.rack == rack for r in rooms):
+            return True
+        if self._waited(candidate) >= REMOTE_PATIENCE_S:
+            return True
+        self._recheck(REMOTE_PATIENCE_S - self._waited(candidate))
+        return False
+
+    def _recheck(self, in_s: float) -> None:
+        known = self.plan.recheck_in_s
+        self.plan.recheck_in_s = in_s if known is None else min(known, in_s)
+
+    # Gangs
+
+    def _place_gang(self, candidate: Candidate, rooms: list[Room]) -> list[tuple[TaskState, Room]]:
+        best = self._best_fit(candidate, self._gang_scopes(candidate, rooms))
+        if best is None:
+            return []
+        for room in best:
+            room.take(candidate.step.spec.need)
+        return list(zip(candidate.tasks, best, strict=True))
+
+    def _gang_scopes(self, candidate: Candidate, rooms: list[Room]) -> list[list[Room]]:
+        """Return the sets of executors that a gang may use, the preferred ones first."""
+        spec = candidate.step.spec
+        everywhere = [rooms]
+        if not spec.same_rack and not spec.data_rack:
+            return everywhere
+        racks = _by_rack(rooms)
+        if spec.data_rack:
+            scopes = [racks[spec.data_rack]] if spec.data_rack in racks else []
+            others = [r for name, r in racks.items() if name != spec.data_rack]
+        else:
+            scopes, others = list(racks.values()), []
+        possible = any(_holds_when_empty(r, spec, len(candidate.tasks)) for r in scopes)
+        if not possible:
+            return [*scopes, *others, rooms]
+        if self._waited(candidate) >= SPREAD_PATIENCE_S and candidate.queue.priority == URGENT:
+            return [*scopes, *others, rooms]
+        return scopes
+
+    def _best_fit(self, candidate: Candidate, scopes: list[list[Room]]) -> list[Room] | None:
+        spec = candidate.step.spec
+        best: tuple[float, list[Room]] | None = None
+        for scope in scopes:
+            chosen = self._fit_in_scope(candidate, scope)
+            if chosen is None:
+                continue
+            if not spec.same_rack:
+                return chosen
+            left = float(sum(room.now.accelerators for room in scope))
+            if len(scopes) > 1 and len(_by_rack(chosen)) > 1:
+                left += 1e6
+            if best is None or left < best[0]:
+                best = (left, chosen)
+        return best[1] if best else None
+
+    def _fit_in_scope(self, candidate: Candidate, scope: list[Room]) -> list[Room] | None:
+        """Return a room for each member, tightest first, or None; takes nothing."""
+        spec = candidate.step.spec
+        wanted = len(candidate.tasks)
+        chosen: list[Room] = []
+        for room in sorted(scope, key=_tightness):
+            if any(self._avoids(task, room) for task in candidate.tasks):
+                continue
+            now, soon, here = room.now, room.soon, 0
+            while len(chosen) < wanted and spec.need.fits_in(now) and spec.need.fits_in(soon):
+                if spec.spread_limit and here >= spec.spread_limit:
+                    break
+                chosen.append(room)
+                here += 1
+                now, soon = now.minus(spec.need), soon.minus(spec.need)
+        return chosen if len(chosen) == wanted else None
+
+    def _reserve(self, candidate: Candidate, rooms: list[Room]) -> None:
+        """Keep what is free in one rack for a gang that can't start yet."""
+        if self._reserved >= RESERVATIONS:
+            return
+        self._reserved += 1
+        spec = candidate.step.spec
+        scopes = self._gang_scopes(candidate, rooms)
+        if not scopes:
+            return
+        step = candidate.step
+        scope = self._chosen_scope(step, scopes)
+        left = len(candidate.tasks)
+        for room in sorted(scope, key=_tightness, reverse=True):
+            while left and spec.need.fits_in(room.state.executor.capacity):
+                if not _could_take(room, spec.need):
+                    break
+                room.take(spec.need)
+                left -= 1
+
+    def _chosen_scope(self, step: StepState, scopes: list[list[Room]]) -> list[Room]:
+        """Return the scope chosen before, or the one with most room."""
+        for scope in scopes:
+            if scope and scope[0].state.executor.rack == step.chosen_rack:
+                return scope
+        best = max(scopes, key=lambda scope: _members_that_fit(scope, step.spec.need))
+        step.chosen_rack = best[0].state.executor.rack if best else None
+        return best
+
+    # Taking back
+
+    def _take_back(self, candidate: Candidate, tasks: list[TaskState], rooms: list[Room]) -> None:
+        """Use what is being stopped, and stop more if that is not enough."""
+        spec = candidate.step.spec
+        scopes = self._gang_scopes(candidate, rooms) if spec.gang else [rooms]
+        best: tuple[float, list[Attempt], list[Room]] | None = None
+        for scope in scopes:
+            found = self._clear(candidate, len(tasks), scope)
+            if found is not None and (best is None or found[0] < best[0]):
+                best = found
+        if best is None:
+            if spec.gang:
+                self._recheck(max(0.05, SPREAD_PATIENCE_S - self._waited(candidate)))
+            return
+        _, victims, chosen = best
+        for attempt in victims:
+            for member in self._whole_gang(attempt):
+                self._stop(member)
+        for room in chosen:
+            room.take(spec.need)
+
+    def _stop(self, attempt: Attempt) -> None:
+        if attempt.phase is Phase.STOPPING or attempt in self.plan.stops:
+            return
+        self.plan.stops.append(attempt)
+        for rooms in self.rooms.values():
+            for room in rooms:
+                if room.state.id == attempt.executor:
+                    room.soon = room.soon.plus(attempt.need)
+
+    def _clear(
+        self, candidate: Candidate, count: int, scope: list[Room]
+    ) -> tuple[float, list[Attempt], list[Room]] | None:
+        """Return the cheapest victims (cost, victims, rooms) that make room for `count`."""
+        need = candidate.step.spec.need
+        limit = candidate.step.spec.spread_limit
+        soon = {room.state.id: room.soon for room in scope}
+        here: dict[str, int] = {}
+        victims: list[Attempt] = []
+        doomed: set[int] = set()
+        cost = 0.0
+        chosen: list[Room] = []
+        for _ in range(count):
+            best: tuple[float, Room, list[Attempt]] | None = None
+            for room in scope:
+                if limit and here.get(room.state.id, 0) >= limit:
+                    continue
+                option = self._cheapest_here(candidate, room, soon[room.state.id], need, doomed)
+                if option is not None and (best is None or option[0] < best[0]):
+                    best = (option[0], room, option[1])
+                    if option[0] == 0.0:
+                        break
+            if best is None:
+                return None
+            cost += best[0]
+            for attempt in best[2]:
+                victims.append(attempt)
+                for member in self._whole_gang(attempt):
+                    doomed.add(id(member))
+                    if member.executor in soon:
+                        soon[member.executor] = soon[member.executor].plus(member.need)
+            room = best[1]
+            soon[room.state.id] = soon[room.state.id].minus(need)
+            here[room.state.id] = here.get(room.state.id, 0) + 1
+            chosen.append(room)
+        return cost, victims, chosen
+
+    def _cheapest_here(
+        self,
+        candidate: Candidate,
+        room: Room,
+        soon: Resources,
+        need: Resources,
+        doomed: set[int],
+    ) -> tuple[float, list[Attempt]] | None:
+        if need.fits_in(soon):
+            return 0.0, []
+        options = [
+            (self._loss(attempt), attempt)
+            for attempt in room.state.attempts.values()
+            if id(attempt) not in doomed and self._may_take(candidate, attempt)
+        ]
+        options.sort(key=lambda option: option[0])
+        cost = 0.0
+        victims = []
+        for loss, attempt in options:
+            victims.append(attempt)
+            cost += loss
+            soon = soon.plus(attempt.need)
+            if need.fits_in(soon):
+                return cost, victims
+        return None
+
+    def _may_take(self, candidate: Candidate, attempt: Attempt) -> bool:
+        if attempt.phase is Phase.STOPPING or attempt in self.plan.stops:
+            return False
+        owner = self._job(attempt)
+        if owner is None or owner.spec.id in self.guaranteed:
+            return False
+        if self.desired.current_queue(owner.spec).priority > URGENT:
+            return True
+        return candidate.guaranteed
+
+    def _job(self, attempt: Attempt) -> JobState | None:
+        if not hasattr(self, "_jobs_by_id"):
+            self._jobs_by_id = {job.spec.id: job for job in self.jobs}
+        return self._jobs_by_id.get(attempt.task.job)
+
+    def _whole_gang(self, attempt: Attempt) -> list[Attempt]:
+        job = self._job(attempt)
+        if job is None or not job.steps[attempt.task.step].spec.gang:
+            return [attempt]
+        tasks = job.steps[attempt.task.step].tasks
+        return [t.attempt for t in tasks if t.attempt is not None]
+
+    def _loss(self, attempt: Attempt) -> float:
+        """Return the core-seconds that are lost when an attempt is stopped now."""
+        job = self._job(attempt)
+        step = job.steps[attempt.task.step].spec if job else None
+        total = 0.01
+        for member in self._whole_gang(attempt):
+            elapsed = max(0.0, self.now - (member.began_at or member.ordered_at))
+            if step is not None and step.checkpointing:
+                elapsed = min(elapsed, 0.3)
+            total += elapsed * member.need.cores
+        return total
+
+
+def _tightness(room: Room) -> tuple[float, int, int]:
+    return (room.state.slowness, room.now.accelerators, room.now.cpu)
+
+
+def _by_rack(rooms: list[Room]) -> dict[str, list[Room]]:
+    racks: dict[str, list[Room]] = {}
+    for room in rooms:
+        racks.setdefault(room.state.executor.rack, []).append(room)
+    return racks
+
+
+def _holds_when_empty(rooms: list[Room], spec: StepSpec, count: int) -> bool:
+    need = spec.need
+    total = 0
+    for room in rooms:
+        total += _times(need, room.state.executor.capacity)
+    return total >= count
+
+
+def _times(need: Resources, room: Resources) -> int:
+    """Return how many times `need` fits in `room`."""
+    counts = [have // want for want, have in zip(need, room, strict=True) if want > 0]
+    return min(counts, default=1_000_000)
+
+
+def _members_that_fit(scope: list[Room], need: Resources) -> int:
+    return sum(max(0, _times(need, room.now)) for room in scope)
+
+
+def _could_take(room: Room, need: Resources) -> bool:
+    return need.fits_in(room.soon) and need.fits_in(room.now)
+
+
+def _count_by_executor(step: StepState) -> dict[str, int]:
+    counts: dict[str, int] = {}
+    if step.spec.spread_limit:
+        for task in step.tasks:
+            if task.attempt is not None:
+                counts[task.attempt.executor] = counts.get(task.attempt.executor, 0) + 1
+    return counts
+
+
+def find_guaranteed(jobs: list[JobState], desired: DesiredState) -> set[str]:
+    """Return the urgent jobs that lie within their tenants' guarantees, oldest first."""
+    left = {tenant.name: tenant.guaranteed for tenant in desired.tenants}
+    found = set()
+    for job in sorted(jobs, key=lambda j: j.spec.accepted_at):
+        if desired.current_queue(job.spec).priority != URGENT or not job.is_active:
+            continue
+        wanted = max(s.spec.count * s.spec.need.accelerators for s in job.steps)
+        room = left.get(job.spec.tenant, 0)
+        if wanted <= room:
+            left[job.spec.tenant] = room - wanted
+            found.add(job.spec.id)
+    return found
--- /dev/null
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
@@ -0,0 +1,181 @@
+"""Jobs in the owner's memory: steps, tasks and their attempts."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from .model import JobSpec, Queue, Resources, StepSpec, TaskKey
+from .record import JobStatus, ProgressRecord, StepProgress
+
+UNSETTLED = float("inf")
+
+
+class Phase(Enum):
+    """What is known of an attempt."""
+
+    STARTING = "starting"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One run of a task that is, or may be, at an executor.
+
+    Times are on trio's clock. `settled_at` is when an answer proved the last order carried
+    out; a report asked for later must name the run. `moved_at` is when `percent` last rose.
+    """
+
+    task: TaskKey
+    run: int
+    executor: str
+    need: Resources
+    ordered_at: float
+    phase: Phase = Phase.STARTING
+    settled_at: float = UNSETTLED
+    seen: bool = False
+    percent: float = 0.0
+    moved_at: float = 0.0
+    began_at: float | None = None
+    stop_reason: str = ""
+
+
+@dataclass(slots=True, eq=False)
+class TaskState:
+    """One task; it has at most one attempt that may be anywhere."""
+
+    index: int
+    done: bool = False
+    failed_runs: set[int] = field(default_factory=set)
+    checkpoint: str = ""
+    checkpoint_run: int = 0
+    last_run: int = 0
+    attempt: Attempt | None = None
+    avoid: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(slots=True, eq=False)
+class StepState:
+    """One step; `ready_at` is when its turn came (trio's clock), None before."""
+
+    spec: StepSpec
+    tasks: list[TaskState]
+    ready_at: float | None = None
+    chosen_rack: str | None = None
+
+    @property
+    def is_done(self) -> bool:
+        """Whether every task is done."""
+        return all(task.done for task in self.tasks)
+
+    def count_failures(self, task: TaskState) -> int:
+        """Return how many runs failed: of the whole gang, or of a task on its own."""
+        if not self.spec.gang:
+            return len(task.failed_runs)
+        return len(set().union(*(t.failed_runs for t in self.tasks)))
+
+    def open_tasks(self) -> list[TaskState]:
+        """Return the tasks that wait to be started."""
+        return [task for task in self.tasks if not task.done and task.attempt is None]
+
+
+@dataclass(slots=True, eq=False)
+class JobState:
+    """A job that this owner knows; `recorded` is the status that the store has."""
+
+    spec: JobSpec
+    steps: list[StepState]
+    cancelled: bool = False
+    failed: bool = False
+    begun: bool = False
+    revision: int = 0
+    recorded: JobStatus | None = None
+    arrived_at: float = 0.0
+
+    @property
+    def status(self) -> JobStatus:
+        """What is true in memory, recorded or not."""
+        if self.failed:
+            return JobStatus.FAILED
+        if all(step.is_done for step in self.steps):
+            return JobStatus.SUCCEEDED
+        if self.cancelled:
+            return JobStatus.CANCELLED
+        return JobStatus.RUNNING if self.begun else JobStatus.PENDING
+
+    @property
+    def shown(self) -> JobStatus:
+        """What callers may be told: final only once it is recorded."""
+        if self.recorded is not None and self.recorded.is_final:
+            return self.recorded
+        if self.cancelled:
+            return JobStatus.CANCELLED
+        return JobStatus.RUNNING if self.begun else JobStatus.PENDING
+
+    @property
+    def is_active(self) -> bool:
+        """Whether tasks of it may be started."""
+        return not (self.cancelled or self.failed or self.status.is_final)
+
+    def task(self, key: TaskKey) -> TaskState | None:
+        """Return one of its tasks, if it has it."""
+        if not 0 <= key.step < len(self.steps):
+            return None
+        tasks = self.steps[key.step].tasks
+        return tasks[key.index] if 0 <= key.index < len(tasks) else None
+
+    def attempts(self) -> list[Attempt]:
+        """Return all attempts that may be anywhere."""
+        return [t.attempt for s in self.steps for t in s.tasks if t.attempt is not None]
+
+    def is_ready(self, step: StepState) -> bool:
+        """Whether all steps before a step are done."""
+        return all(self.steps[number].is_done for number in step.spec.after)
+
+    def to_record(self) -> ProgressRecord:
+        """Return what must outlast the owner."""
+        steps = [
+            StepProgress(
+                sum(1 << t.index for t in s.tasks if t.done),
+                {t.index: sorted(t.failed_runs) for t in s.tasks if t.failed_runs},
+                {t.index: t.checkpoint for t in s.tasks if t.checkpoint and not t.done},
+            )
+            for s in self.steps
+        ]
+        return ProgressRecord(self.status, steps)
+
+    def restore(self, record: ProgressRecord, revision: int) -> None:
+        """Take over what an earlier owner recorded."""
+        self.revision = revision
+        self.recorded = record.status
+        self.failed = record.status is JobStatus.FAILED
+        self.begun = record.status is not JobStatus.PENDING
+        for step, saved in zip(self.steps, record.steps, strict=True):
+            for task in step.tasks:
+                task.done = bool(saved.done >> task.index & 1)
+                task.failed_runs = set(saved.failures.get(task.index, ()))
+                task.checkpoint = saved.checkpoints.get(task.index, "")
+
+
+def make_job(spec: JobSpec, now: float) -> JobState:
+    """Return the state of a job of which nothing has run."""
+    steps = [StepState(step, [TaskState(i) for i in range(step.count)]) for step in spec.steps]
+    return JobState(spec, steps, arrived_at=now)
+
+
+def longest_chain_s(spec: JobSpec) -> float:
+    """Return the longest chain of estimated step times (s)."""
+    ends: list[float] = []
+    for step in spec.steps:
+        before = max((ends[number] for number in step.after), default=0.0)
+        ends.append(before + step.estimate_s)
+    return max(ends, default=0.0)
+
+
+def latest_start(job: JobState, queue: Queue, now: float, wall_now: float) -> float:
+    """Return when (trio's clock) the rest must start for the job to be on time."""
+    chain = longest_chain_s(job.spec)
+    due = job.spec.accepted_at + queue.stretch * chain + queue.target_s - wall_now + now
+    left = max((s.spec.estimate_s for s in job.steps if not s.is_done), default=0.0)
+    return due - left
--- /dev/null
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
@@ -0,0 +1,149 @@
+"""The stored form of jobs and of their progress."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Any
+
+from .model import JobSpec, Queue, Resources, StepSpec
+
+
+class JobStatus(StrEnum):
+    """What callers are told of a job."""
+
+    PENDING = "pending"
+    RUNNING = "running"
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+    @property
+    def is_final(self) -> bool:
+        """Whether it can't change any more."""
+        return self in (JobStatus.SUCCEEDED, JobStatus.FAILED, JobStatus.CANCELLED)
+
+
+@dataclass(frozen=True, slots=True)
+class JobRecord:
+    """A job as it was accepted, and whether its cancelling was accepted."""
+
+    spec: JobSpec
+    cancelled: bool = False
+
+    def encode(self) -> bytes:
+        """Return the stored form."""
+        spec = self.spec
+        value: dict[str, Any] = {
+            "id": spec.id,
+            "queue": _encode_queue(spec.queue),
+            "tenant": spec.tenant,
+            "payload": spec.payload,
+            "accepted": spec.accepted_at,
+            "steps": [_encode_step(step) for step in spec.steps],
+        }
+        if self.cancelled:
+            value["cancelled"] = True
+        return json.dumps(value, separators=(",", ":")).encode()
+
+    @classmethod
+    def decode(cls, data: bytes) -> JobRecord:
+        """Read the stored form."""
+        value = json.loads(data)
+        steps = tuple(_decode_step(step) for step in value["steps"])
+        spec = JobSpec(
+            value["id"],
+            Queue(*value["queue"]),
+            value["tenant"],
+            value["payload"],
+            steps,
+            value["accepted"],
+        )
+        return cls(spec, value.get("cancelled", False))
+
+
+def _encode_queue(queue: Queue) -> list[Any]:
+    return [
+        queue.name,
+        queue.host,
+        queue.prefix,
+        queue.pool,
+        queue.priority,
+        queue.max_attempts,
+        queue.stretch,
+        queue.target_s,
+        queue.public,
+    ]
+
+
+def _encode_step(step: StepSpec) -> list[Any]:
+    flags = [step.gang, step.same_rack, step.checkpointing, step.lasting]
+    return [
+        step.count,
+        list(step.need),
+        step.estimate_s,
+        list(step.after),
+        "".join("1" if flag else "0" for flag in flags),
+        step.label,
+        step.data_rack,
+        step.spread_limit,
+    ]
+
+
+def _decode_step(value: list[Any]) -> StepSpec:
+    count, need, estimate, after, flags, label, rack, limit = value
+    gang, same_rack, checkpointing, lasting = (flag == "1" for flag in flags)
+    return StepSpec(
+        count,
+        Resources(*need),
+        estimate,
+        tuple(after),
+        gang,
+        same_rack,
+        label,
+        rack,
+        limit,
+        checkpointing,
+        lasting,
+    )
+
+
+@dataclass(slots=True)
+class StepProgress:
+    """Done tasks as a bit mask; the runs that failed and checkpoints by task index.
+
+    The runs are kept, not their count, because an executor may list an end again.
+    """
+
+    done: int = 0
+    failures: dict[int, list[int]] = field(default_factory=dict)
+    checkpoints: dict[int, str] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class ProgressRecord:
+    """How far a job has come, as far as it must outlast its owner."""
+
+    status: JobStatus
+    steps: list[StepProgress]
+
+    def encode(self) -> bytes:
+        """Return the stored form."""
+        steps = [[f"{s.done:x}", s.failures, s.checkpoints] for s in self.steps]
+        value = {"status": self.status.value, "steps": steps}
+        return json.dumps(value, separators=(",", ":")).encode()
+
+    @classmethod
+    def decode(cls, data: bytes) -> ProgressRecord:
+        """Read the stored form."""
+        value = json.loads(data)
+        steps = [
+            StepProgress(
+                int(done, 16),
+                {int(index): runs for index, runs in failures.items()},
+                {int(index): text for index, text in checkpoints.items()},
+            )
+            for done, failures, checkpoints in value["steps"]
+        ]
+        return cls(JobStatus(value["status"]), steps)
--- /dev/null
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/tenure.py
@@ -0,0 +1,172 @@
+"""Ownership of the cell: one key under this process's lease, and a term that only rises."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import trio
+from heronthread_coordination import Unavailable, Unknown
+
+from .events import log_event
+from .keystore import (
+    Committed,
+    Item,
+    KeyStore,
+    LeaseHeld,
+    LeaseOver,
+    Mismatch,
+    Missing,
+    Put,
+    Transaction,
+)
+
+LEASE_S = 2.4
+RENEWALS_PER_LEASE = 4
+MARGIN_S = 0.3
+PAUSE_S = 0.15
+
+
+@dataclass(frozen=True, slots=True)
+class Presence:
+    """What a host says of itself in the store."""
+
+    host: str
+    address: str
+
+    def encode(self) -> bytes:
+        """Return the stored form."""
+        return json.dumps({"host": self.host, "address": self.address}).encode()
+
+    @classmethod
+    def decode(cls, data: bytes) -> Presence:
+        """Read the stored form."""
+        value = json.loads(data)
+        return cls(value["host"], value["address"])
+
+
+@dataclass(frozen=True, slots=True)
+class Term:
+    """A won ownership: the fencing token, and the key that guards the owner's writes."""
+
+    number: int
+    guard: tuple[str, int]
+
+
+class Tenure:
+    """This process's lease, its member key, and its attempts to own the cell.
+
+    The holder counts its lease from before it sent the renewal, on the steady clock, and
+    relies on it no longer than `MARGIN_S` before its end.
+    """
+
+    def __init__(self, store: KeyStore, presence: Presence, cell: str = "0") -> None:
+        self._store = store
+        self.presence = presence
+        self.owner_key = f"cell/{cell}/owner"
+        self._term_key = f"term/{cell}"
+        self._member_key = f"cell/{cell}/host/{presence.host}"
+        self.lease: int | None = None
+        self.until = float("-inf")
+        self.last_renewed = float("-inf")
+        self.duration_s = LEASE_S
+        self.lost = trio.Event()
+        self.is_stopping = False
+
+    @property
+    def is_valid(self) -> bool:
+        """Whether the lease holds for certain."""
+        return self.lease is not None and trio.current_time() < self.until
+
+    async def run(self) -> None:
+        """Keep a lease, and a new one after each loss, until cancelled."""
+        while not self.is_stopping:
+            if self.lease is None:
+                if not await self._enter():
+                    await trio.sleep(PAUSE_S)
+                continue
+            await trio.sleep(self.duration_s / RENEWALS_PER_LEASE)
+            await self._renew()
+
+    async def _enter(self) -> bool:
+        sent = trio.current_time()
+        granted = await self._store.grant(LEASE_S)
+        if not isinstance(granted, LeaseHeld):
+            return False
+        put = Put(self._member_key, self.presence.encode(), granted.lease)
+        outcome = await self._store.commit(Transaction(puts=(put,)))
+        if not isinstance(outcome, Committed):
+            return False
+        self.lost = trio.Event()
+        self.lease = granted.lease
+        self.duration_s = granted.duration_s
+        self._extend(sent)
+        return True
+
+    def _extend(self, sent: float) -> None:
+        self.last_renewed = sent
+        self.until = sent + self.duration_s - MARGIN_S
+
+    async def _renew(self) -> None:
+        lease = self.lease
+        if lease is None:
+            return
+        sent = trio.current_time()
+        outcome = await self._store.renew(lease)
+        if self.lease != lease:
+            return
+        if isinstance(outcome, LeaseHeld):
+            self._extend(sent)
+        elif isinstance(outcome, LeaseOver):
+            log_event("lease.over", host=self.presence.host, lease=lease)
+            self.drop()
+
+    def drop(self) -> None:
+        """Forget the lease; a new one is asked for."""
+        self.lease = None
+        self.until = float("-inf")
+        self.lost.set()
+
+    async def give_up(self) -> None:
+        """End the lease, so that others may take over at once."""
+        lease = self.lease
+        self.drop()
+        if lease is not None:
+            await self._store.revoke(lease)
+
+    async def try_own(self, is_wanted: Callable[[], bool] = lambda: True) -> Term | None:
+        """Take the cell if nobody has it; None if it was not to be had."""
+        lease = self.lease
+        if lease is None or not self.is_valid or self.is_stopping or not is_wanted():
+            return None
+        current = await self._store.read(self._term_key)
+        if isinstance(current, Unavailable):
+            return None
+        number, revision = _read_term(current)
+        transaction = Transaction(
+            ((self.owner_key, 0), (self._term_key, revision)),
+            (
+                Put(self.owner_key, self.presence.encode(), lease),
+                Put(self._term_key, str(number + 1).encode()),
+            ),
+        )
+        outcome = await self._store.commit(transaction)
+        if isinstance(outcome, Committed):
+            log_event("owner.taken", host=self.presence.host, term=number + 1)
+            return Term(number + 1, (self.owner_key, outcome.revision))
+        if isinstance(outcome, Unknown):
+            await self._settle()
+        elif not isinstance(outcome, Mismatch | Unavailable):
+            self.drop()
+        return None
+
+    async def _settle(self) -> None:
+        """After a lost answer: end the lease, so that the write can't hold the cell."""
+        await self.give_up()
+
+
+def _read_term(current: Item | Missing) -> tuple[int, int]:
+    if isinstance(current, Item):
+        return int(current.value), current.revision
+    return 0, 0
--- /dev/null
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
@@ -0,0 +1,180 @@
+"""One task for each executor: it renews the holding time and takes in the reports."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import trio
+
+from .events import log_event
+from .executor_link import (
+    HoldOrder,
+    OtherLife,
+    Refusal,
+    Refused,
+    Report,
+    RunningRun,
+)
+from .fleet import ExecutorState
+from .owned import OwnedCell
+from .progress import UNSETTLED, Attempt, Phase
+
+WAIT_S = 1.0
+PAUSE_S = 0.1
+LONGEST_PAUSE_S = 0.8
+RECORD_PATIENCE_S = 0.25
+
+
+class ExecutorWatch:
+    """Holds one executor for as long as something may run there."""
+
+    def __init__(self, cell: OwnedCell, state: ExecutorState, depose: Callable[[], None]) -> None:
+        self.cell = cell
+        self.state = state
+        self._depose = depose
+        self._silent = 0
+
+    async def run(self) -> None:
+        """Hold, read and take note until this life of the executor is over."""
+        while not self.state.dead:
+            if self._is_idle():
+                self.state.wake = trio.Event()
+                await self.state.wake.wait()
+            if not self.cell.parts.may_order():
+                await trio.sleep(PAUSE_S)
+                continue
+            await self._hold_once()
+            if self.state.dead or self._may_be_forgotten():
+                break
+        self._close_all("the executor is gone")
+        self.cell.executors.pop(self.state.id, None)
+
+    def _is_idle(self) -> bool:
+        state = self.state
+        return (
+            state.heard
+            and state.listed
+            and not state.attempts
+            and state.told_seen == state.noted
+            and state.seen == state.noted
+        )
+
+    def _may_be_forgotten(self) -> bool:
+        return not self.state.listed and trio.current_time() > self.state.lapse_by
+
+    async def _hold_once(self) -> None:
+        state = self.state
+        sent = trio.current_time()
+        until = state.deadline_ms(sent, self.cell.parts.timing.hold_s) if state.attempts else None
+        waits = state.heard and state.attempts and state.seen == state.noted
+        order = HoldOrder(self.cell.term.number, state.seen, until, WAIT_S if waits else 0.0)
+        outcome = await self.cell.parts.link.hold(state.executor, order)
+        if isinstance(outcome, Report):
+            self._silent = 0
+            state.told_seen = max(state.told_seen, order.seen)
+            await self._take_report(outcome, sent, trio.current_time())
+        elif isinstance(outcome, OtherLife):
+            state.dead = True
+        elif isinstance(outcome, Refused) and outcome.reason is Refusal.FENCED:
+            self._depose()
+            await trio.sleep(PAUSE_S)
+        else:
+            await self._note_silence()
+
+    async def _note_silence(self) -> None:
+        now = trio.current_time()
+        self._silent += 1
+        if self._silent == 1:
+            log_event("executor.silent", executor=self.state.id)
+        self.state.rest_until = max(self.state.rest_until, now + LONGEST_PAUSE_S)
+        if now > self.state.lapse_by and self.state.heard:
+            self._close_all("the holding time has run out")
+        await trio.sleep(min(LONGEST_PAUSE_S, PAUSE_S * 2 ** min(self._silent, 4)))
+
+    def _close_all(self, why: str) -> None:
+        for attempt in list(self.state.attempts.values()):
+            self.cell.close(attempt, why)
+            self.cell.stop_gang(attempt, why)
+
+    async def _take_report(self, report: Report, sent: float, received: float) -> None:
+        state = self.state
+        state.read_clock(sent, received, report.clock_ms)
+        listed = {(run.task, run.run) for run in report.running}
+        fresh = [end for end in report.ended if end.number > state.noted]
+        for end in sorted(fresh, key=lambda end: end.number):
+            state.noted = end.number
+            self.cell.note_end(state, end)
+        for run in report.running:
+            self._note_running(run, received)
+        self._close_vanished(listed, sent)
+        if not state.heard:
+            state.heard = True
+            log_event("executor.heard", executor=state.id, runs=len(listed), ends=len(fresh))
+            self.cell.wake_planner()
+        await self._wait_recorded()
+
+    async def _wait_recorded(self) -> None:
+        """Take note of ends only once they are in the store."""
+        state = self.state
+        if state.seen == state.noted:
+            return
+        noted = state.noted
+        with trio.move_on_after(RECORD_PATIENCE_S):
+            await self.cell.recorder.wait_recorded()
+            state.seen = noted
+
+    def _note_running(self, run: RunningRun, received: float) -> None:
+        task = self.cell.find_task(run.task)
+        job = self.cell.jobs.get(run.task.job)
+        if task is None or job is None:
+            log_event("run.unknown", task=str(run.task), executor=self.state.id)
+            return
+        attempt = task.attempt
+        if attempt is None or attempt.executor != self.state.id or attempt.run != run.run:
+            if attempt is None:
+                self._adopt(run, received)
+            elif attempt.run > run.run or attempt.executor != self.state.id:
+                log_event("run.stale", task=str(run.task), run=run.run, executor=self.state.id)
+            return
+        self.cell.note_checkpoint(task, run.run, run.checkpoint)
+        attempt.seen = True
+        if attempt.phase is Phase.STARTING:
+            attempt.phase = Phase.RUNNING
+            attempt.settled_at = received
+            attempt.moved_at = received
+        if run.percent > attempt.percent:
+            attempt.percent = run.percent
+            attempt.moved_at = received
+            attempt.began_at = attempt.began_at or received
+
+    def _adopt(self, run: RunningRun, received: float) -> None:
+        """Take over a run that an earlier owner started."""
+        job = self.cell.jobs[run.task.job]
+        task = self.cell.find_task(run.task)
+        assert task is not None
+        step = job.steps[run.task.step]
+        attempt = Attempt(run.task, run.run, self.state.id, step.spec.need, received)
+        attempt.phase = Phase.RUNNING
+        attempt.settled_at = received
+        attempt.moved_at = received
+        attempt.seen = True
+        attempt.percent = run.percent
+        attempt.began_at = received
+        task.last_run = max(task.last_run, run.run)
+        self.cell.note_checkpoint(task, run.run, run.checkpoint)
+        self.cell.place(task, attempt, self.state)
+        job.begun = True
+        log_event("run.adopted", job=run.task.job, task=str(run.task), run=run.run)
+        if task.done or not job.is_active:
+            self.cell.request_stop(attempt, "not wanted any more")
+
+    def _close_vanished(self, listed: set[tuple[object, int]], sent: float) -> None:
+        """Close attempts that a report asked for after their order does not name."""
+        for attempt in list(self.state.attempts.values()):
+            if attempt.settled_at == UNSETTLED or attempt.settled_at > sent:
+                continue
+            if (attempt.task, attempt.run) not in listed:
+                was_stopping = attempt.phase is Phase.STOPPING
+                self.cell.close(attempt, "not there")
+                if not was_stopping:
+                    self.cell.stop_gang(attempt, "a member is not there")
