Let a silent executor's holding time run out, and emulate a small site for tests

Ruled out: a lost wake-up of the planner (the attempt was still held as possibly running). Conclusion: a silent executor is only looked at; it is held again from its first answer.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 VENV ?= .venv
 BIN := $(VENV)/bin
-PACKAGES := scheduling coordination daemon cli
+PACKAGES := scheduling coordination daemon cli dispatch emulator
 STAMP := $(VENV)/.installed
 
 .PHONY: demo test lint format thrift bench-policy bench-capacity histories
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
@@ -65,7 +65,7 @@
     async def _hold_once(self) -> None:
         state = self.state
         sent = trio.current_time()
-        until = state.deadline_ms(sent, self.cell.parts.timing.hold_s) if state.attempts else None
+        until = self._choose_deadline(sent)
         waits = state.heard and state.attempts and state.seen == state.noted
         order = HoldOrder(self.cell.term.number, state.seen, until, WAIT_S if waits else 0.0)
         outcome = await self.cell.parts.link.hold(state.executor, order)
@@ -81,6 +81,16 @@
         else:
             await self._note_silence()
 
+    def _choose_deadline(self, now: float) -> int | None:
+        """Return until when to hold; a silent executor is only looked at.
+
+        An order without an answer may be carried out, so it would move the time after
+        which everything there has certainly ended.
+        """
+        if self._silent or not self.state.attempts:
+            return None
+        return self.state.deadline_ms(now, self.cell.parts.timing.hold_s)
+
     async def _note_silence(self) -> None:
         now = trio.current_time()
         self._silent += 1
--- /dev/null
+++ b/packages/heronthread-emulator/src/heronthread_emulator/executors.py
@@ -0,0 +1,287 @@
+"""Executors that run tasks on trio's clock, with the faults that orders meet.
+
+They record what a checker needs: every start, every end, and which ends were taken note of.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import trio
+from heronthread_dispatch.executor_link import (
+    EndedRun,
+    EndKind,
+    HoldOrder,
+    HoldOutcome,
+    Obeyed,
+    OrderOutcome,
+    OtherLife,
+    Refusal,
+    Refused,
+    Report,
+    RunningRun,
+    StartOrder,
+    StopOrder,
+    Unanswered,
+    Unhealthy,
+)
+from heronthread_dispatch.model import Executor, Resources, TaskKey
+
+SILENCE_S = 0.8
+LATENCY_S = 0.002
+TICK_S = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class WorkSpec:
+    """What a run of a task does: its need, how long it works, and how it ends."""
+
+    need: Resources
+    work_s: float
+    members: int = 1
+    kind: EndKind = EndKind.DONE
+
+
+@dataclass(slots=True, eq=False)
+class Run:
+    """One run at one executor."""
+
+    task: TaskKey
+    run: int
+    need: Resources
+    work_s: float
+    worked_s: float = 0.0
+    members: int = 1
+    arrived_at: float = 0.0
+    stopping_at: float | None = None
+    kind: EndKind = EndKind.DONE
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One start or end, for the checker."""
+
+    at: float
+    what: str
+    task: TaskKey
+    run: int
+    executor: str
+    token: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class EmulatedExecutor:
+    """One life of an executor.
+
+    Faults: `is_cut` answers nothing and does nothing; `lose_answers` orders are done and
+    not answered, `late_s` later if that is set; `fails_all`; `stands_still`; `is_sick`
+    turns starts away; `is_gone` is another life.
+    """
+
+    executor: Executor
+    stop_s: float = 0.1
+    token: int = 0
+    running: dict[TaskKey, Run] = field(default_factory=dict)
+    ended: list[EndedRun] = field(default_factory=list)
+    floor: dict[TaskKey, int] = field(default_factory=dict)
+    numbers: int = 0
+    hold_until: float = 0.0
+    is_cut: bool = False
+    is_gone: bool = False
+    is_sick: bool = False
+    fails_all: bool = False
+    stands_still: bool = False
+    lose_answers: int = 0
+    late_s: float = 0.0
+    clock_offset_s: float = 1000.0
+    news: trio.Event = field(default_factory=trio.Event)
+
+    def clock_ms(self) -> int:
+        """Return the time on its own clock."""
+        return int((trio.current_time() + self.clock_offset_s) * 1000)
+
+    def used(self) -> Resources:
+        """Return what its runs take."""
+        total = Resources()
+        for run in self.running.values():
+            total = total.plus(run.need)
+        return total
+
+
+class EmulatedExecutors:
+    """All executors of a site, as one `ExecutorLink`, and what happened on them."""
+
+    def __init__(self) -> None:
+        self.by_id: dict[str, EmulatedExecutor] = {}
+        self.specs: dict[str, dict[int, WorkSpec]] = {}
+        self.events: list[Event] = []
+        self.taken_note: set[tuple[str, int]] = set()
+        self._nursery: trio.Nursery | None = None
+
+    async def run(self) -> None:
+        """Let time pass for all runs, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            while True:
+                await trio.sleep(TICK_S)
+                for executor in list(self.by_id.values()):
+                    if not executor.is_gone:
+                        self._advance(executor)
+
+    def _advance(self, executor: EmulatedExecutor) -> None:
+        now = trio.current_time()
+        if executor.running and executor.clock_ms() / 1000 > executor.hold_until:
+            for run in list(executor.running.values()):
+                self._end(executor, run, EndKind.LAPSED)
+            return
+        for run in list(executor.running.values()):
+            if run.stopping_at is not None and now >= run.stopping_at:
+                self._end(executor, run, EndKind.STOPPED)
+            elif run.stopping_at is None and not executor.stands_still:
+                self._work(executor, run)
+
+    def _work(self, executor: EmulatedExecutor, run: Run) -> None:
+        if executor.fails_all:
+            self._end(executor, run, EndKind.FAILED)
+            return
+        if run.members > 1 and len(self._members(run)) < run.members:
+            return
+        run.worked_s += TICK_S
+        if run.worked_s >= run.work_s:
+            kind = run.kind
+            members = self._members(run) if run.members > 1 else [(executor, run)]
+            for place, member in members:
+                own = kind if member is run or kind is EndKind.DONE else EndKind.BROKEN
+                self._end(place, member, own)
+
+    def _members(self, run: Run) -> list[tuple[EmulatedExecutor, Run]]:
+        return [
+            (e, r)
+            for e in self.by_id.values()
+            if not e.is_gone
+            for r in e.running.values()
+            if r.task[:2] == run.task[:2] and r.run == run.run
+        ]
+
+    def _end(self, executor: EmulatedExecutor, run: Run, kind: EndKind) -> None:
+        if executor.running.pop(run.task, None) is None:
+            return
+        executor.numbers += 1
+        executor.floor[run.task] = max(executor.floor.get(run.task, 0), run.run)
+        end = EndedRun(executor.numbers, run.task, run.run, kind, "")
+        executor.ended.append(end)
+        self._log(kind.value, executor, run.task, run.run)
+        executor.news.set()
+        executor.news = trio.Event()
+
+    def _log(
+        self, what: str, executor: EmulatedExecutor, task: TaskKey, run: int, token: int = 0
+    ) -> None:
+        self.events.append(
+            Event(trio.current_time(), what, task, run, executor.executor.id, token)
+        )
+
+    def starts(self, task: TaskKey | None = None) -> list[Event]:
+        """Return all starts, or those of one task."""
+        return [e for e in self.events if e.what == "start" and task in (None, e.task)]
+
+    # The link
+
+    async def start(self, executor: Executor, order: StartOrder) -> OrderOutcome:
+        """Start a run."""
+        return await self._order(executor, lambda e: self._start(e, order))
+
+    async def stop(self, executor: Executor, order: StopOrder) -> OrderOutcome:
+        """Stop a run."""
+        return await self._order(executor, lambda e: self._stop(e, order))
+
+    async def hold(self, executor: Executor, order: HoldOrder) -> HoldOutcome:
+        """Renew the holding time and read both lists."""
+        outcome = await self._order(executor, lambda e: self._hold(e, order))
+        if not isinstance(outcome, Obeyed):
+            return outcome
+        place = self.by_id[executor.id]
+        if order.wait_s and not place.ended:
+            with trio.move_on_after(order.wait_s):
+                await place.news.wait()
+        if place.is_cut:
+            await trio.sleep(SILENCE_S)
+            return Unanswered("silent")
+        running = tuple(
+            RunningRun(r.task, r.run, "", 100 * r.worked_s / r.work_s)
+            for r in place.running.values()
+        )
+        return Report(place.clock_ms(), running, tuple(place.ended[:500]))
+
+    async def _order(self, executor: Executor, act: object) -> OrderOutcome:
+        await trio.sleep(LATENCY_S)
+        place = self.by_id.get(executor.id)
+        if place is None or place.is_cut:
+            await trio.sleep(SILENCE_S)
+            return Unanswered("silent")
+        if place.is_gone:
+            return OtherLife()
+        if place.lose_answers > 0:
+            place.lose_answers -= 1
+            if place.late_s:
+                assert self._nursery is not None
+                self._nursery.start_soon(self._act_late, place, act, place.late_s)
+            else:
+                act(place)  # type: ignore[operator]
+            await trio.sleep(SILENCE_S)
+            return Unanswered("the answer was lost")
+        outcome: OrderOutcome = act(place)  # type: ignore[operator]
+        return outcome
+
+    async def _act_late(self, place: EmulatedExecutor, act: object, late_s: float) -> None:
+        await trio.sleep(late_s)
+        if not place.is_gone:
+            act(place)  # type: ignore[operator]
+
+    def _fence(self, place: EmulatedExecutor, token: int) -> bool:
+        if token < place.token:
+            return True
+        place.token = token
+        return False
+
+    def _start(self, place: EmulatedExecutor, order: StartOrder) -> OrderOutcome:
+        if self._fence(place, order.token):
+            return Refused(Refusal.FENCED, place.clock_ms())
+        if place.is_sick:
+            return Unhealthy()
+        if order.until_ms < place.clock_ms():
+            return Refused(Refusal.LATE, place.clock_ms())
+        place.hold_until = max(place.hold_until, order.until_ms / 1000)
+        present = place.running.get(order.task)
+        if present is not None and present.run == order.run:
+            return Obeyed(place.clock_ms())
+        if order.run <= place.floor.get(order.task, 0):
+            return Refused(Refusal.OLD_RUN, place.clock_ms())
+        work = self.specs[order.task.job][order.task.step]
+        if not work.need.fits_in(place.executor.capacity.minus(place.used())):
+            return Refused(Refusal.NO_ROOM, place.clock_ms())
+        place.running[order.task] = Run(
+            order.task, order.run, work.need, work.work_s, 0.0, work.members, kind=work.kind
+        )
+        self._log("start", place, order.task, order.run, order.token)
+        return Obeyed(place.clock_ms())
+
+    def _stop(self, place: EmulatedExecutor, order: StopOrder) -> OrderOutcome:
+        if self._fence(place, order.token):
+            return Refused(Refusal.FENCED, place.clock_ms())
+        run = place.running.get(order.task)
+        if run is not None and run.run <= order.run and run.stopping_at is None:
+            run.stopping_at = trio.current_time() + place.stop_s
+        place.floor[order.task] = max(place.floor.get(order.task, 0), order.run)
+        return Obeyed(place.clock_ms())
+
+    def _hold(self, place: EmulatedExecutor, order: HoldOrder) -> OrderOutcome:
+        if self._fence(place, order.token):
+            return Refused(Refusal.FENCED, place.clock_ms())
+        if order.until_ms is not None:
+            place.hold_until = max(place.hold_until, order.until_ms / 1000)
+        for end in place.ended:
+            if end.number <= order.seen:
+                self.taken_note.add((place.executor.id, end.number))
+        place.ended = [end for end in place.ended if end.number > order.seen]
+        return Obeyed(place.clock_ms())
--- /dev/null
+++ b/packages/heronthread-emulator/src/heronthread_emulator/site.py
@@ -0,0 +1,215 @@
+"""A whole small site in one process: store, executors, and hosts that can be killed."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import trio
+from heronthread_daemon.peer import PeerUnreachable
+from heronthread_daemon.wire.ttypes import Frame
+from heronthread_dispatch.configuring import ConfigurationFormat
+from heronthread_dispatch.host import Host, HostParts, HostSettings
+from heronthread_dispatch.model import (
+    DesiredState,
+    Executor,
+    JobSpec,
+    Queue,
+    Resources,
+    StepSpec,
+    Tenant,
+)
+from heronthread_dispatch.owned import DirectoryFormat, Timing
+from heronthread_dispatch.record import JobRecord
+
+from .executors import EmulatedExecutor, EmulatedExecutors, WorkSpec
+from .store import EmulatedStore, StoreView
+
+CAPACITY = Resources(64_000, 262_144, 8)
+POOL = "pool"
+PEER_LATENCY_S = 0.001
+
+Handler = Callable[[Frame], Awaitable[Frame]]
+
+
+def make_queue(name: str, priority: int = 1) -> Queue:
+    """Return a queue with ordinary terms."""
+    return Queue(name, "host", f"/{name}/", POOL, priority, 4, 3.0, 1.0)
+
+
+def make_state(version: int = 1, guaranteed: int = 16) -> DesiredState:
+    """Return a configuration with an urgent and an ordinary queue."""
+    queues = [make_queue("urgent", 0), make_queue("ordinary", 1), make_queue("batch", 2)]
+    tenants = [
+        Tenant("first", ("key-1",), guaranteed),
+        Tenant("second", ("key-2",), guaranteed),
+    ]
+    return DesiredState.build(version, queues, tenants, 262_144)
+
+
+def _parse_state(data: bytes) -> DesiredState | None:
+    value = json.loads(data)
+    return make_state(value["version"], value["guaranteed"])
+
+
+def _parse_executor(executor_id: str, data: bytes) -> Executor | None:
+    value = json.loads(data)
+    return Executor(
+        executor_id,
+        executor_id,
+        POOL,
+        "zone",
+        value["rack"],
+        ("kind", value["rack"]),
+        CAPACITY,
+        value.get("leaves_in_s"),
+    )
+
+
+class EmulatedPeers:
+    """Hosts that reach each other in process; `dead` ones do not answer."""
+
+    def __init__(self) -> None:
+        self.handlers: dict[str, Handler] = {}
+        self.cut: set[str] = set()
+
+    async def call(self, address: str, frame: Frame, timeout_s: float) -> Frame | PeerUnreachable:
+        """Send one request and return its reply."""
+        await trio.sleep(PEER_LATENCY_S)
+        handler = self.handlers.get(address)
+        if handler is None:
+            return PeerUnreachable(f"{address}: refused", refused=True)
+        if address in self.cut:
+            await trio.sleep(timeout_s)
+            return PeerUnreachable(f"{address}: silent")
+        with trio.move_on_after(timeout_s):
+            return await handler(frame)
+        return PeerUnreachable(f"{address}: silent")
+
+
+class EmulatedSite:
+    """The site; hosts run in their own cancel scopes, so that each can be killed alone."""
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        self.nursery = nursery
+        self.store = EmulatedStore()
+        self.executors = EmulatedExecutors()
+        self.peers = EmulatedPeers()
+        self.hosts: dict[str, Host] = {}
+        self.views: dict[str, StoreView] = {}
+        self._scopes: dict[str, trio.CancelScope] = {}
+
+    @classmethod
+    @asynccontextmanager
+    async def open(
+        cls, *, hosts: int = 2, executors: int = 4, racks: int = 2
+    ) -> AsyncIterator[EmulatedSite]:
+        """Run a site for as long as the context is open."""
+        async with trio.open_nursery() as nursery:
+            site = cls(nursery)
+            nursery.start_soon(site.store.run)
+            nursery.start_soon(site.executors.run)
+            site.configure(1)
+            for number in range(executors):
+                site.add_executor(f"e{number}", f"r{number % racks}")
+            for number in range(hosts):
+                site.start_host(f"h{number}")
+            yield site
+            nursery.cancel_scope.cancel()
+
+    def configure(self, version: int, guaranteed: int = 16) -> None:
+        """Put a configuration into the store, as the operator does."""
+        value = json.dumps({"version": version, "guaranteed": guaranteed}).encode()
+        self.store.put("configuration", value)
+
+    def add_executor(self, name: str, rack: str) -> EmulatedExecutor:
+        """Start an executor and list it."""
+        value = json.dumps({"rack": rack}).encode()
+        executor = _parse_executor(name, value)
+        assert executor is not None
+        place = EmulatedExecutor(executor)
+        self.executors.by_id[name] = place
+        self.store.put(f"executors/{name}", value)
+        return place
+
+    def drain_executor(self, name: str, leaves_in_s: float) -> None:
+        """Say that an executor leaves."""
+        rack = self.executors.by_id[name].executor.rack
+        value = json.dumps({"rack": rack, "leaves_in_s": leaves_in_s}).encode()
+        self.store.put(f"executors/{name}", value)
+
+    def remove_executor(self, name: str) -> None:
+        """End an executor's life; its address answers no more."""
+        place = self.executors.by_id[name]
+        place.is_cut = True
+        for run in list(place.running.values()):
+            place.running.pop(run.task)
+        self.store.remove(f"executors/{name}")
+
+    def start_host(self, name: str) -> Host:
+        """Start a host."""
+        view = StoreView(self.store, self.nursery)
+        parts = HostParts(
+            view,
+            self.executors,
+            self.peers,
+            ConfigurationFormat("configuration", _parse_state),
+            DirectoryFormat("executors/", _parse_executor),
+            trio.current_time,
+        )
+        host = Host(HostSettings(name, name, (), Timing(6.0, 0.1, 3.0)), parts)
+        self.hosts[name] = host
+        self.views[name] = view
+        self.peers.handlers[name] = host.handle
+        self.nursery.start_soon(self._run_host, name, host)
+        return host
+
+    async def _run_host(self, name: str, host: Host) -> None:
+        with trio.CancelScope() as scope:
+            self._scopes[name] = scope
+            await host.run()
+
+    def kill_host(self, name: str) -> None:
+        """Kill a host: it says nothing more to anybody."""
+        self._scopes[name].cancel()
+        self.peers.handlers.pop(name, None)
+        del self.hosts[name]
+
+    def owner_name(self) -> str | None:
+        """Return the host that decides now."""
+        for name, host in self.hosts.items():
+            if host.owner is not None and host.owner.is_ready:
+                return name
+        return None
+
+    async def wait_for_owner(self, limit_s: float = 30.0) -> str:
+        """Wait until a host decides; raises `trio.TooSlowError` after `limit_s`."""
+        with trio.fail_after(limit_s):
+            while True:
+                name = self.owner_name()
+                if name is not None:
+                    return name
+                await trio.sleep(0.05)
+
+    def make_job(
+        self,
+        job_id: str,
+        *,
+        queue: str = "ordinary",
+        tenant: str = "first",
+        count: int = 1,
+        accelerators: int = 1,
+        work_s: float = 2.0,
+        gang: bool = False,
+        **more: object,
+    ) -> JobRecord:
+        """Return a job of one step, and let the executors know what it does."""
+        need = Resources(1000, 1000, accelerators)
+        step = StepSpec(count, need, work_s, gang=gang, **more)  # type: ignore[arg-type]
+        self.executors.specs[job_id] = {0: WorkSpec(need, work_s, count if gang else 1)}
+        state = make_state()
+        spec = JobSpec(
+            job_id, state.by_name[queue], tenant, "payload", (step,), trio.current_time()
+        )
+        return JobRecord(spec)
