Check the new packages with the formatter, the linter and types

Cause: the lint target did not know the new packages. Found by it: an unknown end would have ended the process (two values for one field of a log line). Ruled out: none needed.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -158,9 +158,7 @@
     def _take_cell(self, listing: Listing) -> None:
         keys = {item.key for item in listing.items}
         self.members = {
-            name: address
-            for name, address in self.members.items()
-            if HOST_PREFIX + name in keys
+            name: address for name, address in self.members.items() if HOST_PREFIX + name in keys
         }
         if OWNER_KEY not in keys:
             self._note_owner(None)
@@ -417,9 +415,7 @@
         ]
         return random.sample(good, min(FAN_OUT, len(good)))
 
-    async def _intake_by(
-        self, address: str, operation: int, body: dict[str, Any]
-    ) -> IntakeOutcome:
+    async def _intake_by(self, address: str, operation: int, body: dict[str, Any]) -> IntakeOutcome:
         reply = await call_peer(self.parts.peers, address, operation, body, 1.2)
         if isinstance(reply, PeerUnreachable):
             return NotTaken(reply.reason) if reply.refused else Unsettled(reply.reason)
@@ -437,9 +433,7 @@
         elif self.owner_presence is not None and self._nursery is not None:
             body = {"record": base64.b64encode(record.encode()).decode()}
             address = self.owner_presence.address
-            self._nursery.start_soon(
-                call_peer, self.parts.peers, address, Operation.NOTE_JOB, body
-            )
+            self._nursery.start_soon(call_peer, self.parts.peers, address, Operation.NOTE_JOB, body)
 
     async def find_job(self, job_id: str) -> JobView | NoSuchJob | Unavailable:
         """Return what may be told of a job."""
@@ -465,7 +459,9 @@
             QUERY_BUDGET_S,
         )
         if isinstance(reply, PeerReply) and reply.status == OK:
-            return JobView(JobStatus(reply.body["status"]), reply.body["tenant"], reply.body["queue"])
+            return JobView(
+                JobStatus(reply.body["status"]), reply.body["tenant"], reply.body["queue"]
+            )
         return None
 
     async def _read_view(self, job_id: str) -> JobView | NoSuchJob | Unavailable:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/model.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/model.py
@@ -41,7 +41,7 @@
 
     job: str
     step: int
-    index: int
+    member: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,9 +137,10 @@
         """Return the queue of the longest prefix that begins a path."""
         found = None
         for queue in self.queues:
-            if queue.host == host and path.startswith(queue.prefix):
-                if found is None or len(queue.prefix) > len(found.prefix):
-                    found = queue
+            if queue.host != host or not path.startswith(queue.prefix):
+                continue
+            if found is None or len(queue.prefix) > len(found.prefix):
+                found = queue
         return found
 
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
@@ -112,7 +112,7 @@
         elif isinstance(outcome, OtherLife):
             state.dead = True
             state.wake.set()
-        elif outcome.reason is Refusal.FENCED:  # type: ignore[union-attr]
+        elif outcome.reason is Refusal.FENCED:
             self._depose()
             return
         else:
@@ -171,7 +171,9 @@
 
 def _choose_checkpoint(group: list[Start]) -> str:
     """Return the newest checkpoint; any member's is good for its whole gang."""
-    newest = max(group, key=lambda start: start.task.checkpoint_run if start.task.checkpoint else -1)
+    newest = max(
+        group, key=lambda start: start.task.checkpoint_run if start.task.checkpoint else -1
+    )
     return newest.task.checkpoint
 
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
@@ -140,7 +140,7 @@
             "attempt.closed",
             job=attempt.task.job,
             step=attempt.task.step,
-            index=attempt.task.index,
+            index=attempt.task.member,
             run=attempt.run,
             executor=attempt.executor,
             why=why,
@@ -184,7 +184,7 @@
         job = self.jobs.get(end.task.job)
         task = self.find_task(end.task)
         if job is None or task is None:
-            log_event("end.unknown", task=str(end.task), executor=state.id, kind=end.kind.value)
+            log_event("end.unknown", task=str(end.task), executor=state.id, how=end.kind.value)
             return
         task.last_run = max(task.last_run, end.run)
         attempt = task.attempt
@@ -231,6 +231,6 @@
         limit = self.parts.desired().current_queue(job.spec).max_attempts
         if step.count_failures(task) >= limit and not job.status.is_final:
             job.failed = True
-            log_event("job.failed", job=job.spec.id, step=end.task.step, index=end.task.index)
+            log_event("job.failed", job=job.spec.id, step=end.task.step, index=end.task.member)
             self._end_attempts(job, "job failed")
         self._settle(job)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
@@ -123,7 +123,7 @@
         if not 0 <= key.step < len(self.steps):
             return None
         tasks = self.steps[key.step].tasks
-        return tasks[key.index] if 0 <= key.index < len(tasks) else None
+        return tasks[key.member] if 0 <= key.member < len(tasks) else None
 
     def attempts(self) -> list[Attempt]:
         """Return all attempts that may be anywhere."""
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
@@ -16,6 +16,7 @@
     RunningRun,
 )
 from .fleet import ExecutorState
+from .model import TaskKey
 from .owned import OwnedCell
 from .progress import UNSETTLED, Attempt, Phase
 
@@ -178,7 +179,7 @@
         if task.done or not job.is_active:
             self.cell.request_stop(attempt, "not wanted any more")
 
-    def _close_vanished(self, listed: set[tuple[object, int]], sent: float) -> None:
+    def _close_vanished(self, listed: set[tuple[TaskKey, int]], sent: float) -> None:
         """Close attempts that a report asked for after their order does not name."""
         for attempt in list(self.state.attempts.values()):
             if attempt.settled_at == UNSETTLED or attempt.settled_at > sent:
--- a/packages/heronthread-emulator/src/heronthread_emulator/executors.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/executors.py
@@ -177,9 +177,7 @@
     def _log(
         self, what: str, executor: EmulatedExecutor, task: TaskKey, run: int, token: int = 0
     ) -> None:
-        self.events.append(
-            Event(trio.current_time(), what, task, run, executor.executor.id, token)
-        )
+        self.events.append(Event(trio.current_time(), what, task, run, executor.executor.id, token))
 
     def starts(self, task: TaskKey | None = None) -> list[Event]:
         """Return all starts, or those of one task."""
