--- /dev/null
+++ b/tests/platform/test_executors.py
@@ -0,0 +1,113 @@
+import json
+
+import pytest
+from heronthread_dispatch.executor_link import (
+    EndKind,
+    HoldOrder,
+    Obeyed,
+    OtherLife,
+    Refusal,
+    Refused,
+    Report,
+    StartOrder,
+    StopOrder,
+    Unanswered,
+    Unhealthy,
+)
+from heronthread_dispatch.http_client import HttpClient
+from heronthread_dispatch.model import Executor, Resources, TaskKey
+from heronthread_platform.executors import DIRECTORY, PlatformExecutors
+
+from .peer_server import Call, scripted
+
+TASK = TaskKey("5c0e7a21d94b36f8", 1, 17)
+
+
+def _executor(address: str) -> Executor:
+    return Executor("i-1", address, "pool", "zone", "r1", (), Resources(1, 1, 1))
+
+
+async def test_start_is_spelled_as_the_protocol_says() -> None:
+    def answer(call: Call) -> tuple[int, object]:
+        return 200, {"clock-ms": 5}
+
+    async with scripted(answer) as server:
+        with HttpClient() as client:
+            link = PlatformExecutors(client)
+            order = StartOrder(TASK, 2, "text", "00ff", 7, 486000)
+            assert await link.start(_executor(server.address), order) == Obeyed(5)
+        call = server.calls[0]
+        assert (call.method, call.target) == ("POST", "/heronthread/run-start")
+        assert call.headers["expected-instance"] == "i-1"
+        assert call.body == {
+            "task": "5c0e7a21d94b36f8.0.1.17",
+            "run": 2,
+            "spec": "text",
+            "deadline-ms": 486000,
+            "fencing-token": 7,
+            "checkpoint": "00ff",
+        }
+
+
+@pytest.mark.parametrize(
+    ("status", "body", "expected"),
+    [
+        (409, {"clock-ms": 5, "reason": "fence"}, Refused(Refusal.FENCED, 5)),
+        (409, {"clock-ms": 5, "reason": "old"}, Refused(Refusal.OLD_RUN, 5)),
+        (409, {"clock-ms": 5, "reason": "late"}, Refused(Refusal.LATE, 5)),
+        (409, {"clock-ms": 5, "reason": "room"}, Refused(Refusal.NO_ROOM, 5)),
+        (409, {"clock-ms": 5, "reason": "ticket"}, Refused(Refusal.OTHER, 5)),
+        (421, {}, OtherLife()),
+        (429, {}, Unhealthy()),
+        (503, {}, Unhealthy()),
+    ],
+)
+async def test_refusals(status: int, body: object, expected: object) -> None:
+    async with scripted(lambda call: (status, body)) as server:
+        with HttpClient() as client:
+            link = PlatformExecutors(client)
+            assert await link.stop(_executor(server.address), StopOrder(TASK, 2, 7)) == expected
+
+
+async def test_lost_answer_is_doubt() -> None:
+    async with scripted(lambda call: None) as server:
+        with HttpClient() as client:
+            link = PlatformExecutors(client)
+            outcome = await link.stop(_executor(server.address), StopOrder(TASK, 2, 7))
+            assert isinstance(outcome, Unanswered)
+            assert not outcome.unsent
+
+
+async def test_hold_reads_both_lists() -> None:
+    body = {
+        "clock-ms": 482113,
+        "running": [["5c0e7a21d94b36f8.0.1.17", 2, "00ff", 41, 3]],
+        "ended-at": [[58, "5c0e7a21d94b36f8.0.1.9", 1, "done", ""]],
+    }
+    async with scripted(lambda call: (200, body)) as server:
+        with HttpClient() as client:
+            link = PlatformExecutors(client)
+            report = await link.hold(_executor(server.address), HoldOrder(7, 57, None, 0.0))
+        assert server.calls[0].body == {"fencing-token": 7, "last-seen": 57}
+    assert isinstance(report, Report)
+    assert report.running[0].task == TASK
+    assert report.running[0].checkpoint == "00ff"
+    assert (report.ended[0].number, report.ended[0].kind) == (58, EndKind.DONE)
+    assert report.ended[0].task == TaskKey("5c0e7a21d94b36f8", 1, 9)
+
+
+def test_entry_of_a_draining_executor() -> None:
+    entry = {
+        "service": "s",
+        "address": "1.2.3.4:5",
+        "zone": "z",
+        "state": "draining",
+        "remaining-ms": 1500,
+        "capacity": {"cpu": 1, "mem-mb": 2, "gpus": 3},
+        "labels": ["a", "r1-3"],
+    }
+    executor = DIRECTORY.parse("i-1", json.dumps(entry).encode())
+    assert executor is not None
+    assert executor.leaves_in_s == 1.5
+    assert executor.rack == "r1-3"
+    assert executor.capacity == Resources(1, 2, 3)
