Learn which executors are slow, and order jobs by the worth that is lost next

Jobs that were late already kept their place before those that could still be on time. Ruled out: waiting for victims (0.4 to 0.9 s, inside the aim for most); the estimates (a step's tasks are compared with each other, gangs with three times their estimate).

--- a/packages/heronthread-cli/src/heronthread_cli/commands.py
+++ b/packages/heronthread-cli/src/heronthread_cli/commands.py
@@ -26,6 +26,7 @@
 from .demo import DemoResult, run_demo
 from .exits import BadInput, CommandError, HostUnreachable
 from .table import format_table
+from .trace import trace_request
 
 SPREAD_TIMEOUT_S = 9.0
 POLL_S = 0.3
@@ -204,6 +205,28 @@
         _print(f"{view['job_id']}: {view['state']}" + (f" ({places})" if places else ""))
         _print(f"  {view['cause'] or '-'}: {view['reason'] or 'nothing to explain'}")
 
+    def trace(self, request: str, *logs: str, json: bool = False) -> None:
+        """Tell the story of one request from the logs of all hosts, in order.
+
+        Exits with 2 if no log names the request.
+
+        Args:
+            request: the id of the job.
+            logs: paths of log files, one for each host or all in one.
+            json: print rows as JSON.
+        """
+        texts = [_read(log).decode(errors="replace").splitlines() for log in logs]
+        trace = trace_request(str(request), texts)
+        if not trace.lines:
+            raise BadInput(f"{request}: no line of {len(logs)} logs names it")
+        rows = [
+            {"at s": line.at, "host": line.host, "event": line.event, "what": _pairs(line.fields)}
+            for line in trace.lines
+        ]
+        _show(rows, ["at s", "host", "event", "what"], json)
+        if trace.unreadable:
+            _note(f"{trace.unreadable} lines could not be read")
+
     def report(self, event: str, out: str, log: str, file: str) -> None:
         """Write one self-contained HTML page about an event, from JSON-line logs.
 
@@ -360,6 +383,10 @@
             raise CommandError("the demo broke a promise; please report it with its log")
 
 
+def _pairs(fields: dict[str, Any]) -> str:
+    return " ".join(f"{name}={value}" for name, value in fields.items())
+
+
 def _watch_spread(client: Client, generation: int) -> dict[str, int]:
     """Show how a generation spreads, until every usable host has it or time is up."""
     deadline = time.monotonic() + SPREAD_TIMEOUT_S
--- /dev/null
+++ b/packages/heronthread-cli/tests/test_trace.py
@@ -0,0 +1,16 @@
+from heronthread_cli.trace import trace_request
+
+
+def test_lines_of_all_hosts_are_put_in_order() -> None:
+    first = ['{"host":"h1","job":"ab","message_type":"start.decided","timestamp":12.5,"run":1}']
+    second = [
+        '  3.1 node {"host":"h2","job":"ab","message_type":"job.accept","timestamp":12.0}',
+        '{"host":"h2","job":"other","message_type":"job.accept","timestamp":12.1}',
+        '{"host":"h2","task":"(\'ab\', 0, 1)","message_type":"run.adopted","timestamp":13.0}',
+        '{"job":"ab"',
+    ]
+    trace = trace_request("ab", [first, second])
+    assert [line.event for line in trace.lines] == ["job.accept", "start.decided", "run.adopted"]
+    assert [line.at for line in trace.lines] == [0.0, 0.5, 1.0]
+    assert trace.lines[1].fields == {"run": 1}
+    assert trace.unreadable == 1
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/events.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/events.py
@@ -18,9 +18,13 @@
 
 @dataclass(slots=True)
 class LineWriter:
-    """Lines wait in a bounded queue; what does not fit is counted and dropped."""
+    """Lines wait in a bounded queue; what does not fit is counted and dropped.
+
+    Each line names the `host` that wrote it, so that the logs of many can be merged.
+    """
 
     descriptor: int = 1
+    host: str = ""
     waiting: deque[bytes] = field(default_factory=deque)
     dropped: int = 0
     _news: trio.Event = field(default_factory=trio.Event)
@@ -32,6 +36,7 @@
             return
         message.pop("task_uuid", None)
         message.pop("task_level", None)
+        message.setdefault("host", self.host)
         self.waiting.append(orjson.dumps(message, default=str) + b"\n")
         self._news.set()
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
@@ -41,7 +41,8 @@
     rest_until: float = 0.0
     bad_streak: int = 0
     failed_streak: int = 0
-    slowness: float = 1.0
+    slow_until: float = 0.0
+    healthy_at: float = float("-inf")
     wake: trio.Event = field(default_factory=trio.Event)
 
     @property
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
@@ -42,12 +42,14 @@
     """Times in seconds that the deployment sets.
 
     `hold_s` is how long an executor keeps what runs without hearing from its owner;
-    `stop_s` what a stop may take.
+    `stop_s` what a stop may take; `far_factor` is how many times as long work takes away
+    from its data, or a gang that should share a rack and does not.
     """
 
     hold_s: float = 6.0
     stop_s: float = 0.9
     gang_timeout_s: float = 3.0
+    far_factor: float = 3.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -16,9 +16,10 @@
 from .orders import Orders
 from .owned import JOB_PREFIX, OwnedCell, OwnerParts
 from .planner import Planner
-from .progress import Attempt, JobState, Phase
+from .progress import Attempt, Phase, StepState
 from .record import JobRecord, JobStatus, ProgressRecord
 from .recorder import PROGRESS_PREFIX, Deposed, progress_key
+from .speed import is_slow, is_whole, remaining_s, restarted_s
 from .tenure import Term
 from .watching import ExecutorWatch
 
@@ -30,6 +31,8 @@
 STALL_S = 3.2
 LATE_OWNER_S = 2.0
 LEAVE_MARGIN_S = 0.35
+RESCUE_GAIN = 1.5
+MAX_RESCUES = 12
 
 
 @dataclass(frozen=True, slots=True)
@@ -318,6 +321,7 @@
                     self._move_from(state, now)
                 for attempt in list(state.attempts.values()):
                     self._check_stall(state, attempt, now)
+                    self._check_speed(attempt)
 
     def _move_from(self, state: ExecutorState, now: float) -> None:
         """Stop what checkpoints shortly before its executor leaves."""
@@ -341,7 +345,7 @@
         step = job.steps[attempt.task.step]
         if step.spec.lasting:
             return
-        if step.spec.gang and not _gang_is_whole(job, attempt):
+        if step.spec.gang and not is_whole(step, attempt):
             return
         state.note_bad(now)
         task = job.task(attempt.task)
@@ -350,13 +354,46 @@
         self.cell.request_stop(attempt, "no progress")
         self.cell.stop_gang(attempt, "a member makes no progress")
 
+    def _check_speed(self, attempt: Attempt) -> None:
+        """Start anew what is so slow that this ends sooner, where there is room for it."""
+        job = self.cell.jobs.get(attempt.task.job)
+        if job is None or attempt.phase is not Phase.RUNNING:
+            return
+        step = job.steps[attempt.task.step]
+        if step.spec.lasting or not is_slow(step, attempt) or step.rescues >= MAX_RESCUES:
+            return
+        left, anew = remaining_s(step, attempt), restarted_s(step, attempt)
+        if left < RESCUE_GAIN * anew + 2 * self.parts.timing.stop_s:
+            return
+        members = len(step.tasks) if step.spec.gang else 1
+        if not self._has_sound_room(step, members):
+            return
+        step.rescues += 1
+        log_event(
+            "attempt.slow",
+            job=job.spec.id,
+            step=attempt.task.step,
+            executor=attempt.executor,
+            ratio=attempt.ratio,
+            left_s=round(left, 2),
+            anew_s=round(anew, 2),
+        )
+        self.cell.request_stop(attempt, "too slow here")
+        self.cell.stop_gang(attempt, "a member is too slow")
 
-def _gang_is_whole(job: JobState, attempt: Attempt) -> bool:
-    tasks = job.steps[attempt.task.step].tasks
-    return all(
-        t.attempt is not None and t.attempt.phase is Phase.RUNNING and t.attempt.run == attempt.run
-        for t in tasks
-    )
+    def _has_sound_room(self, step: StepState, members: int) -> bool:
+        now = trio.current_time()
+        found = 0
+        for state in self.cell.executors.values():
+            if not state.accepts_work(now) or state.slow_until > now:
+                continue
+            if step.spec.label and step.spec.label not in state.executor.labels:
+                continue
+            free = state.free
+            while found < members and step.spec.need.fits_in(free):
+                free = free.minus(step.spec.need)
+                found += 1
+        return found >= members
 
 
 async def _read(follower: Follower) -> None:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -7,7 +7,7 @@
 
 from .fleet import ExecutorState
 from .model import DesiredState, Queue, Resources, StepSpec
-from .progress import Attempt, JobState, Phase, StepState, TaskState, latest_start
+from .progress import Attempt, JobState, Phase, StepState, TaskState, latest_starts
 
 URGENT = 0
 REMOTE_PATIENCE_S = 1.2
@@ -113,10 +113,13 @@
 
     def _rank(self, job: JobState, queue: Queue) -> tuple[bool, tuple[float, ...]]:
         guaranteed = job.spec.id in self.guaranteed
-        latest = latest_start(job, queue, self.now, self.wall_now)
-        late = latest < self.now
+        latest, last_useful = latest_starts(job, queue, self.now, self.wall_now)
         first = 0 if guaranteed else 1
-        return guaranteed, (queue.priority, first, late, latest)
+        if queue.priority == URGENT:
+            return guaranteed, (0, first, latest < self.now, queue.priority, latest)
+        lateness = (latest < self.now) + (last_useful < self.now)
+        due = last_useful if lateness else latest
+        return guaranteed, (1, lateness, first, queue.priority, due)
 
     def _serve(self, candidate: Candidate) -> None:
         rooms = self._usable(candidate)
@@ -142,6 +145,10 @@
             rooms = [r for r in rooms if spec.label in r.state.executor.labels]
         return rooms
 
+    def _preference(self, room: Room) -> tuple[bool, int, int]:
+        """Sort sound executors first, and of those the fullest."""
+        return (room.state.slow_until > self.now, room.now.accelerators, room.now.cpu)
+
     def _waited(self, candidate: Candidate) -> float:
         ready_at = candidate.step.ready_at
         return self.now - (self.now if ready_at is None else ready_at)
@@ -163,7 +170,7 @@
             near = [r for r in fitting if r.state.executor.rack == spec.data_rack]
             if near or not self._may_go_remote(candidate, rooms):
                 fitting = near
-        fitting.sort(key=_tightness)
+        fitting.sort(key=self._preference)
         counts = _count_by_executor(candidate.step)
         return self._fill(candidate, fitting, counts)
 
@@ -240,6 +247,7 @@
             if not spec.same_rack:
                 return chosen
             left = float(sum(room.now.accelerators for room in scope))
+            left += 1e3 * sum(room.state.slow_until > self.now for room in chosen)
             if len(scopes) > 1 and len(_by_rack(chosen)) > 1:
                 left += 1e6
             if best is None or left < best[0]:
@@ -251,7 +259,7 @@
         spec = candidate.step.spec
         wanted = len(candidate.tasks)
         chosen: list[Room] = []
-        for room in sorted(scope, key=_tightness):
+        for room in sorted(scope, key=self._preference):
             if any(self._avoids(task, room) for task in candidate.tasks):
                 continue
             now, soon, here = room.now, room.soon, 0
@@ -275,7 +283,7 @@
         step = candidate.step
         scope = self._chosen_scope(step, scopes)
         left = len(candidate.tasks)
-        for room in sorted(scope, key=_tightness, reverse=True):
+        for room in sorted(scope, key=self._preference, reverse=True):
             while left and spec.need.fits_in(room.state.executor.capacity):
                 if not _could_take(room, spec.need):
                     break
@@ -420,10 +428,6 @@
         return total
 
 
-def _tightness(room: Room) -> tuple[float, int, int]:
-    return (room.state.slowness, room.now.accelerators, room.now.cpu)
-
-
 def _by_rack(rooms: list[Room]) -> dict[str, list[Room]]:
     racks: dict[str, list[Room]] = {}
     for room in rooms:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
@@ -9,6 +9,7 @@
 from .record import JobStatus, ProgressRecord, StepProgress
 
 UNSETTLED = float("inf")
+LATE_FACTOR = 3.0
 
 
 class Phase(Enum):
@@ -39,6 +40,9 @@
     moved_at: float = 0.0
     began_at: float | None = None
     stop_reason: str = ""
+    measured_at: float | None = None
+    measured_percent: float = 0.0
+    ratio: float | None = None
 
 
 @dataclass(slots=True, eq=False)
@@ -63,6 +67,8 @@
     tasks: list[TaskState]
     ready_at: float | None = None
     chosen_rack: str | None = None
+    best_ratio: float = float("inf")
+    rescues: int = 0
 
     @property
     def is_done(self) -> bool:
@@ -173,9 +179,9 @@
     return max(ends, default=0.0)
 
 
-def latest_start(job: JobState, queue: Queue, now: float, wall_now: float) -> float:
-    """Return when (trio's clock) the rest must start for the job to be on time."""
-    chain = longest_chain_s(job.spec)
-    due = job.spec.accepted_at + queue.stretch * chain + queue.target_s - wall_now + now
+def latest_starts(job: JobState, queue: Queue, now: float, wall_now: float) -> tuple[float, float]:
+    """Return when (trio's clock) the rest must start to be on time, and to be of any worth."""
+    objective = queue.stretch * longest_chain_s(job.spec) + queue.target_s
+    begun = job.spec.accepted_at - wall_now + now
     left = max((s.spec.estimate_s for s in job.steps if not s.is_done), default=0.0)
-    return due - left
+    return begun + objective - left, begun + LATE_FACTOR * objective - left
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
@@ -18,7 +18,8 @@
 from .fleet import ExecutorState
 from .model import TaskKey
 from .owned import OwnedCell
-from .progress import UNSETTLED, Attempt, Phase
+from .progress import UNSETTLED, Attempt, JobState, Phase
+from .speed import measure_speed
 
 WAIT_S = 1.0
 PAUSE_S = 0.1
@@ -153,11 +154,26 @@
             attempt.phase = Phase.RUNNING
             attempt.settled_at = received
             attempt.moved_at = received
+        factor = self._far_factor(job, attempt)
+        measure_speed(job, attempt, self.state, run.percent, received, factor)
         if run.percent > attempt.percent:
             attempt.percent = run.percent
             attempt.moved_at = received
             attempt.began_at = attempt.began_at or received
 
+    def _far_factor(self, job: JobState, attempt: Attempt) -> float:
+        """Return how many times as long the attempt takes because of where it runs."""
+        step = job.steps[attempt.task.step]
+        far = self.cell.parts.timing.far_factor
+        if step.spec.data_rack and self.state.executor.rack != step.spec.data_rack:
+            return far
+        if not (step.spec.gang and step.spec.same_rack):
+            return 1.0
+        members = [t.attempt.executor for t in step.tasks if t.attempt is not None]
+        states = [self.cell.executors.get(member) for member in members]
+        racks = {state.executor.rack for state in states if state is not None}
+        return far if len(racks) > 1 else 1.0
+
     def _adopt(self, run: RunningRun, received: float) -> None:
         """Take over a run that an earlier owner started."""
         job = self.cell.jobs[run.task.job]
--- a/packages/heronthread-emulator/src/heronthread_emulator/executors.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/executors.py
@@ -74,8 +74,8 @@
     """One life of an executor.
 
     Faults: `is_cut` answers nothing and does nothing; `lose_answers` orders are done and
-    not answered, `late_s` later if that is set; `fails_all`; `stands_still`; `is_sick`
-    turns starts away; `is_gone` is another life.
+    not answered, `late_s` later if that is set; `fails_all`; `stands_still`; `slowness`
+    times as long; `is_sick` turns starts away; `is_gone` is another life.
     """
 
     executor: Executor
@@ -91,6 +91,7 @@
     is_sick: bool = False
     fails_all: bool = False
     stands_still: bool = False
+    slowness: float = 1.0
     lose_answers: int = 0
     late_s: float = 0.0
     clock_offset_s: float = 1000.0
@@ -146,7 +147,9 @@
             return
         if run.members > 1 and len(self._members(run)) < run.members:
             return
-        run.worked_s += TICK_S
+        together = self._members(run) if run.members > 1 else [(executor, run)]
+        slowest = max(place.slowness for place, _ in together)
+        run.worked_s += TICK_S / slowest
         if run.worked_s >= run.work_s:
             kind = run.kind
             members = self._members(run) if run.members > 1 else [(executor, run)]
