--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -15,6 +15,7 @@
 from .model import Executor, Resources
 from .orders import Orders
 from .owned import JOB_PREFIX, OwnedCell, OwnerParts
+from .peaks import RecentPeaks
 from .planner import Planner
 from .progress import Attempt, Phase, StepState
 from .record import JobRecord, JobStatus, ProgressRecord
@@ -33,6 +34,7 @@
 LEAVE_MARGIN_S = 0.35
 RESCUE_GAIN = 1.5
 MAX_RESCUES = 12
+URGENT_WINDOW_S = 12.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +59,7 @@
         self._used_changed = trio.Event()
         self._nursery: trio.Nursery | None = None
         self._orders: Orders | None = None
+        self._urgent = RecentPeaks(URGENT_WINDOW_S)
 
     def depose(self) -> None:
         """End this term: somebody else owns the cell, or nobody can tell."""
@@ -301,8 +304,10 @@
             self.parts.desired(),
             trio.current_time(),
             self.parts.wall_clock(),
+            self._urgent.peaks(trio.current_time()),
         )
         plan = planner.make()
+        self._urgent.note(trio.current_time(), planner.urgent_in_use())
         for attempt in plan.stops:
             self.cell.request_stop(attempt, "taken back for urgent work")
         for group in plan.groups:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -13,6 +13,8 @@
 REMOTE_PATIENCE_S = 1.2
 SPREAD_PATIENCE_S = 1.5
 RESERVATIONS = 2
+HEADROOM_SHARE = 0.2
+HEADROOM_PATIENCE_S = 1.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +76,7 @@
         desired: DesiredState,
         now: float,
         wall_now: float,
+        urgent_peaks: dict[str, int] | None = None,
     ) -> None:
         self.jobs = list(jobs)
         self.desired = desired
@@ -88,7 +91,9 @@
         self.plan = Plan()
         self.guaranteed = find_guaranteed(self.jobs, desired)
         self._reserved = 0
-        self._full: set[tuple[str, Resources, str]] = set()
+        self._full: set[tuple[str, Resources, str, bool]] = set()
+        self._urgent_peaks = urgent_peaks or {}
+        self._headroom: set[str] | None = None
 
     def make(self) -> Plan:
         """Return what to start and what to take back now."""
@@ -143,8 +148,55 @@
         rooms = self.rooms.get(candidate.queue.pool, [])
         if spec.label:
             rooms = [r for r in rooms if spec.label in r.state.executor.labels]
+        if self._keeps_out(candidate):
+            headroom = self._find_headroom()
+            rooms = [r for r in rooms if r.state.id not in headroom]
         return rooms
 
+    def _keeps_out(self, candidate: Candidate) -> bool:
+        """Whether a candidate leaves the headroom for urgent work alone."""
+        if candidate.queue.priority == URGENT:
+            return False
+        idle = not candidate.job.attempts()
+        return not (idle and self._waited(candidate) >= HEADROOM_PATIENCE_S)
+
+    def _find_headroom(self) -> set[str]:
+        """Choose the emptiest executors, with as much room as urgent work lately used more.
+
+        Stopping others' work costs that work, and the urgent job the time of the stops.
+        """
+        if self._headroom is None:
+            self._headroom = set()
+            for pool, rooms in self.rooms.items():
+                self._choose_headroom(pool, rooms)
+        return self._headroom
+
+    def _choose_headroom(self, pool: str, rooms: list[Room]) -> None:
+        assert self._headroom is not None
+        total = sum(room.state.executor.capacity.accelerators for room in rooms)
+        used = self.urgent_in_use().get(pool, 0)
+        wanted = min(self._urgent_peaks.get(pool, 0) - used, int(total * HEADROOM_SHARE))
+        for room in sorted(rooms, key=lambda r: r.soon.accelerators, reverse=True):
+            if wanted <= 0:
+                return
+            self._headroom.add(room.state.id)
+            wanted -= max(0, room.soon.accelerators)
+
+    def urgent_in_use(self) -> dict[str, int]:
+        """Return the accelerators that urgent work holds, with this plan's starts, by pool."""
+        used: dict[str, int] = {}
+        for job in self.jobs:
+            queue = self.desired.current_queue(job.spec)
+            if queue.priority == URGENT:
+                held = sum(attempt.need.accelerators for attempt in job.attempts())
+                used[queue.pool] = used.get(queue.pool, 0) + held
+        for group in self.plan.groups:
+            queue = self.desired.current_queue(group[0].job.spec)
+            if queue.priority == URGENT:
+                need = group[0].step.spec.need.accelerators * len(group)
+                used[queue.pool] = used.get(queue.pool, 0) + need
+        return used
+
     def _preference(self, room: Room) -> tuple[bool, int, int]:
         """Sort sound executors first, and of those the fullest."""
         return (room.state.slow_until > self.now, room.now.accelerators, room.now.cpu)
@@ -159,7 +211,7 @@
         self, candidate: Candidate, rooms: list[Room]
     ) -> list[tuple[TaskState, Room]]:
         spec = candidate.step.spec
-        full_key = (candidate.queue.pool, spec.need, spec.label)
+        full_key = (candidate.queue.pool, spec.need, spec.label, self._keeps_out(candidate))
         if full_key in self._full:
             return []
         fitting = [r for r in rooms if r.fits(spec.need)]
