--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -14,6 +14,8 @@
 SPREAD_PATIENCE_S = 1.5
 RESERVATIONS = 2
 HEADROOM_SHARE = 0.2
+ENDS_SOON_S = 0.5
+END_PATIENCE_S = 0.8
 HEADROOM_PATIENCE_S = 1.5
 
 
@@ -427,6 +429,8 @@
         need: Resources,
         doomed: set[int],
     ) -> tuple[float, list[Attempt]] | None:
+        if self._waited(candidate) < END_PATIENCE_S:
+            soon = self._with_ending(room, soon, doomed)
         if need.fits_in(soon):
             return 0.0, []
         options = [
@@ -445,6 +449,15 @@
                 return cost, victims
         return None
 
+    def _with_ending(self, room: Room, soon: Resources, doomed: set[int]) -> Resources:
+        """Add what will have ended by itself before a stop would be over."""
+        for attempt in room.state.attempts.values():
+            if id(attempt) in doomed or attempt.phase is not Phase.RUNNING:
+                continue
+            if expected_end_s(attempt, self.now) <= ENDS_SOON_S:
+                soon = soon.plus(attempt.need)
+        return soon
+
     def _may_take(self, candidate: Candidate, attempt: Attempt) -> bool:
         if attempt.phase is Phase.STOPPING or attempt in self.plan.stops:
             return False
@@ -480,6 +493,15 @@
         return total
 
 
+def expected_end_s(attempt: Attempt, now: float) -> float:
+    """Return in how many seconds an attempt ends if it gets on as it did so far."""
+    gained = attempt.percent - attempt.began_percent
+    if gained <= 0 or attempt.began_at is None:
+        return float("inf")
+    worked = attempt.moved_at - attempt.began_at
+    return worked * (100 - attempt.percent) / gained - (now - attempt.moved_at)
+
+
 def _by_rack(rooms: list[Room]) -> dict[str, list[Room]]:
     racks: dict[str, list[Room]] = {}
     for room in rooms:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
@@ -39,6 +39,7 @@
     percent: float = 0.0
     moved_at: float = 0.0
     began_at: float | None = None
+    began_percent: float = 0.0
     stop_reason: str = ""
     measured_at: float | None = None
     measured_percent: float = 0.0
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
@@ -159,7 +159,9 @@
         if run.percent > attempt.percent:
             attempt.percent = run.percent
             attempt.moved_at = received
-            attempt.began_at = attempt.began_at or received
+            if attempt.began_at is None:
+                attempt.began_at = received
+                attempt.began_percent = run.percent
 
     def _far_factor(self, job: JobState, attempt: Attempt) -> float:
         """Return how many times as long the attempt takes because of where it runs."""
@@ -187,6 +189,7 @@
         attempt.seen = True
         attempt.percent = run.percent
         attempt.began_at = received
+        attempt.began_percent = run.percent
         task.last_run = max(task.last_run, run.run)
         self.cell.note_checkpoint(task, run.run, run.checkpoint)
         self.cell.place(task, attempt, self.state)
