Serve figures, and answer an operator's questions about the cell

Cause: nothing told who owns, what waits, which executors drain or what a guarantee could take back, and nothing was at the metrics address. Ruled out: the command line reading the store (it would need the platform's names); the hosts answer over thrift instead.

--- a/packages/heronthread-cli/src/heronthread_cli/commands.py
+++ b/packages/heronthread-cli/src/heronthread_cli/commands.py
@@ -22,6 +22,7 @@
 )
 from pydantic import ValidationError
 
+from .cell import Cell
 from .client import Client
 from .demo import DemoResult, run_demo
 from .exits import BadInput, CommandError, HostUnreachable
@@ -248,9 +249,12 @@
     """Operate heronthread: check and apply files, follow events, explain decisions.
 
     Exit codes: 0 good, 1 refused or failed, 2 bad input, 3 no host answered, 4 another
-    apply came first. HERONTHREAD_URL names the entry host to talk to.
+    apply came first. HERONTHREAD_URL names the entry host to talk to; `cell` asks the hosts
+    of a running cell, and HERONTHREAD_HOST names one of them.
     """
 
+    cell = Cell()
+
     def apply(
         self,
         file: str,
--- /dev/null
+++ b/packages/heronthread-cli/tests/test_cell.py
@@ -0,0 +1,52 @@
+import json
+
+import pytest
+import trio
+from heronthread_cli.cell import Cell
+from heronthread_cli.exits import BadInput, HostUnreachable
+from heronthread_daemon.peer import serve_peers
+from heronthread_emulator import EmulatedSite
+
+
+async def _serve(site: EmulatedSite, name: str) -> str:
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    port = listeners[0].socket.getsockname()[1]
+    await listeners[0].aclose()
+    address = f"127.0.0.1:{port}"
+    await site.nursery.start(serve_peers, address, site.hosts[name].handle)
+    return address
+
+
+async def test_any_host_tells_queues_executors_guarantees_and_a_jobs_story(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    async with EmulatedSite.open(executors=2) as site:
+        owner = await site.wait_for_owner()
+        other = next(name for name in site.hosts if name != owner)
+        address = await _serve(site, other)
+        await site.hosts[other].accept(site.make_job("ab", queue="urgent", count=3, work_s=60), 2)
+        await trio.sleep(0.5)
+
+        async def ask(command: object, *args: str) -> list[dict[str, object]]:
+            await trio.to_thread.run_sync(lambda: command(*args, host=address, json=True))  # type: ignore[operator]
+            return json.loads(capsys.readouterr().out)  # type: ignore[no-any-return]
+
+        assert (await ask(Cell().owner))[0]["owner"] == owner
+        queues = {row["queue"]: row for row in await ask(Cell().queues)}
+        assert queues["urgent"]["running"] == 1
+        assert sum(int(str(row["runs"])) for row in await ask(Cell().executors)) == 3
+        guarantees = {row["tenant"]: row for row in await ask(Cell().guarantees)}
+        assert guarantees["first"]["in use"] == 3
+        tasks = await ask(Cell().job, "ab")
+        assert [task["state"] for task in tasks] == ["running"] * 3
+
+
+def test_missing_host_is_bad_input(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.delenv("HERONTHREAD_HOST", raising=False)
+    with pytest.raises(BadInput, match="--host"):
+        Cell().queues()
+
+
+def test_dead_host_is_named() -> None:
+    with pytest.raises(HostUnreachable, match=r"127\.0\.0\.1:1"):
+        Cell().queues(host="127.0.0.1:1")
--- a/packages/heronthread-daemon/src/heronthread_daemon/wire.thrift
+++ b/packages/heronthread-daemon/src/heronthread_daemon/wire.thrift
@@ -44,6 +44,8 @@
   NOTE_JOB = 12
   NEWS = 13
   CONFIGURATION = 14
+  CELL_OVERVIEW = 15
+  JOB_STORY = 16
 }
 
 /** A caller's request on its way from an entry host to the owner of a cell. */
--- a/packages/heronthread-daemon/src/heronthread_daemon/wire/ttypes.py
+++ b/packages/heronthread-daemon/src/heronthread_daemon/wire/ttypes.py
@@ -31,6 +31,8 @@
     NOTE_JOB = 12
     NEWS = 13
     CONFIGURATION = 14
+    CELL_OVERVIEW = 15
+    JOB_STORY = 16
 
     _VALUES_TO_NAMES = {
         1: "SUBMIT",
@@ -47,6 +49,8 @@
         12: "NOTE_JOB",
         13: "NEWS",
         14: "CONFIGURATION",
+        15: "CELL_OVERVIEW",
+        16: "JOB_STORY",
     }
 
     _NAMES_TO_VALUES = {
@@ -64,6 +68,8 @@
         "NOTE_JOB": 12,
         "NEWS": 13,
         "CONFIGURATION": 14,
+        "CELL_OVERVIEW": 15,
+        "JOB_STORY": 16,
     }
 
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 import trio
-from heronthread_coordination import Unavailable
+from heronthread_coordination import Measure, Unavailable
 from heronthread_daemon.peer import Peers, PeerUnreachable
 from heronthread_daemon.wire.ttypes import Frame
 
@@ -32,6 +32,7 @@
 )
 from .keystore import Gone, Item, KeyStore, Listing, Missing
 from .observed import ObservedStore
+from .overview import describe_cell, describe_job
 from .owned import DirectoryFormat, OwnerParts, Timing, job_key
 from .owner import JobView, Owner
 from .peering import (
@@ -50,6 +51,7 @@
 )
 from .record import JobRecord, JobStatus, ProgressRecord
 from .recorder import progress_key
+from .statistics import Statistics
 from .tenure import Presence, Tenure
 
 NEWS_S = 1.0
@@ -111,6 +113,7 @@
         self.owner: Owner | None = None
         self.owner_presence: Presence | None = None
         self.is_draining = False
+        self.statistics = Statistics()
         self._final: dict[str, JobView] = {}
         self._owner_gone_at = 0.0
         self._news_wanted = trio.Event()
@@ -215,6 +218,7 @@
                 self.parts.wall_clock,
                 lambda: self.configuration.state,
                 self._may_order,
+                self.statistics,
             )
             self.owner = Owner(parts, term)
             await self._own(self.owner)
@@ -276,6 +280,24 @@
             owner.host if owner else "",
         )
 
+    def render_statistics(self) -> str:
+        """Return this host's figures as text."""
+        gauges: dict[str, float] = {
+            "configuration_version": self.configuration.state.version,
+            "hosts": len(self.members),
+            "store_answering": self.store.is_answering,
+            "owner": self.owner is not None,
+        }
+        if self.owner is not None:
+            gauges["term"] = self.owner.cell.term.number
+            gauges["jobs_active"] = len(self.owner.cell.active)
+            gauges["executors"] = len(self.owner.cell.executors)
+        for call, count in self.store.calls.items():
+            gauges[f"store_{call}_calls"] = count
+        for call, count in self.store.failures.items():
+            gauges[f"store_{call}_failures"] = count
+        return self.statistics.render(gauges)
+
     async def _exchange_news(self) -> None:
         while True:
             pause = NEWS_S if self.store.is_answering else OUTAGE_NEWS_S
@@ -344,8 +366,30 @@
             if self.owner is not None:
                 self.owner.note_job(JobRecord.decode(base64.b64decode(body["record"])))
             return OK, {}
+        if operation in (Operation.CELL_OVERVIEW, Operation.JOB_STORY):
+            return await self._handle_question(operation, body)
         return await self._handle_intake(operation, body)
 
+    async def _handle_question(
+        self, operation: int, body: dict[str, Any]
+    ) -> tuple[int, dict[str, Any]]:
+        """Answer an operator, or pass the question on to the owner."""
+        owner = self.owner
+        if owner is None or not owner.is_ready:
+            presence = self.owner_presence
+            if presence is None or presence.host == self.settings.name or body.get("passed"):
+                return NOT_TAKEN, {"reason": "no owner is known"}
+            asked = {**body, "passed": True}
+            reply = await call_peer(self.parts.peers, presence.address, operation, asked)
+            if isinstance(reply, PeerReply):
+                return reply.status, reply.body
+            return NOT_TAKEN, {"reason": reply.reason}
+        if operation == Operation.CELL_OVERVIEW:
+            described = describe_cell(owner.cell, self.configuration.state, self.settings.name)
+            return OK, {**described, "hosts": sorted(self.members)}
+        job = owner.cell.jobs.get(body["job"])
+        return (OK, describe_job(job)) if job else (410, {"reason": "there is no such job"})
+
     async def _handle_intake(
         self, operation: int, body: dict[str, Any]
     ) -> tuple[int, dict[str, Any]]:
@@ -368,9 +412,13 @@
     async def accept(self, record: JobRecord, budget_s: float) -> IntakeOutcome:
         """Take a job in."""
         body = {"record": base64.b64encode(record.encode()).decode()}
+        started = trio.current_time()
         outcome = await self._intake(
             lambda: accept_job(self.store, record), Operation.ACCEPT_JOB, body, budget_s
         )
+        elapsed = trio.current_time() - started
+        self.statistics.count("accepts", type(outcome).__name__)
+        self.statistics.record(record.spec.tenant, record.spec.queue.name, Measure.ANSWER, elapsed)
         log_event(
             "job.accept",
             job=record.spec.id,
@@ -389,6 +437,7 @@
             {"job": job_id, "tenant": tenant},
             budget_s,
         )
+        self.statistics.count("cancels", type(outcome).__name__)
         log_event("job.cancel", job=job_id, outcome=type(outcome).__name__)
         return outcome
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 import trio
+from heronthread_coordination import Measure
 
 from .events import log_event
 from .executor_link import (
@@ -56,6 +57,13 @@
             attempt.moved_at = now
             self.cell.place(start.task, attempt, start.executor)
             self._nursery.start_soon(self._start, start, attempt, checkpoint)
+        job = group[0].job
+        if not job.begun:
+            waited = now - (group[0].step.ready_at or now)
+            self.cell.parts.statistics.record(
+                job.spec.tenant, job.spec.queue.name, Measure.WAITING, waited
+            )
+        self.cell.parts.statistics.count("starts", amount=len(group))
         log_event(
             "start.decided",
             job=group[0].job.spec.id,
--- /dev/null
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/overview.py
@@ -0,0 +1,124 @@
+"""What an operator asks of the owner: queues, executors, guarantees, one job's story."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import trio
+
+from .model import DesiredState
+from .owned import OwnedCell
+from .planner import URGENT, find_guaranteed
+from .progress import JobState
+
+
+def describe_cell(cell: OwnedCell, desired: DesiredState, host: str) -> dict[str, Any]:
+    """Return the owner, the queues, the executors and the guarantees as plain values."""
+    return {
+        "owner": host,
+        "term": cell.term.number,
+        "version": desired.version,
+        "queues": _describe_queues(cell, desired),
+        "executors": _describe_executors(cell),
+        "guarantees": _describe_guarantees(cell, desired),
+    }
+
+
+def _describe_queues(cell: OwnedCell, desired: DesiredState) -> list[dict[str, Any]]:
+    rows = {
+        queue.name: {"queue": queue.name, "priority": queue.priority, "pending": 0, "running": 0}
+        for queue in desired.queues
+    }
+    for job in cell.active.values():
+        queue = desired.current_queue(job.spec)
+        row = rows.setdefault(
+            queue.name,
+            {"queue": queue.name, "priority": queue.priority, "pending": 0, "running": 0},
+        )
+        row["running" if job.begun else "pending"] += 1  # type: ignore[operator]
+    return sorted(rows.values(), key=lambda row: (row["priority"], row["queue"]))
+
+
+def _describe_executors(cell: OwnedCell) -> list[dict[str, Any]]:
+    now = trio.current_time()
+    rows = []
+    for state in sorted(cell.executors.values(), key=lambda s: (s.executor.rack, s.id)):
+        leaves_in_s = None if state.leaves_at is None else round(state.leaves_at - now, 1)
+        rows.append(
+            {
+                "executor": state.id,
+                "rack": state.executor.rack,
+                "runs": len(state.attempts),
+                "free accelerators": state.free.accelerators,
+                "heard": state.heard,
+                "listed": state.listed,
+                "resting": state.rest_until > now,
+                "slow": state.slow_until > now,
+                "leaves in s": leaves_in_s,
+            }
+        )
+    return rows
+
+
+def _describe_guarantees(cell: OwnedCell, desired: DesiredState) -> list[dict[str, Any]]:
+    """Return what each tenant may claim, has in use, and could have taken back from others."""
+    guaranteed = find_guaranteed(list(cell.active.values()), desired)
+    reclaimable = sum(
+        attempt.need.accelerators
+        for job in cell.active.values()
+        if job.spec.id not in guaranteed
+        for attempt in job.attempts()
+    )
+    rows = []
+    for tenant in desired.tenants:
+        used = _urgent_accelerators(cell, desired, tenant.name)
+        rows.append(
+            {
+                "tenant": tenant.name,
+                "guaranteed": tenant.guaranteed,
+                "in use": used,
+                "reclaimable": min(max(0, tenant.guaranteed - used), reclaimable),
+            }
+        )
+    return rows
+
+
+def _urgent_accelerators(cell: OwnedCell, desired: DesiredState, tenant: str) -> int:
+    return sum(
+        attempt.need.accelerators
+        for job in cell.active.values()
+        if job.spec.tenant == tenant and desired.current_queue(job.spec).priority == URGENT
+        for attempt in job.attempts()
+    )
+
+
+def describe_job(job: JobState) -> dict[str, Any]:
+    """Return a job's tasks with where they run, how far they are, and what failed."""
+    tasks = []
+    for number, step in enumerate(job.steps):
+        for task in step.tasks:
+            attempt = task.attempt
+            tasks.append(
+                {
+                    "step": number,
+                    "task": task.index,
+                    "state": _state_of(task.done, attempt is not None),
+                    "executor": attempt.executor if attempt else "",
+                    "run": task.last_run,
+                    "percent": attempt.percent if attempt else 0,
+                    "failed runs": len(task.failed_runs),
+                }
+            )
+    return {
+        "job": job.spec.id,
+        "queue": job.spec.queue.name,
+        "tenant": job.spec.tenant,
+        "status": job.shown.value,
+        "tasks": tasks,
+    }
+
+
+def _state_of(done: bool, has_attempt: bool) -> str:
+    if done:
+        return "done"
+    return "running" if has_attempt else "waiting"
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
@@ -7,15 +7,17 @@
 from dataclasses import dataclass, field
 
 import trio
+from heronthread_coordination import Measure
 
 from .events import log_event
 from .executor_link import EndedRun, EndKind, ExecutorLink
 from .fleet import ExecutorState
 from .keystore import KeyStore
 from .model import DesiredState, Executor, TaskKey
-from .progress import Attempt, JobState, Phase, TaskState, make_job
+from .progress import UNSETTLED, Attempt, JobState, Phase, TaskState, make_job
 from .record import JobRecord
 from .recorder import Recorder
+from .statistics import Statistics
 from .tenure import Term
 
 JOB_PREFIX = "job/"
@@ -63,6 +65,7 @@
     wall_clock: Callable[[], float]
     desired: Callable[[], DesiredState]
     may_order: Callable[[], bool]
+    statistics: Statistics
     random: random.Random = field(default_factory=random.Random)
 
 
@@ -111,10 +114,17 @@
     def _settle(self, job: JobState) -> None:
         """Record what changed; a job that can't change any more is no longer planned."""
         self.recorder.mark(job)
-        if job.status.is_final:
-            self.active.pop(job.spec.id, None)
+        if job.status.is_final and self.active.pop(job.spec.id, None) is not None:
+            self._count_end(job)
         self.wake_planner()
 
+    def _count_end(self, job: JobState) -> None:
+        spec = job.spec
+        statistics = self.parts.statistics
+        statistics.count("jobs_ended", job.status.value)
+        elapsed = self.parts.wall_clock() - spec.accepted_at
+        statistics.record(spec.tenant, spec.queue.name, Measure.COMPLETION, elapsed)
+
     # Attempts
 
     def next_run(self, tasks: list[TaskState]) -> int:
@@ -154,7 +164,8 @@
         if attempt.phase is not Phase.STOPPING:
             attempt.phase = Phase.STOPPING
             attempt.stop_reason = reason
-            attempt.settled_at = float("inf")
+            attempt.settled_at = UNSETTLED
+            self.parts.statistics.count("stops", reason)
             self.to_stop.append((attempt, reason))
             self.stop_wanted.set()
 
