--- a/packages/heronthread-emulator/src/heronthread_emulator/__init__.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/__init__.py
@@ -1,10 +1,17 @@
 """Stand-ins of the platform that run in the test's process, on trio's clock."""
 
+from .checker import Told, Violation, check_promises
 from .executors import EmulatedExecutor, EmulatedExecutors
 from .site import EmulatedSite, make_queue, make_state
+from .soak import SoakResult, run_soak
 from .store import EmulatedStore, StoreView
 
 __all__ = [
+    "SoakResult",
+    "Told",
+    "Violation",
+    "check_promises",
+    "run_soak",
     "EmulatedExecutor",
     "EmulatedExecutors",
     "EmulatedSite",
--- /dev/null
+++ b/packages/heronthread-emulator/src/heronthread_emulator/checker.py
@@ -0,0 +1,151 @@
+"""The promises, judged by what executors saw and what callers were told."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass
+
+from heronthread_dispatch.model import TaskKey
+from heronthread_dispatch.record import JobRecord, JobStatus
+
+from .executors import EmulatedExecutors, Event
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """One broken promise."""
+
+    promise: str
+    what: str
+
+
+@dataclass(slots=True)
+class Told:
+    """What callers were told of one job."""
+
+    record: JobRecord
+    taken: bool = False
+    refused: bool = False
+    unsettled: bool = False
+    cancelled: bool = False
+    shown: JobStatus | None = None
+
+
+def check_promises(executors: EmulatedExecutors, told: dict[str, Told]) -> list[Violation]:
+    """Return every promise that is broken."""
+    by_task: dict[TaskKey, list[Event]] = defaultdict(list)
+    for event in executors.events:
+        by_task[event.task].append(event)
+    found: list[Violation] = []
+    for task, events in by_task.items():
+        found += _check_one_at_a_time(task, events)
+        found += _check_done_for_good(task, events, executors)
+        found += _check_budget(task, events, told)
+    found += _check_tokens(executors.events)
+    found += _check_told(by_task, told)
+    return found
+
+
+def _check_one_at_a_time(task: TaskKey, events: list[Event]) -> list[Violation]:
+    found = []
+    alive: set[tuple[str, int]] = set()
+    for event in events:
+        place = (event.executor, event.run)
+        if event.what != "start":
+            alive.discard(place)
+            continue
+        if alive:
+            found.append(Violation("runs at most once at a time", f"{task} {event} {alive}"))
+        alive.add(place)
+    return found
+
+
+def _check_done_for_good(
+    task: TaskKey, events: list[Event], executors: EmulatedExecutors
+) -> list[Violation]:
+    found = []
+    done: list[Event] = []
+    for event in events:
+        if event.what == "done":
+            done.append(event)
+        if event.what != "start":
+            continue
+        for end in done:
+            lapsed = any(name == end.executor and at > end.at for name, at in executors.lapses)
+            if (end.executor, end.number) in executors.taken_note and not lapsed:
+                found.append(Violation("done work is not run again", f"{task} {event}"))
+    return found
+
+
+def _check_budget(task: TaskKey, events: list[Event], told: dict[str, Told]) -> list[Violation]:
+    known = told.get(task.job)
+    if known is None:
+        return []
+    limit = known.record.spec.queue.max_attempts
+    failed = 0
+    found = []
+    for event in events:
+        if event.what == "failed":
+            failed += 1
+        elif event.what == "start" and failed >= limit:
+            found.append(Violation("attempts are bounded", f"{task} {event}"))
+    return found
+
+
+def _check_tokens(events: list[Event]) -> list[Violation]:
+    highest: dict[str, int] = {}
+    found = []
+    for event in events:
+        if event.what != "start":
+            continue
+        if event.token < highest.get(event.executor, 0):
+            found.append(Violation("a deposed owner starts nothing", str(event)))
+        highest[event.executor] = max(event.token, highest.get(event.executor, 0))
+    return found
+
+
+def _check_told(by_task: dict[TaskKey, list[Event]], told: dict[str, Told]) -> list[Violation]:
+    found = []
+    started = {
+        task.job for task, events in by_task.items() if any(e.what == "start" for e in events)
+    }
+    for job, known in told.items():
+        only_refused = known.refused and not (known.taken or known.unsettled)
+        if only_refused and job in started:
+            found.append(Violation("not taken means never run", job))
+        if known.shown is JobStatus.SUCCEEDED:
+            found += _check_all_done(job, known, by_task)
+        if known.shown is JobStatus.FAILED and not _failed_often(job, known, by_task):
+            found.append(Violation("failed only for cause", job))
+        if (
+            known.taken
+            and not known.cancelled
+            and (known.shown is None or not known.shown.is_final)
+        ):
+            found.append(Violation("taken work is done", f"{job} is {known.shown}"))
+    return found
+
+
+def _check_all_done(job: str, known: Told, by_task: dict[TaskKey, list[Event]]) -> list[Violation]:
+    found = []
+    for number, step in enumerate(known.record.spec.steps):
+        done = [
+            any(e.what == "done" for e in by_task.get(TaskKey(job, number, index), ()))
+            for index in range(step.count)
+        ]
+        if not all(done) and not (step.gang and any(done)):
+            found.append(Violation("succeeded means all is done", job))
+    return found
+
+
+def _failed_often(job: str, known: Told, by_task: dict[TaskKey, list[Event]]) -> bool:
+    limit = known.record.spec.queue.max_attempts
+    for number, step in enumerate(known.record.spec.steps):
+        runs: dict[int, set[int]] = defaultdict(set)
+        for index in range(step.count):
+            for event in by_task.get(TaskKey(job, number, index), ()):
+                if event.what == "failed":
+                    runs[0 if step.gang else index].add(event.run)
+        if any(len(numbers) >= limit for numbers in runs.values()):
+            return True
+    return False
--- a/packages/heronthread-emulator/src/heronthread_emulator/executors.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/executors.py
@@ -67,6 +67,7 @@
     run: int
     executor: str
     token: int = 0
+    number: int = 0
 
 
 @dataclass(slots=True, eq=False)
@@ -117,6 +118,7 @@
         self.specs: dict[str, dict[int, WorkSpec]] = {}
         self.events: list[Event] = []
         self.taken_note: set[tuple[str, int]] = set()
+        self.lapses: list[tuple[str, float]] = []
         self._nursery: trio.Nursery | None = None
 
     async def run(self) -> None:
@@ -132,6 +134,7 @@
     def _advance(self, executor: EmulatedExecutor) -> None:
         now = trio.current_time()
         if executor.running and executor.clock_ms() / 1000 > executor.hold_until:
+            self.lapses.append((executor.executor.id, trio.current_time()))
             for run in list(executor.running.values()):
                 self._end(executor, run, EndKind.LAPSED)
             return
@@ -173,14 +176,30 @@
         executor.floor[run.task] = max(executor.floor.get(run.task, 0), run.run)
         end = EndedRun(executor.numbers, run.task, run.run, kind, "")
         executor.ended.append(end)
-        self._log(kind.value, executor, run.task, run.run)
+        self._log(kind.value, executor, run.task, run.run, number=executor.numbers)
         executor.news.set()
         executor.news = trio.Event()
 
     def _log(
-        self, what: str, executor: EmulatedExecutor, task: TaskKey, run: int, token: int = 0
+        self,
+        what: str,
+        executor: EmulatedExecutor,
+        task: TaskKey,
+        run: int,
+        *,
+        token: int = 0,
+        number: int = 0,
     ) -> None:
-        self.events.append(Event(trio.current_time(), what, task, run, executor.executor.id, token))
+        now = trio.current_time()
+        self.events.append(Event(now, what, task, run, executor.executor.id, token, number))
+
+    def crash(self, name: str) -> None:
+        """End a life at once: what ran there is gone, and it lists nothing any more."""
+        place = self.by_id[name]
+        place.is_gone = True
+        for run in list(place.running.values()):
+            place.running.pop(run.task)
+            self._log("gone", place, run.task, run.run)
 
     def starts(self, task: TaskKey | None = None) -> list[Event]:
         """Return all starts, or those of one task."""
@@ -264,7 +283,7 @@
         place.running[order.task] = Run(
             order.task, order.run, work.need, work.work_s, 0.0, work.members, kind=work.kind
         )
-        self._log("start", place, order.task, order.run, order.token)
+        self._log("start", place, order.task, order.run, token=order.token)
         return Obeyed(place.clock_ms())
 
     def _stop(self, place: EmulatedExecutor, order: StopOrder) -> OrderOutcome:
--- a/packages/heronthread-emulator/src/heronthread_emulator/site.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/site.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import random
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 
@@ -11,6 +12,7 @@
 from heronthread_daemon.wire.ttypes import Frame
 from heronthread_dispatch.configuring import ConfigurationFormat
 from heronthread_dispatch.host import Host, HostParts, HostSettings
+from heronthread_dispatch.intake import IntakeOutcome
 from heronthread_dispatch.model import (
     DesiredState,
     Executor,
@@ -99,6 +101,7 @@
         self.hosts: dict[str, Host] = {}
         self.views: dict[str, StoreView] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
+        self._nurseries: dict[str, trio.Nursery] = {}
 
     @classmethod
     @asynccontextmanager
@@ -141,10 +144,8 @@
 
     def remove_executor(self, name: str) -> None:
         """End an executor's life; its address answers no more."""
-        place = self.executors.by_id[name]
-        place.is_cut = True
-        for run in list(place.running.values()):
-            place.running.pop(run.task)
+        self.executors.crash(name)
+        self.executors.by_id[name].is_cut = True
         self.store.remove(f"executors/{name}")
 
     def start_host(self, name: str) -> Host:
@@ -168,7 +169,25 @@
     async def _run_host(self, name: str, host: Host) -> None:
         with trio.CancelScope() as scope:
             self._scopes[name] = scope
-            await host.run()
+            async with trio.open_nursery() as nursery:
+                self._nurseries[name] = nursery
+                await host.run()
+
+    async def accept(self, host: Host, record: JobRecord, limit_s: float) -> IntakeOutcome | None:
+        """Hand a job in at a host; None if the host was killed or did not answer in time."""
+        name = host.settings.name
+        answers: list[IntakeOutcome] = []
+        answered = trio.Event()
+
+        async def ask() -> None:
+            answers.append(await host.accept(record, limit_s))
+            answered.set()
+
+        if self.hosts.get(name) is host and name in self._nurseries:
+            self._nurseries[name].start_soon(ask)
+        with trio.move_on_after(limit_s + 1.0):
+            await answered.wait()
+        return answers[0] if answers else None
 
     def kill_host(self, name: str) -> None:
         """Kill a host: it says nothing more to anybody."""
@@ -183,6 +202,23 @@
                 return name
         return None
 
+    def any_host(self, source: random.Random) -> Host | None:
+        """Return one of the hosts that take callers, if there is any."""
+        ready = [host for _, host in sorted(self.hosts.items()) if host.is_ready]
+        return source.choice(ready) if ready else None
+
+    def mend(self) -> None:
+        """End every fault that is not over."""
+        self.store.is_down = self.store.lapses = False
+        for view in self.views.values():
+            view.is_cut = view.is_silent = False
+            view.lose_answers = 0
+        for place in self.executors.by_id.values():
+            place.is_cut = place.is_gone
+            place.fails_all = place.stands_still = False
+            place.slowness = 1.0
+            place.lose_answers = 0
+
     async def wait_for_owner(self, limit_s: float = 30.0) -> str:
         """Wait until a host decides; raises `trio.TooSlowError` after `limit_s`."""
         with trio.fail_after(limit_s):
--- /dev/null
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak.py
@@ -0,0 +1,283 @@
+"""A seeded soak: callers, operators and faults on an emulated site, then the checker."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import trio
+import trio.testing
+from heronthread_dispatch.intake import NotTaken, Taken, Unsettled
+from heronthread_dispatch.owner import JobView
+from trio._core import _run as trio_run
+
+from .checker import Told, Violation, check_promises
+from .site import EmulatedSite
+
+FAULTS_S = 30.0
+JOBS = 40
+SETTLE_S = 60.0
+HOSTS = 4
+EXECUTORS = 6
+
+
+@dataclass(slots=True)
+class SoakResult:
+    """One seed's outcome."""
+
+    seed: int
+    violations: list[Violation] = field(default_factory=list)
+    faults: Counter[str] = field(default_factory=Counter)
+    jobs: int = 0
+    starts: int = 0
+
+
+class Soak:
+    """One run of a site under faults drawn from a seed."""
+
+    def __init__(self, site: EmulatedSite, seed: int) -> None:
+        self.site = site
+        self.random = random.Random(seed)
+        self.told: dict[str, Told] = {}
+        self.result = SoakResult(seed)
+        self._version = 1
+        self._next_host = HOSTS
+        self._next_executor = EXECUTORS
+        self._faults: list[Callable[[], Awaitable[None]]] = [
+            self.kill_owner,
+            self.kill_all,
+            self.stop_owner,
+            self.store_down,
+            self.store_lapses,
+            self.owner_cut_from_store,
+            self.lose_store_answers,
+            self.forget_history,
+            self.executor_silent,
+            self.executor_crashes,
+            self.executor_leaves,
+            self.executor_fails_all,
+            self.executor_stands_still,
+            self.executor_slow,
+            self.late_orders,
+            self.change_configuration,
+        ]
+
+    async def run(self) -> SoakResult:
+        """Play callers and faults, let everything settle, and check."""
+        await self.site.wait_for_owner()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._play_callers)
+            nursery.start_soon(self._play_faults)
+        await self._settle()
+        self.result.violations = check_promises(self.site.executors, self.told)
+        self.result.jobs = len(self.told)
+        self.result.starts = len(self.site.executors.starts())
+        return self.result
+
+    async def _play_faults(self) -> None:
+        ends_at = trio.current_time() + FAULTS_S
+        while trio.current_time() < ends_at:
+            await trio.sleep(self.random.uniform(0.2, 4.0))
+            fault = self.random.choice(self._faults)
+            self.result.faults[fault.__name__] += 1
+            await fault()
+
+    async def _play_callers(self) -> None:
+        async with trio.open_nursery() as nursery:
+            for number in range(JOBS):
+                nursery.start_soon(self._play_caller, f"{number:016x}")
+                await trio.sleep(self.random.expovariate(JOBS / FAULTS_S))
+
+    async def _play_caller(self, job_id: str) -> None:
+        gang = self.random.random() < 0.4
+        record = self.site.make_job(
+            job_id,
+            queue=self.random.choice(["urgent", "ordinary", "batch"]),
+            tenant=self.random.choice(["first", "second"]),
+            count=self.random.randint(1, 5),
+            accelerators=self.random.choice([1, 2, 4, 8] if gang else [1]),
+            work_s=self.random.uniform(0.5, 5.0),
+            gang=gang,
+            checkpointing=self.random.random() < 0.4,
+        )
+        told = self.told[job_id] = Told(record)
+        for _ in range(5):
+            host = self.site.any_host(self.random)
+            if host is not None:
+                outcome = await self.site.accept(host, record, 2.2)
+                told.taken |= isinstance(outcome, Taken)
+                told.refused |= isinstance(outcome, NotTaken)
+                told.unsettled |= outcome is None or isinstance(outcome, Unsettled)
+            if told.taken:
+                return
+            await trio.sleep(1.0)
+
+    async def _settle(self) -> None:
+        """Mend everything, then wait until every taken job is final or time is up."""
+        self.site.mend()
+        ends_at = trio.current_time() + SETTLE_S
+        while trio.current_time() < ends_at:
+            await trio.sleep(1.0)
+            if await self._all_final():
+                return
+
+    async def _all_final(self) -> bool:
+        all_final = True
+        for job_id, told in self.told.items():
+            host = self.site.any_host(self.random)
+            if host is None or (told.shown is not None and told.shown.is_final):
+                continue
+            found = await host.find_job(job_id)
+            if isinstance(found, JobView):
+                told.shown = found.status
+            all_final &= not told.taken or (told.shown is not None and told.shown.is_final)
+        return all_final
+
+    # Faults
+
+    async def kill_owner(self) -> None:
+        """Kill the owner; another host starts elsewhere a little later."""
+        name = self.site.owner_name()
+        if name is not None:
+            self.site.kill_host(name)
+            await trio.sleep(self.random.uniform(0.0, 2.0))
+            self._add_host()
+
+    async def kill_all(self) -> None:
+        """Kill all hosts at once."""
+        for name in list(self.site.hosts):
+            self.site.kill_host(name)
+        await trio.sleep(self.random.uniform(0.2, 2.0))
+        for _ in range(HOSTS):
+            self._add_host()
+
+    async def stop_owner(self) -> None:
+        """Stop the owner as planned."""
+        name = self.site.owner_name()
+        if name is not None:
+            await self.site.hosts[name].stop()
+            await trio.sleep(0.5)
+            self.site.kill_host(name)
+            self._add_host()
+
+    def _add_host(self) -> None:
+        self.site.start_host(f"h{self._next_host}")
+        self._next_host += 1
+
+    async def store_down(self) -> None:
+        """Take the store away from everybody; leases wait."""
+        self.site.store.is_down = True
+        await trio.sleep(self.random.uniform(1.0, 6.0))
+        self.site.store.is_down = False
+
+    async def store_lapses(self) -> None:
+        """Take the store away from everybody; leases run out."""
+        self.site.store.lapses = True
+        await self.store_down()
+        self.site.store.lapses = False
+
+    async def owner_cut_from_store(self) -> None:
+        """Cut the owner off from the store, silently or not."""
+        name = self.site.owner_name()
+        if name is None:
+            return
+        view = self.site.views[name]
+        view.is_cut = self.random.random() < 0.5
+        view.is_silent = not view.is_cut
+        await trio.sleep(self.random.uniform(1.0, 5.0))
+        view.is_cut = view.is_silent = False
+
+    async def lose_store_answers(self) -> None:
+        """Lose the answers of some writes; they are done at once or seconds late."""
+        for view in self.site.views.values():
+            view.lose_answers = self.random.randint(0, 3)
+            view.late_s = self.random.choice([0.0, 1.0, 4.0])
+
+    async def forget_history(self) -> None:
+        """Have the store forget what changed."""
+        self.site.store.forget_history()
+
+    def _any_executor(self) -> str:
+        return self.random.choice(
+            [n for n, e in self.site.executors.by_id.items() if not e.is_gone]
+        )
+
+    async def executor_silent(self) -> None:
+        """Cut an executor off; it runs on."""
+        place = self.site.executors.by_id[self._any_executor()]
+        place.is_cut = True
+        self.site.nursery.start_soon(self._reconnect, place, self.random.uniform(1.0, 9.0))
+
+    async def _reconnect(self, place: object, after_s: float) -> None:
+        await trio.sleep(after_s)
+        if not place.is_gone:  # type: ignore[attr-defined]
+            place.is_cut = False  # type: ignore[attr-defined]
+
+    async def executor_crashes(self) -> None:
+        """Crash an executor; a new life is there at once."""
+        name = self._any_executor()
+        rack = self.site.executors.by_id[name].executor.rack
+        self.site.executors.crash(name)
+        self._add_executor(rack)
+        await trio.sleep(2.0)
+        self.site.store.remove(f"executors/{name}")
+
+    def _add_executor(self, rack: str) -> None:
+        self.site.add_executor(f"e{self._next_executor}", rack)
+        self._next_executor += 1
+
+    async def executor_leaves(self) -> None:
+        """Drain an executor, then take it away; another comes."""
+        name = self._any_executor()
+        rack = self.site.executors.by_id[name].executor.rack
+        self.site.drain_executor(name, 2.0)
+        await trio.sleep(2.0)
+        self.site.remove_executor(name)
+        self._add_executor(rack)
+
+    async def executor_fails_all(self) -> None:
+        """Let an executor fail all that it runs."""
+        place = self.site.executors.by_id[self._any_executor()]
+        place.fails_all = True
+        await trio.sleep(self.random.uniform(0.2, 1.0))
+        place.fails_all = False
+
+    async def executor_stands_still(self) -> None:
+        """Let the runs of an executor stand still."""
+        place = self.site.executors.by_id[self._any_executor()]
+        place.stands_still = True
+        await trio.sleep(self.random.uniform(1.0, 5.0))
+        place.stands_still = False
+
+    async def executor_slow(self) -> None:
+        """Slow an executor down."""
+        place = self.site.executors.by_id[self._any_executor()]
+        place.slowness = 6.0
+        await trio.sleep(self.random.uniform(1.0, 5.0))
+        place.slowness = 1.0
+
+    async def late_orders(self) -> None:
+        """Leave some orders unanswered and carry them out late."""
+        place = self.site.executors.by_id[self._any_executor()]
+        place.lose_answers = self.random.randint(1, 4)
+        place.late_s = self.random.uniform(0.0, 8.0)
+
+    async def change_configuration(self) -> None:
+        """Put a new version in force."""
+        self._version += self.random.randint(1, 3)
+        self.site.configure(self._version)
+
+
+async def _play(seed: int) -> SoakResult:
+    async with EmulatedSite.open(hosts=HOSTS, executors=EXECUTORS) as site:
+        return await Soak(site, seed).run()
+
+
+def run_soak(seed: int) -> SoakResult:
+    """Play one seed in virtual time; the same seed plays the same run."""
+    trio_run._ALLOW_DETERMINISTIC_SCHEDULING = True  # type: ignore[misc]
+    trio_run._r.seed(seed)
+    random.seed(seed)
+    return trio.run(_play, seed, clock=trio.testing.MockClock(autojump_threshold=0))
