--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -17,7 +17,7 @@
 from .owned import JOB_PREFIX, OwnedCell, OwnerParts
 from .peaks import RecentPeaks
 from .planner import Planner
-from .progress import Attempt, Phase, StepState
+from .progress import Attempt, JobState, Phase, StepState
 from .record import JobRecord, JobStatus, ProgressRecord
 from .recorder import PROGRESS_PREFIX, Deposed, progress_key
 from .speed import is_slow, is_whole, remaining_s, restarted_s
@@ -35,6 +35,7 @@
 RESCUE_GAIN = 1.5
 MAX_RESCUES = 12
 URGENT_WINDOW_S = 12.0
+PARTIAL_S = 0.8
 
 
 @dataclass(frozen=True, slots=True)
@@ -216,11 +217,14 @@
 
     def _watch(self, state: ExecutorState) -> None:
         assert self._nursery is not None
-        watch = ExecutorWatch(self.cell, state, self.depose)
-        self._nursery.start_soon(watch.run)
+        self._nursery.start_soon(self._watch_to_its_end, state)
+
+    async def _watch_to_its_end(self, state: ExecutorState) -> None:
+        await ExecutorWatch(self.cell, state, self.depose).run()
+        self._used_changed.set()
 
     async def _record_used(self) -> None:
-        """Name executors in the store before the first start there."""
+        """Name executors in the store before the first start there, and drop those gone."""
         while True:
             await self._used_changed.wait()
             self._used_changed = trio.Event()
@@ -230,7 +234,7 @@
     async def _write_used(self) -> None:
         while True:
             states = [s for s in self.cell.executors.values() if not s.dead]
-            if all(state.recorded for state in states):
+            if {state.id for state in states} == set(self._used):
                 return
             used = {s.id: (s.executor.address, s.executor.pool) for s in states}
             transaction = Transaction(
@@ -240,6 +244,7 @@
             outcome = await self.parts.store.commit(transaction)
             if isinstance(outcome, Committed):
                 self._used_revision = outcome.revision
+                self._used = used
                 for state in states:
                     state.recorded = True
                 self.cell.wake_planner()
@@ -321,6 +326,8 @@
         while True:
             await trio.sleep(HOUSEKEEPING_S)
             now = trio.current_time()
+            for job in list(self.cell.active.values()):
+                self._check_gangs(job, now)
             for state in list(self.cell.executors.values()):
                 if state.leaves_at is not None:
                     self._move_from(state, now)
@@ -328,6 +335,19 @@
                     self._check_stall(state, attempt, now)
                     self._check_speed(attempt)
 
+    def _check_gangs(self, job: JobState, now: float) -> None:
+        """Stop what is left of a gang run whose other members are nowhere any more."""
+        for step in job.steps:
+            present = [t.attempt for t in step.tasks if t.attempt is not None]
+            is_partial = step.spec.gang and 0 < len(present) < len(step.tasks)
+            if not is_partial or step.is_done:
+                step.partial_since = None
+            elif step.partial_since is None:
+                step.partial_since = now
+            elif now - step.partial_since > PARTIAL_S:
+                for attempt in present:
+                    self.cell.request_stop(attempt, "members of its gang are missing")
+
     def _move_from(self, state: ExecutorState, now: float) -> None:
         """Stop what checkpoints shortly before its executor leaves."""
         assert state.leaves_at is not None
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
@@ -70,6 +70,7 @@
     chosen_rack: str | None = None
     best_ratio: float = float("inf")
     rescues: int = 0
+    partial_since: float | None = None
 
     @property
     def is_done(self) -> bool:
--- a/packages/heronthread-emulator/src/heronthread_emulator/executors.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/executors.py
@@ -30,6 +30,7 @@
 SILENCE_S = 0.8
 LATENCY_S = 0.002
 TICK_S = 0.02
+GANG_TIMEOUT_S = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +88,7 @@
     floor: dict[TaskKey, int] = field(default_factory=dict)
     numbers: int = 0
     hold_until: float = 0.0
+    is_held: bool = False
     is_cut: bool = False
     is_gone: bool = False
     is_sick: bool = False
@@ -133,7 +135,8 @@
 
     def _advance(self, executor: EmulatedExecutor) -> None:
         now = trio.current_time()
-        if executor.running and executor.clock_ms() / 1000 > executor.hold_until:
+        if executor.is_held and executor.clock_ms() / 1000 > executor.hold_until:
+            executor.is_held = False
             self.lapses.append((executor.executor.id, trio.current_time()))
             for run in list(executor.running.values()):
                 self._end(executor, run, EndKind.LAPSED)
@@ -149,6 +152,8 @@
             self._end(executor, run, EndKind.FAILED)
             return
         if run.members > 1 and len(self._members(run)) < run.members:
+            if trio.current_time() - run.arrived_at > GANG_TIMEOUT_S:
+                self._end(executor, run, EndKind.ALONE)
             return
         together = self._members(run) if run.members > 1 else [(executor, run)]
         slowest = max(place.slowness for place, _ in together)
@@ -272,6 +277,7 @@
         if order.until_ms < place.clock_ms():
             return Refused(Refusal.LATE, place.clock_ms())
         place.hold_until = max(place.hold_until, order.until_ms / 1000)
+        place.is_held = True
         present = place.running.get(order.task)
         if present is not None and present.run == order.run:
             return Obeyed(place.clock_ms())
@@ -281,7 +287,13 @@
         if not work.need.fits_in(place.executor.capacity.minus(place.used())):
             return Refused(Refusal.NO_ROOM, place.clock_ms())
         place.running[order.task] = Run(
-            order.task, order.run, work.need, work.work_s, 0.0, work.members, kind=work.kind
+            order.task,
+            order.run,
+            work.need,
+            work.work_s,
+            members=work.members,
+            arrived_at=trio.current_time(),
+            kind=work.kind,
         )
         self._log("start", place, order.task, order.run, token=order.token)
         return Obeyed(place.clock_ms())
@@ -300,6 +312,7 @@
             return Refused(Refusal.FENCED, place.clock_ms())
         if order.until_ms is not None:
             place.hold_until = max(place.hold_until, order.until_ms / 1000)
+            place.is_held = True
         for end in place.ended:
             if end.number <= order.seen:
                 self.taken_note.add((place.executor.id, end.number))
