--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := scheduling coordination daemon cli dispatch emulator
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint format thrift bench-policy bench-capacity histories
+.PHONY: demo test lint format thrift bench-policy bench-capacity histories soak
 
 $(STAMP): constraints.txt $(wildcard packages/*/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -41,6 +41,9 @@
 histories: $(STAMP)
 	$(BIN)/python -m benchmarks.histories --seeds $(SEEDS) $(if $(PLANT),--plant $(PLANT))
 
+soak: $(STAMP)
+	$(BIN)/heronthread emulation soak --seeds $(SEEDS)
+
 # Needs the thrift compiler; its output is committed, so no other target does.
 thrift:
 	thrift --gen py:slots,no_default_ordering -out packages/heronthread-daemon/src/heronthread_daemon packages/heronthread-daemon/src/heronthread_daemon/wire.thrift
--- a/packages/heronthread-cli/src/heronthread_cli/commands.py
+++ b/packages/heronthread-cli/src/heronthread_cli/commands.py
@@ -25,6 +25,7 @@
 from .cell import Cell
 from .client import Client
 from .demo import DemoResult, run_demo
+from .emulation import Emulation
 from .exits import BadInput, CommandError, HostUnreachable
 from .table import format_table
 from .trace import trace_request
@@ -254,6 +255,7 @@
     """
 
     cell = Cell()
+    emulation = Emulation()
 
     def apply(
         self,
--- a/packages/heronthread-emulator/src/heronthread_emulator/executors.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/executors.py
@@ -43,6 +43,9 @@
     kind: EndKind = EndKind.DONE
 
 
+DEFAULT_WORK = WorkSpec(Resources(100, 10, 0), 5.0)
+
+
 @dataclass(slots=True, eq=False)
 class Run:
     """One run at one executor."""
@@ -283,7 +286,7 @@
             return Obeyed(place.clock_ms())
         if order.run <= place.floor.get(order.task, 0):
             return Refused(Refusal.OLD_RUN, place.clock_ms())
-        work = self.specs[order.task.job][order.task.step]
+        work = self.specs.get(order.task.job, {}).get(order.task.step, DEFAULT_WORK)
         if not work.need.fits_in(place.executor.capacity.minus(place.used())):
             return Refused(Refusal.NO_ROOM, place.clock_ms())
         place.running[order.task] = Run(
--- /dev/null
+++ b/packages/heronthread-emulator/src/heronthread_emulator/plants.py
@@ -0,0 +1,122 @@
+"""Defects to plant, each of which the checker must catch."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any
+from unittest.mock import patch
+
+from heronthread_dispatch.executor_link import EndedRun, EndKind
+from heronthread_dispatch.fleet import ExecutorState
+from heronthread_dispatch.host import Host
+from heronthread_dispatch.intake import NotTaken, Unsettled
+from heronthread_dispatch.owned import OwnedCell
+from heronthread_dispatch.owner import Owner
+from heronthread_dispatch.progress import JobState
+from heronthread_dispatch.watching import ExecutorWatch
+
+from .executors import EmulatedExecutor, EmulatedExecutors
+
+Plant = Callable[[], Any]
+
+
+def _start_before_the_barrier() -> Any:
+    """A new owner starts tasks before every executor was heard."""
+
+    async def pass_at_once(self: Owner) -> None:
+        return None
+
+    return patch.object(Owner, "_pass_barrier", pass_at_once)
+
+
+def _forget_ends_unrecorded() -> Any:
+    """Ends are taken note of before they are in the store."""
+
+    async def wait_for_nothing(self: ExecutorWatch) -> None:
+        self.state.seen = self.state.noted
+
+    return patch.object(ExecutorWatch, "_wait_recorded", wait_for_nothing)
+
+
+def _obey_lower_tokens() -> Any:
+    """Executors obey deposed owners, and two owners act at once."""
+
+    def obey(self: EmulatedExecutors, place: EmulatedExecutor, token: int) -> bool:
+        return False
+
+    return patch.object(EmulatedExecutors, "_fence", obey)
+
+
+def _refuse_what_may_run() -> Any:
+    """Doubt about an acceptance is called a refusal."""
+    original = Host.accept
+
+    async def accept(self: Host, record: Any, budget_s: float) -> Any:
+        outcome = await original(self, record, budget_s)
+        return NotTaken(outcome.reason) if isinstance(outcome, Unsettled) else outcome
+
+    return patch.object(Host, "accept", accept)
+
+
+def _forget_silent_executors() -> Any:
+    """Runs of a silent executor count as ended at once."""
+
+    def always(self: ExecutorState, now: float, hold_s: float) -> int | None:
+        if self.clock is None:
+            return None
+        sent, _, clock_ms = self.clock
+        self.lapse_by = now
+        return clock_ms + int((now - sent + hold_s) * 1000)
+
+    return patch.object(ExecutorState, "deadline_ms", always)
+
+
+def _count_no_failures() -> Any:
+    """Failed runs are not counted."""
+    original = OwnedCell.note_end
+
+    def note(self: OwnedCell, state: ExecutorState, end: EndedRun) -> None:
+        if end.kind is EndKind.FAILED:
+            task = self.find_task(end.task)
+            if task is not None and task.attempt is not None:
+                self.close(task.attempt, "failed")
+            return
+        original(self, state, end)
+
+    return patch.object(OwnedCell, "note_end", note)
+
+
+def _show_success_early() -> Any:
+    """A job counts as succeeded once any of its tasks is done."""
+
+    def status(self: JobState) -> Any:
+        from heronthread_dispatch.record import JobStatus
+
+        if any(task.done for step in self.steps for task in step.tasks):
+            return JobStatus.SUCCEEDED
+        return original.fget(self)  # type: ignore[misc]
+
+    original: property = JobState.status  # type: ignore[assignment]
+    return patch.object(JobState, "status", property(status))
+
+
+PLANTS: dict[str, Plant] = {
+    "start-before-the-barrier": _start_before_the_barrier,
+    "forget-ends-unrecorded": _forget_ends_unrecorded,
+    "obey-lower-tokens": _obey_lower_tokens,
+    "refuse-what-may-run": _refuse_what_may_run,
+    "forget-silent-executors": _forget_silent_executors,
+    "count-no-failures": _count_no_failures,
+    "show-success-early": _show_success_early,
+}
+
+
+@contextmanager
+def planted(name: str) -> Iterator[None]:
+    """Plant one defect for as long as the context is open."""
+    with PLANTS[name]():
+        yield
+
+
+__all__ = ["PLANTS", "planted"]
--- /dev/null
+++ b/tests/platform/test_callers.py
@@ -0,0 +1,108 @@
+"""Callers' calls over the application itself: each bad one gets its own status and reason."""
+
+import json
+from typing import Any
+
+import pytest
+import trio
+from heronthread_dispatch.model import DesiredState, Queue, Tenant
+from heronthread_emulator import EmulatedSite
+from heronthread_platform.callers import make_app
+
+PATH = "/q/0123456789abcdef"
+HEADERS = {"Host": "host", "Authorization": "Bearer key-1"}
+JOB = {"spec": "text", "steps": [{"count": 1, "cpu": 100, "mem-mb": 10, "estimated-ms": 500}]}
+
+
+def _state() -> DesiredState:
+    queue = Queue("q", "host", "/q/", "pool", 1, 4, 3.0, 1.0)
+    tenants = [Tenant("first", ("key-1",)), Tenant("second", ("key-2",))]
+    return DesiredState.build(1, [queue], tenants, 2_000)
+
+
+class _Client:
+    def __init__(self, site: EmulatedSite) -> None:
+        host = site.hosts["h0"]
+        host.configuration.state = _state()
+        self._client = make_app(host).test_client()
+
+    async def ask(self, method: str, path: str = PATH, **more: Any) -> tuple[int, Any]:
+        headers = more.pop("headers", HEADERS)
+        response = await self._client.open(path, method=method, headers=headers, **more)
+        data = await response.get_data()
+        return response.status_code, json.loads(data)
+
+
+async def _open(site: EmulatedSite) -> _Client:
+    await site.wait_for_owner()
+    await trio.sleep(1.0)
+    return _Client(site)
+
+
+async def test_life_of_a_job(autojump_clock: trio.testing.MockClock) -> None:
+    async with EmulatedSite.open(hosts=2) as site:
+        client = await _open(site)
+        assert await client.ask("GET") == (410, {"error": "there is no such job"})
+        assert (await client.ask("POST", data=json.dumps(JOB)))[0] == 200
+        assert (await client.ask("POST", data=json.dumps(JOB)))[0] == 200
+        assert (await client.ask("GET"))[0] == 200
+        assert (await client.ask("GET", "/q/"))[0] == 200
+        assert (await client.ask("DELETE"))[0] == 200
+        await trio.sleep(1.0)
+        assert await client.ask("GET") == (200, {"state": "cancelled"})
+
+
+@pytest.mark.parametrize(
+    ("change", "status", "reason"),
+    [
+        ({"headers": {"Host": "host"}}, 401, "key"),
+        ({"headers": {**HEADERS, "Authorization": "Bearer gone"}}, 401, "key"),
+        ({"headers": {**HEADERS, "Host": "other"}}, 404, "queue"),
+        ({"path": "/q/not-an-id"}, 404, "16 hexadecimal"),
+        ({"data": "{"}, 400, "not JSON"),
+        ({"data": "[]"}, 400, "valid"),
+        ({"data": "{}"}, 400, "steps"),
+        ({"data": json.dumps({"steps": []})}, 400, "steps"),
+        ({"data": json.dumps({"steps": [{"count": 0}]})}, 400, "count"),
+        ({"data": json.dumps({"steps": [{"count": -1}]})}, 400, "count"),
+        ({"data": json.dumps({"steps": [{"gpus": "x"}]})}, 400, "gpus"),
+        ({"data": json.dumps({"steps": [{"after": [0]}]})}, 400, "earlier"),
+        ({"data": json.dumps({"steps": [{}, {"after": [5]}]})}, 400, "earlier"),
+        ({"data": json.dumps({"spec": "x" * 4_001, "steps": [{}]})}, 413, "bytes"),
+        ({"data": "x" * 3_000}, 413, "bytes"),
+        ({"method": "PUT"}, 405, "PUT"),
+    ],
+)
+async def test_bad_calls_say_why(
+    change: dict[str, Any], status: int, reason: str, autojump_clock: trio.testing.MockClock
+) -> None:
+    async with EmulatedSite.open(hosts=1) as site:
+        client = await _open(site)
+        call = {"method": "POST", "path": PATH, "data": json.dumps(JOB), **change}
+        got, body = await client.ask(call.pop("method"), call.pop("path"), **call)
+        assert got == status
+        assert reason in body["error"]
+        assert site.executors.starts() == []
+
+
+async def test_job_of_another_tenant_is_not_there(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    async with EmulatedSite.open(hosts=1) as site:
+        client = await _open(site)
+        assert (await client.ask("POST", data=json.dumps(JOB)))[0] == 200
+        other = {**HEADERS, "Authorization": "Bearer key-2"}
+        assert (await client.ask("GET", headers=other))[0] == 410
+        assert (await client.ask("DELETE", headers=other))[0] == 410
+
+
+async def test_refusal_says_when_to_come_back(autojump_clock: trio.testing.MockClock) -> None:
+    async with EmulatedSite.open(hosts=2) as site:
+        client = await _open(site)
+        site.store.is_down = True
+        await trio.sleep(2.0)
+        response = await client._client.open(
+            PATH, method="POST", headers=HEADERS, data=json.dumps(JOB)
+        )
+        assert response.status_code == 503
+        assert int(response.headers["Retry-After"]) > 0
