Let a takeover wait only for tasks that may run at silent executors

Measured: the executors in use are stored with the tasks that one that leaves still has; jobs taken in after the term began start at once. A host that doubts the store looks before it writes, and refuses honestly.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
@@ -22,7 +22,9 @@
     `clock` is (sent, received, its clock in ms) of the reading with the shortest trip.
     `lapse_by` is when everything there has certainly ended unless it is held again.
     `noted` is the highest end taken in, `seen` the highest that is recorded, `told_seen`
-    the highest that the executor has been told. `recorded`: the store names it as in use.
+    the highest that the executor has been told. `recorded`: the store names it as in use;
+    `is_inherited`: an earlier owner may have used it; `only_tasks` are those that it may
+    have left there, None for any.
     """
 
     executor: Executor
@@ -36,6 +38,8 @@
     heard: bool = False
     listed: bool = True
     recorded: bool = False
+    is_inherited: bool = False
+    only_tasks: frozenset[TaskKey] | None = None
     dead: bool = False
     leaves_at: float | None = None
     rest_until: float = 0.0
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -26,6 +26,7 @@
     NotTaken,
     Taken,
     Unsettled,
+    accept_after_look,
     accept_job,
     cancel_job,
     insist,
@@ -363,7 +364,7 @@
             count = self.owner.count_pending(body["queue"]) if self.owner else None
             return (OK, {"count": count}) if count is not None else (NOT_HERE, {})
         if operation == Operation.NOTE_JOB:
-            if self.owner is not None:
+            if self.owner is not None and self.tenure.is_valid:
                 self.owner.note_job(JobRecord.decode(base64.b64decode(body["record"])))
             return OK, {}
         if operation in (Operation.CELL_OVERVIEW, Operation.JOB_STORY):
@@ -414,7 +415,7 @@
         body = {"record": base64.b64encode(record.encode()).decode()}
         started = trio.current_time()
         outcome = await self._intake(
-            lambda: accept_job(self.store, record), Operation.ACCEPT_JOB, body, budget_s
+            lambda: self._accept_here(record), Operation.ACCEPT_JOB, body, budget_s
         )
         elapsed = trio.current_time() - started
         self.statistics.count("accepts", type(outcome).__name__)
@@ -429,6 +430,11 @@
         )
         return outcome
 
+    async def _accept_here(self, record: JobRecord) -> IntakeOutcome:
+        if self.store.is_answering:
+            return await accept_job(self.store, record)
+        return await accept_after_look(self.store, record)
+
     async def cancel(self, job_id: str, tenant: str, budget_s: float) -> IntakeOutcome:
         """Cancel a job."""
         outcome = await self._intake(
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/intake.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/intake.py
@@ -59,6 +59,19 @@
     return _describe(outcome)
 
 
+async def accept_after_look(store: KeyStore, record: JobRecord) -> IntakeOutcome:
+    """Take a job in at a store that may be down: look first, since a look does nothing.
+
+    A write that gets no answer leaves doubt; a refused look leaves none.
+    """
+    item = await store.read(job_key(record.spec.id))
+    if isinstance(item, Unavailable):
+        return NotTaken(item.reason)
+    if isinstance(item, Item):
+        return Taken(JobRecord.decode(item.value))
+    return await accept_job(store, record)
+
+
 async def cancel_job(store: KeyStore, job_id: str, tenant: str) -> IntakeOutcome:
     """Keep that a job is to be cancelled."""
     key = job_key(job_id)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
@@ -89,14 +89,18 @@
 
     # Jobs
 
-    def note_job(self, record: JobRecord) -> None:
-        """Take in an accepted job, or that it is to be cancelled."""
+    def note_job(self, record: JobRecord, created: int = 0) -> None:
+        """Take in an accepted job, or that it is to be cancelled.
+
+        `created` is the store's revision at which it was taken in, 0 if not known.
+        """
         job = self.jobs.get(record.spec.id)
         if job is None:
             job = make_job(record.spec, trio.current_time())
             self.jobs[record.spec.id] = job
             self.active[record.spec.id] = job
             log_event("job.known", job=job.spec.id, term=self.term.number)
+        job.created = job.created or created
         if record.cancelled and not job.cancelled:
             self._cancel(job)
         self.wake_planner()
@@ -125,6 +129,26 @@
         elapsed = self.parts.wall_clock() - spec.accepted_at
         statistics.record(spec.tenant, spec.queue.name, Measure.COMPLETION, elapsed)
 
+    def may_run_elsewhere(self, task: TaskKey) -> bool:
+        """Whether an earlier owner may have left a run at an executor that is silent.
+
+        Such an executor is out of it once heard, or once its holding time is over. A job
+        taken in after this owner's term began was never an earlier owner's to start.
+        """
+        job = self.jobs.get(task.job)
+        if job is None or job.created > self.term.guard[1]:
+            return False
+        return any(state.only_tasks is None or task in state.only_tasks for state in self.silent())
+
+    def silent(self) -> list[ExecutorState]:
+        """Return the executors of an earlier owner of which nothing is known yet."""
+        now = trio.current_time()
+        return [
+            state
+            for state in self.executors.values()
+            if state.is_inherited and not state.heard and not state.dead and now < state.lapse_by
+        ]
+
     # Attempts
 
     def next_run(self, tasks: list[TaskState]) -> int:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -4,6 +4,7 @@
 
 import json
 from dataclasses import dataclass
+from typing import Any
 
 import trio
 from heronthread_coordination import Unavailable
@@ -12,7 +13,7 @@
 from .fleet import ExecutorState, make_executor
 from .follow import Follower
 from .keystore import Committed, Gone, Item, Listing, Mismatch, Put, Transaction
-from .model import Executor, Resources
+from .model import Executor, Resources, TaskKey
 from .orders import Orders
 from .owned import JOB_PREFIX, OwnedCell, OwnerParts
 from .peaks import RecentPeaks
@@ -30,7 +31,8 @@
 PLAN_EVERY_S = 0.5
 HOUSEKEEPING_S = 0.4
 STALL_S = 3.2
-LATE_OWNER_S = 2.0
+LATE_OWNER_S = 1.2
+FIRST_HEARING_S = 0.04
 LEAVE_MARGIN_S = 0.35
 RESCUE_GAIN = 1.5
 MAX_RESCUES = 12
@@ -55,7 +57,7 @@
         self.cell = OwnedCell(parts, term)
         self.is_ready = False
         self._scope = trio.CancelScope()
-        self._used: dict[str, tuple[str, str]] = {}
+        self._used: dict[str, list[Any]] = {}
         self._used_revision = 0
         self._used_changed = trio.Event()
         self._nursery: trio.Nursery | None = None
@@ -107,7 +109,8 @@
                 nursery.start_soon(self._record_used)
                 nursery.start_soon(self._keep_house)
                 self.is_ready = True
-                await self._pass_barrier()
+                nursery.start_soon(self._pass_barrier)
+                await trio.sleep(FIRST_HEARING_S)
                 await self._plan_for_ever()
         except* Deposed:
             self.depose()
@@ -123,14 +126,17 @@
             await trio.sleep(PAUSE_S)
         if isinstance(item, Item):
             self._used_revision = item.revision
-            self._used = {key: tuple(value) for key, value in json.loads(item.value).items()}
+            self._used = json.loads(item.value)
         now = trio.current_time()
         unheard_until = now + LATE_OWNER_S + self.parts.timing.hold_s * 1.05
-        for executor_id, (address, pool) in self._used.items():
+        for executor_id, (address, pool, tasks) in self._used.items():
             executor = Executor(executor_id, address, pool, "", "", (), Resources())
             state = make_executor(executor, now)
             state.listed = False
             state.recorded = True
+            state.is_inherited = True
+            if tasks is not None:
+                state.only_tasks = frozenset(TaskKey(*task) for task in tasks)
             state.lapse_by = unheard_until
             self.cell.executors[executor_id] = state
 
@@ -151,22 +157,20 @@
                 self.cell.recorder.mark(job)
 
     async def _pass_barrier(self) -> None:
-        """Wait until nothing of an earlier owner can run at an executor that is silent."""
+        """Wait until every executor of an earlier owner was heard, or holds nothing any more.
+
+        Meanwhile only tasks are started that can't be at the silent ones.
+        """
         started = trio.current_time()
-        while True:
-            now = trio.current_time()
-            silent = [
-                s.id
-                for s in self.cell.executors.values()
-                if s.recorded and not s.heard and not s.dead and now < s.lapse_by
-            ]
-            if not silent:
-                break
+        waited_for = [state.id for state in self.cell.silent()]
+        while self.cell.silent():
             await trio.sleep(0.02)
+            self.cell.wake_planner()
         log_event(
             "owner.ready",
             term=self.cell.term.number,
             barrier_s=round(trio.current_time() - started, 3),
+            waited_for=waited_for,
         )
 
     # Executors
@@ -213,6 +217,7 @@
         state.listed = True
         if executor.leaves_in_s is not None and state.leaves_at is None:
             state.leaves_at = now + executor.leaves_in_s
+            self._used_changed.set()
             log_event("executor.draining", executor=state.id, leaves_in_s=executor.leaves_in_s)
 
     def _watch(self, state: ExecutorState) -> None:
@@ -234,9 +239,9 @@
     async def _write_used(self) -> None:
         while True:
             states = [s for s in self.cell.executors.values() if not s.dead]
-            if {state.id for state in states} == set(self._used):
+            used = {state.id: _describe_use(state) for state in states}
+            if used == self._used:
                 return
-            used = {s.id: (s.executor.address, s.executor.pool) for s in states}
             transaction = Transaction(
                 (self.cell.term.guard, (USED_KEY, self._used_revision)),
                 (Put(USED_KEY, json.dumps(used).encode()),),
@@ -266,7 +271,7 @@
 
     def _take_job(self, event: Item | Gone) -> None:
         if isinstance(event, Item):
-            self.cell.note_job(JobRecord.decode(event.value))
+            self.cell.note_job(JobRecord.decode(event.value), event.created)
 
     def note_job(self, record: JobRecord) -> None:
         """Take in a job or a cancel that a peer tells of."""
@@ -310,6 +315,7 @@
             trio.current_time(),
             self.parts.wall_clock(),
             self._urgent.peaks(trio.current_time()),
+            self.cell.may_run_elsewhere,
         )
         plan = planner.make()
         self._urgent.note(trio.current_time(), planner.urgent_in_use())
@@ -421,6 +427,19 @@
         return found >= members
 
 
+def _describe_use(state: ExecutorState) -> list[Any]:
+    """Return an executor's entry among those in use: address, pool, and its tasks.
+
+    Any task may be started at one that takes work; one that leaves keeps those it has.
+    """
+    tasks = None
+    if state.leaves_at is not None and state.heard:
+        tasks = sorted([*task] for task in state.attempts)
+    elif not state.heard and state.only_tasks is not None:
+        tasks = sorted([*task] for task in state.only_tasks)
+    return [state.executor.address, state.executor.pool, tasks]
+
+
 async def _read(follower: Follower) -> None:
     while not await follower.read_all():
         await trio.sleep(PAUSE_S)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from .fleet import ExecutorState
-from .model import DesiredState, Queue, Resources, StepSpec
+from .model import DesiredState, Queue, Resources, StepSpec, TaskKey
 from .progress import Attempt, JobState, Phase, StepState, TaskState, latest_starts
 
 URGENT = 0
@@ -79,9 +79,11 @@
         now: float,
         wall_now: float,
         urgent_peaks: dict[str, int] | None = None,
+        may_run: Callable[[TaskKey], bool] = lambda task: False,
     ) -> None:
         self.jobs = list(jobs)
         self.desired = desired
+        self._may_run = may_run
         self.now = now
         self.wall_now = wall_now
         self.by_id = {state.id: state for state in executors}
@@ -108,7 +110,7 @@
             if not job.is_active:
                 continue
             queue = self.desired.current_queue(job.spec)
-            for step in job.steps:
+            for number, step in enumerate(job.steps):
                 if not job.is_ready(step):
                     continue
                 if step.ready_at is None:
@@ -116,8 +118,15 @@
                 tasks = step.open_tasks()
                 if not tasks or (step.spec.gang and any(t.attempt for t in step.tasks)):
                     continue
+                tasks = self._without_doubt(job, number, tasks)
+                if not tasks or (step.spec.gang and len(tasks) < len(step.tasks)):
+                    continue
                 yield Candidate(job, step, queue, tasks, *self._rank(job, queue))
 
+    def _without_doubt(self, job: JobState, number: int, tasks: list[TaskState]) -> list[TaskState]:
+        """Leave out the tasks that an earlier owner's run may still be working on."""
+        return [t for t in tasks if not self._may_run(TaskKey(job.spec.id, number, t.index))]
+
     def _rank(self, job: JobState, queue: Queue) -> tuple[bool, tuple[float, ...]]:
         guaranteed = job.spec.id in self.guaranteed
         latest, last_useful = latest_starts(job, queue, self.now, self.wall_now)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
@@ -90,7 +90,10 @@
 
 @dataclass(slots=True, eq=False)
 class JobState:
-    """A job that this owner knows; `recorded` is the status that the store has."""
+    """A job that this owner knows; `recorded` is the status that the store has.
+
+    `created` is the store's revision at which it was taken in, 0 if that isn't known yet.
+    """
 
     spec: JobSpec
     steps: list[StepState]
@@ -100,6 +103,7 @@
     revision: int = 0
     recorded: JobStatus | None = None
     arrived_at: float = 0.0
+    created: int = 0
 
     @property
     def status(self) -> JobStatus:
--- a/packages/heronthread-dispatch/tests/test_owner.py
+++ b/packages/heronthread-dispatch/tests/test_owner.py
@@ -64,6 +64,44 @@
         assert await _status(site, "a") is JobStatus.SUCCEEDED
 
 
+async def test_job_taken_in_after_a_takeover_does_not_wait_for_silent_executors(
+    autojump_clock: Clock,
+) -> None:
+    async with EmulatedSite.open(hosts=2) as site:
+        owner = await site.wait_for_owner()
+        other = next(host for name, host in site.hosts.items() if name != owner)
+        site.executors.by_id["e0"].is_cut = True
+        site.kill_host(owner)
+        await site.wait_for_owner()
+        await other.accept(site.make_job("new", work_s=1.0), 2.0)
+        await trio.sleep(0.5)
+        assert len(site.executors.starts()) == 1
+
+
+async def test_executor_that_left_holds_up_only_the_tasks_it_had(autojump_clock: Clock) -> None:
+    """The first owner drains e0 and dies; e0 goes silent with one task of two jobs."""
+    async with EmulatedSite.open(hosts=2, executors=2) as site:
+        owner = await site.wait_for_owner()
+        other = next(host for name, host in site.hosts.items() if name != owner)
+        await other.accept(site.make_job("a", count=8, work_s=20.0), 2.0)
+        await trio.sleep(0.5)
+        left = {start.executor for start in site.executors.starts()}.pop()
+        site.drain_executor(left, 30.0)
+        await trio.sleep(0.3)
+        waiting = site.make_job("b", count=9, work_s=0.5)
+        await other.accept(waiting, 2.0)
+        await trio.sleep(0.2)
+        site.executors.by_id[left].is_cut = True
+        site.kill_host(owner)
+        await site.wait_for_owner()
+        await trio.sleep(1.5)
+        started = {start.task.job for start in site.executors.starts() if start.at > 3.0}
+        assert started == {"b"}
+        await trio.sleep(40.0)
+        assert await _status(site, "a") is JobStatus.SUCCEEDED
+        _check(site)
+
+
 async def test_running_work_outlasts_an_outage_of_the_store(autojump_clock: Clock) -> None:
     async with EmulatedSite.open(hosts=3) as site:
         await site.wait_for_owner()
--- a/packages/heronthread-emulator/src/heronthread_emulator/plants.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/plants.py
@@ -11,8 +11,8 @@
 from heronthread_dispatch.fleet import ExecutorState
 from heronthread_dispatch.host import Host
 from heronthread_dispatch.intake import NotTaken, Unsettled
+from heronthread_dispatch.model import TaskKey
 from heronthread_dispatch.owned import OwnedCell
-from heronthread_dispatch.owner import Owner
 from heronthread_dispatch.progress import JobState
 from heronthread_dispatch.watching import ExecutorWatch
 
@@ -24,10 +24,10 @@
 def _start_before_the_barrier() -> Any:
     """A new owner starts tasks before every executor was heard."""
 
-    async def pass_at_once(self: Owner) -> None:
-        return None
+    def never(self: OwnedCell, task: TaskKey) -> bool:
+        return False
 
-    return patch.object(Owner, "_pass_barrier", pass_at_once)
+    return patch.object(OwnedCell, "may_run_elsewhere", never)
 
 
 def _forget_ends_unrecorded() -> Any:
