--- a/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
@@ -68,8 +68,10 @@
             "start.decided",
             job=group[0].job.spec.id,
             step=group[0].job.steps.index(group[0].step),
+            tasks=[start.task.index for start in group],
             run=run,
             executors=[start.executor.id for start in group],
+            version=self.cell.parts.desired().version,
             waited_s=round(now - (group[0].step.ready_at or now), 3),
             term=self.cell.term.number,
         )
@@ -139,10 +141,13 @@
                 log_event(
                     "stop.decided",
                     job=attempt.task.job,
-                    task=str(attempt.task),
+                    step=attempt.task.step,
+                    index=attempt.task.member,
                     run=attempt.run,
                     executor=attempt.executor,
+                    percent=attempt.percent,
                     reason=reason,
+                    term=self.cell.term.number,
                 )
                 self._nursery.start_soon(self._stop, attempt)
 
