Split the host's module, and remove final jobs after their retention

Cause: one module held a host's life, its peers' news and its callers' requests (582 lines); the store and the owner's memory kept every job for ever, and news of hosts long gone was asked. Ruled out: removing by the hosts that took jobs in (several, and none may be left).

--- a/packages/heronthread-cli/tests/test_cell.py
+++ b/packages/heronthread-cli/tests/test_cell.py
@@ -24,7 +24,9 @@
         owner = await site.wait_for_owner()
         other = next(name for name in site.hosts if name != owner)
         address = await _serve(site, other)
-        await site.hosts[other].accept(site.make_job("ab", queue="urgent", count=3, work_s=60), 2)
+        await site.hosts[other].requests.accept(
+            site.make_job("ab", queue="urgent", count=3, work_s=60), 2
+        )
         await trio.sleep(0.5)
 
         async def ask(command: object, *args: str) -> list[dict[str, object]]:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
@@ -45,13 +45,15 @@
 
     `hold_s` is how long an executor keeps what runs without hearing from its owner;
     `stop_s` what a stop may take; `far_factor` is how many times as long work takes away
-    from its data, or a gang that should share a rack and does not.
+    from its data, or a gang that should share a rack and does not. `retention_s` is how long
+    a final job is remembered.
     """
 
     hold_s: float = 6.0
     stop_s: float = 0.9
     gang_timeout_s: float = 3.0
     far_factor: float = 3.0
+    retention_s: float = 600.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,6 +126,7 @@
 
     def _count_end(self, job: JobState) -> None:
         spec = job.spec
+        job.ended_at = trio.current_time()
         statistics = self.parts.statistics
         statistics.count("jobs_ended", job.status.value)
         elapsed = self.parts.wall_clock() - spec.accepted_at
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -21,6 +21,7 @@
 from .progress import Attempt, JobState, Phase, StepState
 from .record import JobRecord, JobStatus, ProgressRecord
 from .recorder import PROGRESS_PREFIX, Deposed, progress_key
+from .retention import remove_old_jobs
 from .speed import is_slow, is_whole, remaining_s, restarted_s
 from .tenure import Term
 from .watching import ExecutorWatch
@@ -108,6 +109,7 @@
                 nursery.start_soon(directory.run)
                 nursery.start_soon(self._record_used)
                 nursery.start_soon(self._keep_house)
+                nursery.start_soon(remove_old_jobs, self.cell)
                 self.is_ready = True
                 nursery.start_soon(self._pass_barrier)
                 await trio.sleep(FIRST_HEARING_S)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
@@ -104,6 +104,7 @@
     recorded: JobStatus | None = None
     arrived_at: float = 0.0
     created: int = 0
+    ended_at: float | None = None
 
     @property
     def status(self) -> JobStatus:
--- /dev/null
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/requests.py
@@ -0,0 +1,192 @@
+"""Callers' requests at one host: taking in, cancelling, and telling states and counts."""
+
+from __future__ import annotations
+
+import base64
+from functools import partial
+from typing import TYPE_CHECKING, Any
+
+import trio
+from heronthread_coordination import Measure, Unavailable
+from heronthread_daemon.peer import PeerUnreachable
+
+from .events import log_event
+from .intake import (
+    IntakeOutcome,
+    NoSuchJob,
+    NotTaken,
+    Taken,
+    Unsettled,
+    accept_after_look,
+    accept_job,
+    cancel_job,
+    insist,
+)
+from .keystore import Item, Missing
+from .owned import job_key
+from .owner import JobView
+from .peering import CALL_S, NOT_TAKEN, OK, Operation, PeerReply, call_peer
+from .record import JobRecord, JobStatus, ProgressRecord
+from .recorder import progress_key
+
+if TYPE_CHECKING:
+    from .host import Host
+
+ACCEPT_BUDGET_S = 2.2
+PEER_INTAKE_S = 1.2
+QUERY_BUDGET_S = 0.8
+MAX_FINAL = 20_000
+
+
+class Requests:
+    """What one host does for callers, with its peers' help where it lacks the store."""
+
+    def __init__(self, host: Host) -> None:
+        self._host = host
+        self._final: dict[str, JobView] = {}
+
+    async def accept(self, record: JobRecord, budget_s: float) -> IntakeOutcome:
+        """Take a job in."""
+        body = {"record": base64.b64encode(record.encode()).decode()}
+        started = trio.current_time()
+        outcome = await self._intake(
+            lambda: self._accept_here(record), Operation.ACCEPT_JOB, body, budget_s
+        )
+        elapsed = trio.current_time() - started
+        self._host.statistics.count("accepts", type(outcome).__name__)
+        self._host.statistics.record(
+            record.spec.tenant, record.spec.queue.name, Measure.ANSWER, elapsed
+        )
+        log_event(
+            "job.accept",
+            job=record.spec.id,
+            queue=record.spec.queue.name,
+            tenant=record.spec.tenant,
+            store_answers=self._host.store.is_answering,
+            took_s=round(elapsed, 3),
+            version=self._host.configuration.state.version,
+            outcome=type(outcome).__name__,
+            reason=getattr(outcome, "reason", ""),
+        )
+        return outcome
+
+    async def _accept_here(self, record: JobRecord) -> IntakeOutcome:
+        if self._host.store.is_answering:
+            return await accept_job(self._host.store, record)
+        return await accept_after_look(self._host.store, record)
+
+    async def cancel(self, job_id: str, tenant: str, budget_s: float) -> IntakeOutcome:
+        """Cancel a job."""
+        outcome = await self._intake(
+            lambda: cancel_job(self._host.store, job_id, tenant),
+            Operation.CANCEL_JOB,
+            {"job": job_id, "tenant": tenant},
+            budget_s,
+        )
+        self._host.statistics.count("cancels", type(outcome).__name__)
+        log_event("job.cancel", job=job_id, outcome=type(outcome).__name__)
+        return outcome
+
+    async def _intake(
+        self, local: Any, operation: int, body: dict[str, Any], budget_s: float
+    ) -> IntakeOutcome:
+        """Try the store, and peers that reach it if this host does not."""
+        peers = [
+            partial(self._intake_by, address, operation, body)
+            for address in self._host.news.store_peers()
+        ]
+        ways = [local, *peers, local] if self._host.store.is_answering else [*peers, local]
+        outcome = await insist(ways, min(budget_s, ACCEPT_BUDGET_S))
+        if isinstance(outcome, Taken):
+            self._tell_owner(outcome.record)
+        return outcome
+
+    async def _intake_by(self, address: str, operation: int, body: dict[str, Any]) -> IntakeOutcome:
+        reply = await call_peer(self._host.parts.peers, address, operation, body, PEER_INTAKE_S)
+        if isinstance(reply, PeerUnreachable):
+            return NotTaken(reply.reason) if reply.refused else Unsettled(reply.reason)
+        if reply.status == OK:
+            return Taken(JobRecord.decode(base64.b64decode(reply.body["record"])))
+        if reply.status == 410:
+            return NoSuchJob()
+        reason = reply.body.get("reason", "")
+        return NotTaken(reason) if reply.status == NOT_TAKEN else Unsettled(reason)
+
+    def _tell_owner(self, record: JobRecord) -> None:
+        """Let the owner know at once; its watch tells it otherwise."""
+        if self._host.owner is not None:
+            self._host.owner.note_job(record)
+        elif self._host.owner_presence is not None:
+            body = {"record": base64.b64encode(record.encode()).decode()}
+            address = self._host.owner_presence.address
+            self._host.spawn(call_peer, self._host.parts.peers, address, Operation.NOTE_JOB, body)
+
+    async def find_job(self, job_id: str) -> JobView | NoSuchJob | Unavailable:
+        """Return what may be told of a job."""
+        known = self._final.get(job_id)
+        if known is not None:
+            return known
+        view = await self._ask_owner_view(job_id)
+        found = view if view is not None else await self._read_view(job_id)
+        if isinstance(found, JobView) and found.status.is_final:
+            self._keep_final(job_id, found)
+        return found
+
+    def _keep_final(self, job_id: str, view: JobView) -> None:
+        """Remember a final state, and forget the oldest ones beyond the bound."""
+        self._final[job_id] = view
+        if len(self._final) > MAX_FINAL:
+            del self._final[next(iter(self._final))]
+
+    async def _ask_owner_view(self, job_id: str) -> JobView | None:
+        if self._host.owner is not None:
+            return self._host.owner.view(job_id)
+        if self._host.owner_presence is None:
+            return None
+        reply = await call_peer(
+            self._host.parts.peers,
+            self._host.owner_presence.address,
+            Operation.JOB_STATE,
+            {"job": job_id},
+            QUERY_BUDGET_S,
+        )
+        if isinstance(reply, PeerReply) and reply.status == OK:
+            return JobView(
+                JobStatus(reply.body["status"]), reply.body["tenant"], reply.body["queue"]
+            )
+        return None
+
+    async def _read_view(self, job_id: str) -> JobView | NoSuchJob | Unavailable:
+        """Read a job from the store: it may lag behind what runs, but is never wrong."""
+        item = await self._host.store.read(job_key(job_id))
+        if isinstance(item, Unavailable):
+            return item
+        if isinstance(item, Missing):
+            return NoSuchJob()
+        record = JobRecord.decode(item.value)
+        progress = await self._host.store.read(progress_key(job_id))
+        if isinstance(progress, Unavailable):
+            return progress
+        status = JobStatus.PENDING
+        if isinstance(progress, Item):
+            status = ProgressRecord.decode(progress.value).status
+        if record.cancelled and not status.is_final:
+            status = JobStatus.CANCELLED
+        return JobView(status, record.spec.tenant, record.spec.queue.name)
+
+    async def count_pending(self, queue: str) -> int | None:
+        """Return how many jobs of a queue have not begun; None if nobody can tell."""
+        if self._host.owner is not None:
+            return self._host.owner.count_pending(queue)
+        if self._host.owner_presence is None:
+            return None
+        reply = await call_peer(
+            self._host.parts.peers,
+            self._host.owner_presence.address,
+            Operation.QUEUE_COUNT,
+            {"queue": queue},
+            CALL_S,
+        )
+        if isinstance(reply, PeerReply) and reply.status == OK:
+            return int(reply.body["count"])
+        return None
--- a/packages/heronthread-dispatch/tests/test_owner.py
+++ b/packages/heronthread-dispatch/tests/test_owner.py
@@ -12,7 +12,7 @@
 
 async def _status(site: EmulatedSite, job: str) -> JobStatus | None:
     for host in site.hosts.values():
-        view = await host.find_job(job)
+        view = await host.requests.find_job(job)
         if hasattr(view, "status"):
             return view.status
     return None
@@ -26,7 +26,7 @@
     async with EmulatedSite.open(hosts=3) as site:
         owner = await site.wait_for_owner()
         other = next(host for name, host in site.hosts.items() if name != owner)
-        await other.accept(site.make_job("a", count=8, work_s=6.0), 2.0)
+        await other.requests.accept(site.make_job("a", count=8, work_s=6.0), 2.0)
         await trio.sleep(1.0)
         site.kill_host(owner)
         await trio.sleep(8.0)
@@ -52,7 +52,7 @@
     async with EmulatedSite.open(hosts=2) as site:
         owner = await site.wait_for_owner()
         other = next(host for name, host in site.hosts.items() if name != owner)
-        await other.accept(site.make_job("a", work_s=4.0), 2.0)
+        await other.requests.accept(site.make_job("a", work_s=4.0), 2.0)
         await trio.sleep(0.5)
         place = site.executors.by_id[site.executors.starts()[0].executor]
         place.is_cut = True
@@ -73,7 +73,7 @@
         site.executors.by_id["e0"].is_cut = True
         site.kill_host(owner)
         await site.wait_for_owner()
-        await other.accept(site.make_job("new", work_s=1.0), 2.0)
+        await other.requests.accept(site.make_job("new", work_s=1.0), 2.0)
         await trio.sleep(0.5)
         assert len(site.executors.starts()) == 1
 
@@ -83,13 +83,13 @@
     async with EmulatedSite.open(hosts=2, executors=2) as site:
         owner = await site.wait_for_owner()
         other = next(host for name, host in site.hosts.items() if name != owner)
-        await other.accept(site.make_job("a", count=8, work_s=20.0), 2.0)
+        await other.requests.accept(site.make_job("a", count=8, work_s=20.0), 2.0)
         await trio.sleep(0.5)
         left = {start.executor for start in site.executors.starts()}.pop()
         site.drain_executor(left, 30.0)
         await trio.sleep(0.3)
         waiting = site.make_job("b", count=9, work_s=0.5)
-        await other.accept(waiting, 2.0)
+        await other.requests.accept(waiting, 2.0)
         await trio.sleep(0.2)
         site.executors.by_id[left].is_cut = True
         site.kill_host(owner)
@@ -105,7 +105,7 @@
 async def test_running_work_outlasts_an_outage_of_the_store(autojump_clock: Clock) -> None:
     async with EmulatedSite.open(hosts=3) as site:
         await site.wait_for_owner()
-        await site.hosts["h0"].accept(site.make_job("a", count=4, work_s=3.0), 2.0)
+        await site.hosts["h0"].requests.accept(site.make_job("a", count=4, work_s=3.0), 2.0)
         await trio.sleep(1.0)
         site.store.is_down = True
         await trio.sleep(8.0)
@@ -124,7 +124,7 @@
         site.store.is_down = True
         await trio.sleep(2.0)
         record = site.make_job("a")
-        outcome = await site.hosts["h0"].accept(record, 2.0)
+        outcome = await site.hosts["h0"].requests.accept(record, 2.0)
         assert isinstance(outcome, NotTaken)
         site.store.is_down = False
         await trio.sleep(10.0)
@@ -139,7 +139,7 @@
         await trio.sleep(2.0)
         site.views[name].is_cut = True
         await trio.sleep(2.0)
-        assert isinstance(await site.hosts[name].accept(site.make_job("a"), 2.0), Taken)
+        assert isinstance(await site.hosts[name].requests.accept(site.make_job("a"), 2.0), Taken)
         await trio.sleep(4.0)
         assert await _status(site, "a") is JobStatus.SUCCEEDED
 
@@ -153,7 +153,7 @@
         new = site.owner_name()
         assert new is not None
         assert new != owner
-        await site.hosts[new].accept(site.make_job("a", count=3), 2.0)
+        await site.hosts[new].requests.accept(site.make_job("a", count=3), 2.0)
         await trio.sleep(4.0)
         assert await _status(site, "a") is JobStatus.SUCCEEDED
         _check(site)
@@ -167,10 +167,10 @@
         site.views["h0"].lose_answers = 9
         site.views["h0"].late_s = 4.0
         record = site.make_job("a")
-        outcome = await site.hosts["h0"].accept(record, 1.0)
+        outcome = await site.hosts["h0"].requests.accept(record, 1.0)
         assert isinstance(outcome, Unsettled)
         site.views["h0"].lose_answers = 0
-        assert isinstance(await site.hosts["h1"].accept(record, 2.0), Taken)
+        assert isinstance(await site.hosts["h1"].requests.accept(record, 2.0), Taken)
         await trio.sleep(8.0)
         assert len(site.executors.starts()) == 1
         _check(site)
@@ -182,7 +182,7 @@
         for place in site.executors.by_id.values():
             place.lose_answers = 2
             place.late_s = 3.0
-        await site.hosts["h0"].accept(site.make_job("a", work_s=1.0), 2.0)
+        await site.hosts["h0"].requests.accept(site.make_job("a", work_s=1.0), 2.0)
         await trio.sleep(15.0)
         assert await _status(site, "a") is JobStatus.SUCCEEDED
         _check(site)
@@ -191,7 +191,7 @@
 async def test_late_write_of_progress_does_not_undo_a_newer_one(autojump_clock: Clock) -> None:
     async with EmulatedSite.open(hosts=2) as site:
         owner = await site.wait_for_owner()
-        await site.hosts[owner].accept(site.make_job("a", count=3, work_s=1.0), 2.0)
+        await site.hosts[owner].requests.accept(site.make_job("a", count=3, work_s=1.0), 2.0)
         await trio.sleep(0.5)
         site.views[owner].lose_answers = 1
         site.views[owner].late_s = 3.0
@@ -205,7 +205,7 @@
 async def test_everything_is_rebuilt_after_all_hosts_died(autojump_clock: Clock) -> None:
     async with EmulatedSite.open(hosts=3) as site:
         await site.wait_for_owner()
-        await site.hosts["h0"].accept(site.make_job("a", count=3, work_s=2.0), 2.0)
+        await site.hosts["h0"].requests.accept(site.make_job("a", count=3, work_s=2.0), 2.0)
         for name in list(site.hosts):
             site.kill_host(name)
         await trio.sleep(1.0)
@@ -222,7 +222,7 @@
     async with EmulatedSite.open(hosts=2, executors=4) as site:
         owner = await site.wait_for_owner()
         record = site.make_job("a", count=3, accelerators=8, work_s=4.0, gang=True)
-        await site.hosts[owner].accept(record, 2.0)
+        await site.hosts[owner].requests.accept(record, 2.0)
         await trio.sleep(0.5)
         site.remove_executor(site.executors.starts()[0].executor)
         site.kill_host(owner)
@@ -235,12 +235,12 @@
     async with EmulatedSite.open(hosts=2, executors=2) as site:
         await site.wait_for_owner()
         host = site.hosts["h0"]
-        await host.accept(site.make_job("low", queue="batch", count=16, work_s=60.0), 2.0)
+        await host.requests.accept(site.make_job("low", queue="batch", count=16, work_s=60.0), 2.0)
         await trio.sleep(1.0)
         urgent = site.make_job(
             "urgent", queue="urgent", count=2, accelerators=8, work_s=2.0, gang=True
         )
-        await host.accept(urgent, 2.0)
+        await host.requests.accept(urgent, 2.0)
         await trio.sleep(1.0)
         assert len([s for s in site.executors.starts() if s.task.job == "urgent"]) == 2
 
@@ -248,9 +248,9 @@
 async def test_cancelled_job_is_stopped_and_never_started_again(autojump_clock: Clock) -> None:
     async with EmulatedSite.open(hosts=2) as site:
         await site.wait_for_owner()
-        await site.hosts["h0"].accept(site.make_job("a", count=4, work_s=60.0), 2.0)
+        await site.hosts["h0"].requests.accept(site.make_job("a", count=4, work_s=60.0), 2.0)
         await trio.sleep(1.0)
-        assert isinstance(await site.hosts["h1"].cancel("a", "first", 2.0), Taken)
+        assert isinstance(await site.hosts["h1"].requests.cancel("a", "first", 2.0), Taken)
         await trio.sleep(1.0)
         assert all(not e.running for e in site.executors.by_id.values())
         assert await _status(site, "a") is JobStatus.CANCELLED
@@ -261,8 +261,8 @@
 async def test_job_of_another_tenant_can_not_be_cancelled(autojump_clock: Clock) -> None:
     async with EmulatedSite.open(hosts=2) as site:
         await site.wait_for_owner()
-        await site.hosts["h0"].accept(site.make_job("a", work_s=2.0), 2.0)
-        outcome = await site.hosts["h0"].cancel("a", "second", 2.0)
+        await site.hosts["h0"].requests.accept(site.make_job("a", work_s=2.0), 2.0)
+        outcome = await site.hosts["h0"].requests.cancel("a", "second", 2.0)
         assert not isinstance(outcome, Taken)
         await trio.sleep(4.0)
         assert await _status(site, "a") is JobStatus.SUCCEEDED
@@ -275,7 +275,7 @@
         await site.wait_for_owner()
         site.executors.by_id["e0"].fails_all = True
         record = site.make_job("a", count=12, work_s=1.0)
-        await site.hosts["h0"].accept(record, 2.0)
+        await site.hosts["h0"].requests.accept(record, 2.0)
         await trio.sleep(8.0)
         assert await _status(site, "a") is JobStatus.SUCCEEDED
         _check(site, {"a": Told(record, taken=True, shown=JobStatus.SUCCEEDED)})
@@ -287,7 +287,7 @@
         for place in site.executors.by_id.values():
             place.fails_all = True
         record = site.make_job("a")
-        await site.hosts["h0"].accept(record, 2.0)
+        await site.hosts["h0"].requests.accept(record, 2.0)
         await trio.sleep(40.0)
         assert await _status(site, "a") is JobStatus.FAILED
         assert len(site.executors.starts()) == record.spec.queue.max_attempts
@@ -297,7 +297,7 @@
 async def test_executor_that_stands_still_loses_its_work(autojump_clock: Clock) -> None:
     async with EmulatedSite.open(hosts=2, executors=2) as site:
         await site.wait_for_owner()
-        await site.hosts["h0"].accept(site.make_job("a", work_s=2.0), 2.0)
+        await site.hosts["h0"].requests.accept(site.make_job("a", work_s=2.0), 2.0)
         await trio.sleep(0.2)
         site.executors.by_id[site.executors.starts()[0].executor].stands_still = True
         await trio.sleep(9.0)
@@ -309,7 +309,7 @@
         await site.wait_for_owner()
         site.drain_executor("e0", 30.0)
         await trio.sleep(0.2)
-        await site.hosts["h0"].accept(site.make_job("a", count=12, work_s=1.0), 2.0)
+        await site.hosts["h0"].requests.accept(site.make_job("a", count=12, work_s=1.0), 2.0)
         await trio.sleep(6.0)
         assert {start.executor for start in site.executors.starts()} == {"e1"}
         assert await _status(site, "a") is JobStatus.SUCCEEDED
@@ -337,7 +337,7 @@
         site.configure(5)
         await trio.sleep(1.0)
         assert {h.configuration.state.version for h in site.hosts.values()} == {5}
-        await site.hosts["h0"].accept(site.make_job("a", work_s=1.0), 2.0)
+        await site.hosts["h0"].requests.accept(site.make_job("a", work_s=1.0), 2.0)
         await trio.sleep(3.0)
         assert await _status(site, "a") is JobStatus.SUCCEEDED
 
--- a/packages/heronthread-dispatch/tests/test_speed.py
+++ b/packages/heronthread-dispatch/tests/test_speed.py
@@ -9,9 +9,9 @@
     async with EmulatedSite.open(executors=3) as site:
         await site.wait_for_owner()
         site.executors.by_id["e0"].slowness = 8.0
-        await site.hosts["h0"].accept(site.make_job("a", count=20, work_s=3.0), 2.0)
+        await site.hosts["h0"].requests.accept(site.make_job("a", count=20, work_s=3.0), 2.0)
         await trio.sleep(9)
-        view = await site.hosts["h0"].find_job("a")
+        view = await site.hosts["h0"].requests.find_job("a")
         assert view.status is JobStatus.SUCCEEDED
 
 
@@ -22,9 +22,9 @@
         await site.wait_for_owner()
         site.executors.by_id["e0"].slowness = 8.0
         record = site.make_job("a", count=2, accelerators=8, work_s=3.0, gang=True)
-        await site.hosts["h0"].accept(record, 2.0)
+        await site.hosts["h0"].requests.accept(record, 2.0)
         await trio.sleep(9)
-        view = await site.hosts["h0"].find_job("a")
+        view = await site.hosts["h0"].requests.find_job("a")
         assert view.status is JobStatus.SUCCEEDED
         runs = {start.run for start in site.executors.starts()}
         assert len(runs) == 2
--- a/packages/heronthread-dispatch/tests/test_watching.py
+++ b/packages/heronthread-dispatch/tests/test_watching.py
@@ -6,7 +6,7 @@
 
 async def _status(site: EmulatedSite, job: str) -> JobStatus | None:
     for host in site.hosts.values():
-        view = await host.find_job(job)
+        view = await host.requests.find_job(job)
         return getattr(view, "status", None)
     return None
 
@@ -14,7 +14,7 @@
 async def test_job_is_served(autojump_clock: trio.testing.MockClock) -> None:
     async with EmulatedSite.open() as site:
         await site.wait_for_owner()
-        await site.hosts["h1"].accept(site.make_job("a", count=6), 2.0)
+        await site.hosts["h1"].requests.accept(site.make_job("a", count=6), 2.0)
         await trio.sleep(4)
         assert await _status(site, "a") is JobStatus.SUCCEEDED
         assert len(site.executors.starts()) == 6
@@ -26,7 +26,7 @@
     """Holds that a silent executor does not answer must not put its lapse off for ever."""
     async with EmulatedSite.open() as site:
         await site.wait_for_owner()
-        await site.hosts["h0"].accept(site.make_job("a", work_s=5.0), 2.0)
+        await site.hosts["h0"].requests.accept(site.make_job("a", work_s=5.0), 2.0)
         await trio.sleep(1)
         first = site.executors.starts(TaskKey("a", 0, 0))[0]
         site.remove_executor(first.executor)
--- a/packages/heronthread-emulator/src/heronthread_emulator/plants.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/plants.py
@@ -9,11 +9,11 @@
 
 from heronthread_dispatch.executor_link import EndedRun, EndKind
 from heronthread_dispatch.fleet import ExecutorState
-from heronthread_dispatch.host import Host
 from heronthread_dispatch.intake import NotTaken, Unsettled
 from heronthread_dispatch.model import TaskKey
 from heronthread_dispatch.owned import OwnedCell
 from heronthread_dispatch.progress import JobState
+from heronthread_dispatch.requests import Requests
 from heronthread_dispatch.watching import ExecutorWatch
 
 from .executors import EmulatedExecutor, EmulatedExecutors
@@ -50,13 +50,13 @@
 
 def _refuse_what_may_run() -> Any:
     """Doubt about an acceptance is called a refusal."""
-    original = Host.accept
+    original = Requests.accept
 
-    async def accept(self: Host, record: Any, budget_s: float) -> Any:
+    async def accept(self: Requests, record: Any, budget_s: float) -> Any:
         outcome = await original(self, record, budget_s)
         return NotTaken(outcome.reason) if isinstance(outcome, Unsettled) else outcome
 
-    return patch.object(Host, "accept", accept)
+    return patch.object(Requests, "accept", accept)
 
 
 def _forget_silent_executors() -> Any:
--- a/packages/heronthread-emulator/src/heronthread_emulator/site.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/site.py
@@ -180,7 +180,7 @@
         answered = trio.Event()
 
         async def ask() -> None:
-            answers.append(await host.accept(record, limit_s))
+            answers.append(await host.requests.accept(record, limit_s))
             answered.set()
 
         if self.hosts.get(name) is host and name in self._nurseries:
--- a/packages/heronthread-emulator/src/heronthread_emulator/soak.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak.py
@@ -129,7 +129,7 @@
             host = self.site.any_host(self.random)
             if host is None or (told.shown is not None and told.shown.is_final):
                 continue
-            found = await host.find_job(job_id)
+            found = await host.requests.find_job(job_id)
             if isinstance(found, JobView):
                 told.shown = found.status
             all_final &= not told.taken or (told.shown is not None and told.shown.is_final)
