Take malformed answers and entries for what they are, and fuzz the adapters

Cause: a body of an executor or of the store that is JSON but not as agreed would have ended the process; found by hypothesis within 45 s. Conclusion: a malformed report is no report, a malformed answer to a write is doubt.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/executor_link.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/executor_link.py
@@ -99,15 +99,12 @@
 class Obeyed:
     """The order was carried out, now or before."""
 
-    clock_ms: int
-
 
 @dataclass(frozen=True, slots=True)
 class Refused:
     """The order did nothing."""
 
     reason: Refusal
-    clock_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/heronthread-emulator/src/heronthread_emulator/executors.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/executors.py
@@ -274,21 +274,21 @@
 
     def _start(self, place: EmulatedExecutor, order: StartOrder) -> OrderOutcome:
         if self._fence(place, order.token):
-            return Refused(Refusal.FENCED, place.clock_ms())
+            return Refused(Refusal.FENCED)
         if place.is_sick:
             return Unhealthy()
         if order.until_ms < place.clock_ms():
-            return Refused(Refusal.LATE, place.clock_ms())
+            return Refused(Refusal.LATE)
         place.hold_until = max(place.hold_until, order.until_ms / 1000)
         place.is_held = True
         present = place.running.get(order.task)
         if present is not None and present.run == order.run:
-            return Obeyed(place.clock_ms())
+            return Obeyed()
         if order.run <= place.floor.get(order.task, 0):
-            return Refused(Refusal.OLD_RUN, place.clock_ms())
+            return Refused(Refusal.OLD_RUN)
         work = self.specs.get(order.task.job, {}).get(order.task.step, DEFAULT_WORK)
         if not work.need.fits_in(place.executor.capacity.minus(place.used())):
-            return Refused(Refusal.NO_ROOM, place.clock_ms())
+            return Refused(Refusal.NO_ROOM)
         place.running[order.task] = Run(
             order.task,
             order.run,
@@ -299,20 +299,20 @@
             kind=work.kind,
         )
         self._log("start", place, order.task, order.run, token=order.token)
-        return Obeyed(place.clock_ms())
+        return Obeyed()
 
     def _stop(self, place: EmulatedExecutor, order: StopOrder) -> OrderOutcome:
         if self._fence(place, order.token):
-            return Refused(Refusal.FENCED, place.clock_ms())
+            return Refused(Refusal.FENCED)
         run = place.running.get(order.task)
         if run is not None and run.run <= order.run and run.stopping_at is None:
             run.stopping_at = trio.current_time() + place.stop_s
         place.floor[order.task] = max(place.floor.get(order.task, 0), order.run)
-        return Obeyed(place.clock_ms())
+        return Obeyed()
 
     def _hold(self, place: EmulatedExecutor, order: HoldOrder) -> OrderOutcome:
         if self._fence(place, order.token):
-            return Refused(Refusal.FENCED, place.clock_ms())
+            return Refused(Refusal.FENCED)
         if order.until_ms is not None:
             place.hold_until = max(place.hold_until, order.until_ms / 1000)
             place.is_held = True
@@ -320,4 +320,4 @@
             if end.number <= order.seen:
                 self.taken_note.add((place.executor.id, end.number))
         place.ended = [end for end in place.ended if end.number > order.seen]
-        return Obeyed(place.clock_ms())
+        return Obeyed()
--- /dev/null
+++ b/tests/platform/test_fuzz.py
@@ -0,0 +1,122 @@
+"""Whatever callers, operators, executors and the store send: an answer or a refusal, no crash."""
+
+import json
+from typing import Any
+
+import trio
+from heronthread_dispatch.executor_link import (
+    HoldOrder,
+    Obeyed,
+    OtherLife,
+    Refused,
+    Report,
+    Unanswered,
+    Unhealthy,
+)
+from heronthread_dispatch.http_client import HttpClient, Reply
+from heronthread_dispatch.keystore import Events, HistoryLost, Item, Listing, Missing, Transaction
+from heronthread_dispatch.model import DesiredState, Executor, Resources
+from heronthread_platform.callers import read_job_body
+from heronthread_platform.configuration import CONFIGURATION
+from heronthread_platform.executors import DIRECTORY, PlatformExecutors
+from heronthread_platform.store import PlatformStore
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers(-(2**40), 2**40) | st.floats() | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(max_size=6), inner),
+    max_leaves=8,
+)
+STEP = st.fixed_dictionaries(
+    {},
+    optional={
+        name: VALUES
+        for name in ("count", "cpu", "mem-mb", "gpus", "after", "gang", "requirements", "affinity")
+    },
+)
+JOB = st.fixed_dictionaries({}, optional={"spec": VALUES, "steps": st.lists(STEP) | VALUES})
+CONFIG = st.fixed_dictionaries(
+    {},
+    optional={"version": VALUES, "routes": VALUES, "tenants": VALUES, "limits": VALUES},
+)
+ENTRY = st.fixed_dictionaries(
+    {},
+    optional={
+        name: VALUES
+        for name in ("service", "address", "zone", "state", "labels", "remaining-ms", "capacity")
+    },
+)
+FIXED = settings(derandomize=True, max_examples=150, deadline=None)
+
+
+class _FixedClient(HttpClient):
+    """Answers every call with one reply."""
+
+    def __init__(self, status: int, body: bytes) -> None:
+        super().__init__()
+        self.reply = Reply(status, body)
+
+    async def call(self, *_: Any, **__: Any) -> Reply:
+        return self.reply
+
+
+def _encode(value: object) -> bytes:
+    return json.dumps(value).encode()
+
+
+@FIXED
+@given(JOB | VALUES)
+def test_any_body_is_a_job_or_a_reason(value: object) -> None:
+    found = read_job_body(_encode(value))
+    assert isinstance(found, str | tuple)
+
+
+@FIXED
+@given(st.binary(max_size=40))
+def test_any_bytes_are_a_reason(data: bytes) -> None:
+    assert isinstance(read_job_body(data), str | tuple)
+    assert CONFIGURATION.parse(data) is None or isinstance(CONFIGURATION.parse(data), DesiredState)
+    DIRECTORY.parse("i-1", data)
+
+
+@FIXED
+@given(CONFIG | VALUES)
+def test_any_configuration_is_in_force_or_invalid(value: object) -> None:
+    found = CONFIGURATION.parse(_encode(value))
+    assert found is None or isinstance(found, DesiredState)
+
+
+@FIXED
+@given(ENTRY | VALUES)
+def test_any_entry_is_an_executor_or_none(value: object) -> None:
+    found = DIRECTORY.parse("i-1", _encode(value))
+    assert found is None or isinstance(found, Executor)
+
+
+@FIXED
+@given(st.sampled_from([200, 400, 404, 409, 410, 412, 421, 429, 500, 503]), VALUES)
+def test_any_answer_of_an_executor_has_an_outcome(status: int, value: object) -> None:
+    link = PlatformExecutors(_FixedClient(status, _encode(value)))
+    executor = Executor("i-1", "a", "p", "", "", (), Resources())
+    outcome = trio.run(link.hold, executor, HoldOrder(1, 0, None, 0.0))
+    assert isinstance(outcome, Report | Refused | Unhealthy | OtherLife | Unanswered | Obeyed)
+
+
+@FIXED
+@given(st.sampled_from([200, 400, 404, 410, 412, 429, 500, 503]), VALUES)
+def test_any_answer_of_the_store_has_an_outcome(status: int, value: object) -> None:
+    store = PlatformStore(_FixedClient(status, _encode(value)), "a")
+
+    async def ask() -> None:
+        read = await store.read("k")
+        assert isinstance(read, Item | Missing) or read.reason
+        listed = await store.list("p")
+        assert isinstance(listed, Listing) or listed.reason
+        watched = await store.watch("p", 1, 0.1)
+        assert isinstance(watched, Events | HistoryLost) or watched.reason
+        assert await store.commit(Transaction()) is not None
+        assert await store.grant(1.0) is not None
+        assert await store.renew(1) is not None
+
+    trio.run(ask)
