Choose ports that nobody else is given, and search a bounded range of seeds for each defect

A test took a port from the range that outgoing connections are given, and one of them had it when the process bound it (Errno 98). The seed that caught the defect refuse-what-may-run had been found before the last changes of the product, which reorder a run. Ruled out: the product (the daemon named the address; the checker catches the defect with seed 5). The search is bounded (40 seeds) and ends as strictly: caught, and the same seed clean without the defect.

--- a/packages/heronthread-cli/tests/test_cell.py
+++ b/packages/heronthread-cli/tests/test_cell.py
@@ -1,4 +1,5 @@
 import json
+import os
 
 import pytest
 import trio
@@ -9,12 +10,15 @@
 
 
 async def _serve(site: EmulatedSite, name: str) -> str:
-    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
-    port = listeners[0].socket.getsockname()[1]
-    await listeners[0].aclose()
-    address = f"127.0.0.1:{port}"
-    await site.nursery.start(serve_peers, address, site.hosts[name].handle)
-    return address
+    """Serve a host's peers on a port below those that outgoing connections are given."""
+    for port in range(28_500 + os.getpid() % 1_000, 32_000):
+        address = f"127.0.0.1:{port}"
+        try:
+            await site.nursery.start(serve_peers, address, site.hosts[name].handle)
+        except OSError:
+            continue
+        return address
+    raise AssertionError("no port is free")
 
 
 async def test_any_host_tells_queues_executors_guarantees_and_a_jobs_story(
--- a/packages/heronthread-emulator/tests/test_plants.py
+++ b/packages/heronthread-emulator/tests/test_plants.py
@@ -2,23 +2,32 @@
 from heronthread_emulator import run_soak
 from heronthread_emulator.plants import PLANTS, planted
 
-SEEDS = {
+FIRST_SEED = {
     "start-before-the-barrier": 27,
     "forget-ends-unrecorded": 2,
     "obey-lower-tokens": 28,
-    "refuse-what-may-run": 22,
+    "refuse-what-may-run": 5,
     "forget-silent-executors": 2,
     "count-no-failures": 2,
     "show-success-early": 0,
 }
+SEEDS_TRIED = 40
 
 
 def test_every_defect_has_a_seed() -> None:
-    assert set(SEEDS) == set(PLANTS)
+    assert set(FIRST_SEED) == set(PLANTS)
+
+
+def _find_catching_seed(name: str) -> int:
+    """Return a seed by which the defect is caught; any change of the product reorders runs."""
+    for seed in [FIRST_SEED[name], *range(SEEDS_TRIED)]:
+        with planted(name):
+            if run_soak(seed).violations:
+                return seed
+    raise AssertionError(f"{name} is not caught in {SEEDS_TRIED} seeds")
 
 
 @pytest.mark.parametrize("name", sorted(PLANTS))
 def test_planted_defect_is_caught(name: str) -> None:
-    assert run_soak(SEEDS[name]).violations == []
-    with planted(name):
-        assert run_soak(SEEDS[name]).violations != []
+    seed = _find_catching_seed(name)
+    assert run_soak(seed).violations == []
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import itertools
 import json
+import os
 import signal
 import socket
 import subprocess
@@ -21,10 +23,22 @@
 HOSTS = ("a", "b", "c")
 
 
+PORTS = itertools.count(20_000 + os.getpid() % 8_000)
+
+
 def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Return a port below those that the system gives to outgoing connections.
+
+    One of theirs may be taken between this look and the start of the process that binds it.
+    """
+    for port in PORTS:
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
+    raise AssertionError("no port is free")
 
 
 def wait_for(check, what: str):
