Let all subcommands print through one module

Cause: the subcommands that ask a cell, and those of the emulated site, had each written again how the first ones print a line, and rows as a table or JSON. Nothing that a host runs has changed. Conclusion: behaviour as before.

--- a/packages/heronthread-cli/src/heronthread_cli/cell.py
+++ b/packages/heronthread-cli/src/heronthread_cli/cell.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import json
 import os
-import sys
 from typing import Any
 
 import trio
@@ -13,7 +11,7 @@
 from heronthread_dispatch.peering import OK, PeerReply, call_peer
 
 from .exits import BadInput, HostUnreachable
-from .table import format_table
+from .output import print_line, show_rows
 
 ADDRESS_VARIABLE = "HERONTHREAD_HOST"
 TIMEOUT_S = 3.0
@@ -35,11 +33,11 @@
             "configuration": found["version"],
             "hosts": " ".join(found["hosts"]),
         }
-        _show([row], json)
+        show_rows([row], as_json=json)
 
     def queues(self, host: str | None = None, json: bool = False) -> None:
         """List the queues with the jobs that wait and that have begun."""
-        _show(_ask(host, Operation.CELL_OVERVIEW, {})["queues"], json)
+        show_rows(_ask(host, Operation.CELL_OVERVIEW, {})["queues"], as_json=json)
 
     def executors(
         self, host: str | None = None, draining: bool = False, json: bool = False
@@ -48,18 +46,20 @@
         rows = _ask(host, Operation.CELL_OVERVIEW, {})["executors"]
         if draining:
             rows = [row for row in rows if row["leaves in s"] is not None]
-        _show(rows, json)
+        show_rows(rows, as_json=json)
 
     def guarantees(self, host: str | None = None, json: bool = False) -> None:
         """List each tenant's guaranteed accelerators: in use, and reclaimable from others."""
-        _show(_ask(host, Operation.CELL_OVERVIEW, {})["guarantees"], json)
+        show_rows(_ask(host, Operation.CELL_OVERVIEW, {})["guarantees"], as_json=json)
 
     def job(self, job: str, host: str | None = None, json: bool = False) -> None:
         """Tell where a job's tasks are and how far they have come."""
         found = _ask(host, Operation.JOB_STORY, {"job": str(job)})
         if not json:
-            _print(f"{found['job']} of {found['tenant']} in {found['queue']}: {found['status']}")
-        _show(found["tasks"], json)
+            print_line(
+                f"{found['job']} of {found['tenant']} in {found['queue']}: {found['status']}"
+            )
+        show_rows(found["tasks"], as_json=json)
 
 
 def _ask(host: str | None, operation: int, body: dict[str, Any]) -> dict[str, Any]:
@@ -81,15 +81,3 @@
         reply = await call_peer(TcpPeers(nursery), address, operation, body, TIMEOUT_S)
         nursery.cancel_scope.cancel()
     return reply
-
-
-def _show(rows: list[dict[str, Any]], as_json: bool) -> None:
-    if as_json:
-        _print(json.dumps(rows))
-        return
-    columns = list(rows[0]) if rows else []
-    _print(format_table(columns, [[row[name] for name in columns] for row in rows]))
-
-
-def _print(text: str) -> None:
-    sys.stdout.write(text + "\n")
--- a/packages/heronthread-cli/src/heronthread_cli/commands.py
+++ b/packages/heronthread-cli/src/heronthread_cli/commands.py
@@ -4,7 +4,6 @@
 
 import getpass
 import json
-import sys
 import time
 import uuid
 from dataclasses import asdict
@@ -27,6 +26,7 @@
 from .demo import DemoResult, run_demo
 from .emulation import Emulation
 from .exits import BadInput, CommandError, HostUnreachable
+from .output import note, print_line, show_rows
 from .table import format_table
 from .trace import trace_request
 
@@ -34,15 +34,6 @@
 POLL_S = 0.3
 
 
-def _print(text: str) -> None:
-    sys.stdout.write(text + "\n")
-
-
-def _note(text: str) -> None:
-    """Show progress to people without mixing it into the output."""
-    sys.stderr.write(text + "\n")
-
-
 def _read(file: str) -> bytes:
     try:
         return Path(str(file)).read_bytes()
@@ -57,13 +48,6 @@
     return state
 
 
-def _show(rows: list[dict[str, Any]], columns: list[str], as_json: bool) -> None:
-    if as_json:
-        _print(json.dumps(rows))
-        return
-    _print(format_table(columns, [[row.get(name, "") for name in columns] for row in rows]))
-
-
 class Queries:
     """Subcommands that change nothing."""
 
@@ -78,7 +62,7 @@
         """
         state = _load(file, time.time())
         jobs = sum(job.count for event in state.events for job in event.jobs)
-        _print(f"{file}: good; {len(state.customers)} customers, {jobs} jobs in events")
+        print_line(f"{file}: good; {len(state.customers)} customers, {jobs} jobs in events")
 
     def diff(self, file: str, url: str | None = None, json: bool = False) -> None:
         """Show what applying a file would change.
@@ -103,8 +87,8 @@
             if old.get(name) != new.get(name)
         ]
         if not json:
-            _note(f"against generation {generation}")
-        _show(rows, ["section", "change"], json)
+            note(f"against generation {generation}")
+        show_rows(rows, ["section", "change"], as_json=json)
 
     def plan(
         self, file: str, workers: str | None = None, event: str | None = None, json: bool = False
@@ -133,13 +117,13 @@
             raise BadInput(str(plan))
         rows = [asdict(job) for job in plan.jobs]
         if json:
-            _print(_to_json({"event": plan.event, "jobs": rows}))
+            print_line(_to_json({"event": plan.event, "jobs": rows}))
             return
         for row in rows:
             row["places"] = " ".join(f"{n}:{u}" for n, u in row["places"].items())
             row["takes_back"] = "; ".join(row["takes_back"])
         columns = ["job", "customer", "outcome", "order", "places", "cause", "reason", "takes_back"]
-        _show(rows, columns, False)
+        show_rows(rows, columns, as_json=False)
 
     def status(self, url: str | None = None, json: bool = False) -> None:
         """Show a host, its cells and the histograms per customer and class.
@@ -151,15 +135,15 @@
         with Client(url) as client:
             status = client.get("/v1/status")
         if json:
-            _print(_to_json(status))
+            print_line(_to_json(status))
             return
         ready = "ready" if status["ready"] else "not ready"
         store = "up" if status["store_ok"] else "down"
-        _print(f"{status['host']}: {ready}, generation {status['generation']}, store {store}")
+        print_line(f"{status['host']}: {ready}, generation {status['generation']}, store {store}")
         cells = ["cell", "owner", "epoch", "standing", "waiting", "running", "unbacked"]
-        _show(status["cells"], cells, False)
+        show_rows(status["cells"], cells, as_json=False)
         columns = ["customer", "class", "measure", "count", "p50_ms", "p95_ms", "p99_ms"]
-        _show(status["histograms"], columns, False)
+        show_rows(status["histograms"], columns, as_json=False)
 
     def events(self, url: str | None = None, json: bool = False) -> None:
         """List the declared events and their starts.
@@ -170,7 +154,7 @@
         """
         with Client(url) as client:
             rows = client.get("/v1/events")
-        _show(rows, ["name", "start", "time_zone", "starts_in_s", "jobs"], json)
+        show_rows(rows, ["name", "start", "time_zone", "starts_in_s", "jobs"], as_json=json)
 
     def jobs(
         self, customer: str = "", state: str = "", url: str | None = None, json: bool = False
@@ -185,7 +169,9 @@
         """
         with Client(url) as client:
             rows = client.get("/v1/jobs", customer=customer, state=state)
-        _show(rows, ["job_id", "customer", "job_class", "state", "cause", "reason"], json)
+        show_rows(
+            rows, ["job_id", "customer", "job_class", "state", "cause", "reason"], as_json=json
+        )
 
     def explain(
         self, job: str, customer: str | None = None, url: str | None = None, json: bool = False
@@ -201,11 +187,11 @@
         with Client(url) as client:
             view = client.get(f"/v1/jobs/{job}", customer=customer)
         if json:
-            _print(_to_json(view))
+            print_line(_to_json(view))
             return
         places = ", ".join(f"{units} on {name}" for name, units in view["places"].items())
-        _print(f"{view['job_id']}: {view['state']}" + (f" ({places})" if places else ""))
-        _print(f"  {view['cause'] or '-'}: {view['reason'] or 'nothing to explain'}")
+        print_line(f"{view['job_id']}: {view['state']}" + (f" ({places})" if places else ""))
+        print_line(f"  {view['cause'] or '-'}: {view['reason'] or 'nothing to explain'}")
 
     def trace(self, request: str, *logs: str, json: bool = False) -> None:
         """Tell the story of one request from the logs of all hosts, in order.
@@ -225,9 +211,9 @@
             {"at s": line.at, "host": line.host, "event": line.event, "what": _pairs(line.fields)}
             for line in trace.lines
         ]
-        _show(rows, ["at s", "host", "event", "what"], json)
+        show_rows(rows, ["at s", "host", "event", "what"], as_json=json)
         if trace.unreadable:
-            _note(f"{trace.unreadable} lines could not be read")
+            note(f"{trace.unreadable} lines could not be read")
 
     def report(self, event: str, out: str, log: str, file: str) -> None:
         """Write one self-contained HTML page about an event, from JSON-line logs.
@@ -243,7 +229,7 @@
         state = _load(file, None)
         with Path(log).open(encoding="utf-8") as lines:
             write_report(state, event, lines, Path(out))
-        _note(f"wrote {out}")
+        note(f"wrote {out}")
 
 
 class Heronthread(Queries):
@@ -291,15 +277,15 @@
                 text = f"{error}\nwhether it took effect: heronthread apply --apply-id {apply_id}"
                 raise HostUnreachable(text) from error
             generation = result["generation"]
-            _note(f"generation {generation} is accepted (apply id {apply_id})")
+            note(f"generation {generation} is accepted (apply id {apply_id})")
             result["hosts"] = _watch_spread(client, generation)
         behind = [name for name, known in result["hosts"].items() if known < generation]
         if json:
-            _print(_to_json(result))
+            print_line(_to_json(result))
         elif behind:
-            _print(f"in force, but not yet heard from {', '.join(behind)}; see status there")
+            print_line(f"in force, but not yet heard from {', '.join(behind)}; see status there")
         else:
-            _print(f"generation {generation} is in force at {len(result['hosts'])} hosts")
+            print_line(f"generation {generation} is in force at {len(result['hosts'])} hosts")
 
     def submit(
         self, file: str, wait_s: float = 0.0, url: str | None = None, json: bool = False
@@ -314,7 +300,9 @@
         """
         with Client(url) as client:
             view = client.post("/v1/jobs", _read(file), wait_s=wait_s)
-        _print(_to_json(view) if json else f"{view['job_id']}: {view['state']} {view['answer']}")
+        print_line(
+            _to_json(view) if json else f"{view['job_id']}: {view['state']} {view['answer']}"
+        )
 
     def cancel(self, job: str, customer: str | None = None, url: str | None = None) -> None:
         """Cancel a job: a waiting one is not run, a running one is stopped.
@@ -326,7 +314,7 @@
         """
         with Client(url) as client:
             view = client.delete(f"/v1/jobs/{job}", customer=customer, wait_s=5)
-        _print(f"{view['job_id']}: {view['state']} {view['reason']}")
+        print_line(f"{view['job_id']}: {view['state']} {view['reason']}")
 
     def settle(
         self, job: str, state: str, note: str, customer: str | None = None, url: str | None = None
@@ -345,7 +333,7 @@
         order = _to_json({"job_id": job, "state": state, "note": note}).encode()
         with Client(url) as client:
             view = client.post("/v1/settlements", order, customer=customer)
-        _print(f"{view['job_id']}: {view['state']} {view['reason']}")
+        print_line(f"{view['job_id']}: {view['state']} {view['reason']}")
 
     def drain(self, host: str, url: str | None = None) -> None:
         """Begin the planned stop of an entry host; no request in progress is cut.
@@ -359,7 +347,7 @@
             if name != host:
                 raise BadInput(f"{client.url} is {name}, not {host}; name its own --url")
             left = client.post("/v1/drain")["in_progress"]
-        _print(f"{host}: stopping after {left} requests")
+        print_line(f"{host}: stopping after {left} requests")
 
     def demo(
         self,
@@ -382,9 +370,9 @@
         state = _load(path, None)
         log_path = Path(log) if log else None
         result = trio.run(
-            lambda: run_demo(state, hosts=hosts, speed=speed, log=log_path, progress=_note)
+            lambda: run_demo(state, hosts=hosts, speed=speed, log=log_path, progress=note)
         )
-        _print(result.to_json() if json else _describe(result))
+        print_line(result.to_json() if json else _describe(result))
         if result.lost or result.doubled or result.partial_gangs:
             raise CommandError("the demo broke a promise; please report it with its log")
 
@@ -401,7 +389,7 @@
         hosts: dict[str, int] = client.get("/v1/configuration")["hosts"]
         reached = sum(known >= generation for known in hosts.values())
         if reached != shown:
-            _note(f"{reached} of {len(hosts)} hosts have it")
+            note(f"{reached} of {len(hosts)} hosts have it")
             shown = reached
         if reached == len(hosts) or time.monotonic() > deadline:
             return hosts
--- a/packages/heronthread-cli/src/heronthread_cli/emulation.py
+++ b/packages/heronthread-cli/src/heronthread_cli/emulation.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-import json
-import sys
 from typing import Any
 
 from heronthread_emulator import SoakResult, run_soak
 from heronthread_emulator.plants import PLANTS, planted
 
 from .exits import BadInput, CommandError
-from .table import format_table
+from .output import print_line, show_rows
 
 
 class Emulation:
@@ -27,7 +25,7 @@
             json: print rows as JSON.
         """
         results = [run_soak(seed) for seed in range(first, first + seeds)]
-        _show([_row(result) for result in results], json)
+        show_rows([_row(result) for result in results], as_json=json)
         broken = [result for result in results if result.violations]
         if broken:
             raise CommandError(f"{len(broken)} of {len(results)} seeds broke a promise")
@@ -47,7 +45,7 @@
             for seed in range(seeds):
                 result = run_soak(seed)
                 if result.violations:
-                    _print(f"{defect}: caught by seed {seed}: {result.violations[0].promise}")
+                    print_line(f"{defect}: caught by seed {seed}: {result.violations[0].promise}")
                     return
         raise CommandError(f"{defect}: not caught in {seeds} seeds")
 
@@ -61,15 +59,3 @@
         "faults": sum(result.faults.values()),
         "broken": broken,
     }
-
-
-def _show(rows: list[dict[str, Any]], as_json: bool) -> None:
-    if as_json:
-        _print(json.dumps(rows))
-        return
-    columns = ["seed", "jobs", "starts", "faults", "broken"]
-    _print(format_table(columns, [[row[name] for name in columns] for row in rows]))
-
-
-def _print(text: str) -> None:
-    sys.stdout.write(text + "\n")
