Let nothing that a peer sends end a process, and no half-sent frame spoil a connection

Cause, found by reading and then by tests: bytes that are no frame raised KeyError in the thrift library (four of four inputs tried were not caught, one as KeyError, three as EOFError that the connection's group then carried), a body that is JSON but not as agreed raised in the host's task, and either ended the process. A call given up while its frame was being sent left half a frame on a connection that later calls used. A connection behind a cut was kept after the cut, until TCP sent again. Ruled out: checking bodies with models at every operation (one place that answers 400 is enough, since the senders are hosts of the same product). Change: decode raises MalformedFrame, which ends that connection only; a host answers 400; news is checked by kind; a cancelled send closes the socket; a connection on which nothing came since the call was made is replaced.

--- a/packages/heronthread-daemon/src/heronthread_daemon/peer.py
+++ b/packages/heronthread-daemon/src/heronthread_daemon/peer.py
@@ -43,10 +43,20 @@
     return value
 
 
+class MalformedFrame(Exception):
+    """The bytes are no frame; what follows on their connection can't be read either."""
+
+
+LOST_CONNECTION = (trio.BrokenResourceError, trio.ClosedResourceError, MalformedFrame)
+
+
 def decode(data: bytes) -> Frame:
-    """Read a frame in the compact protocol."""
+    """Read a frame in the compact protocol; raises `MalformedFrame`."""
     frame = Frame()
-    frame.read(TCompactProtocol(TMemoryBuffer(data)))
+    try:
+        frame.read(TCompactProtocol(TMemoryBuffer(data)))
+    except Exception as error:  # the library raises whatever the bytes lead it to
+        raise MalformedFrame(repr(error)) from error
     return frame
 
 
@@ -62,7 +72,12 @@
 async def _send(stream: trio.SocketStream, lock: trio.Lock, frame: Frame) -> int:
     data = encode(frame)
     async with lock:
-        await stream.send_all(struct.pack(">I", len(data)) + data)
+        try:
+            await stream.send_all(struct.pack(">I", len(data)) + data)
+        except trio.Cancelled:
+            # A part may have been sent, and the next frame would be read as its rest.
+            stream.socket.close()
+            raise
     return len(data) + LENGTH_BYTES
 
 
@@ -89,9 +104,12 @@
 
 
 async def serve_peers(
-    address: str, handler: Handler, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    address: str, handler: Handler, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
 ) -> None:
-    """Serve peers on an address until cancelled: one task per connection and per request."""
+    """Serve peers on an address until cancelled: one task per connection and per request.
+
+    It starts with the address in use, which differs for port 0.
+    """
     ip, port = split_address(address)
 
     async def serve_one(stream: trio.SocketStream) -> None:
@@ -107,11 +125,11 @@
                 while (frame := await _receive(stream)) is not None:
                     nursery.start_soon(answer, frame)
                 nursery.cancel_scope.cancel()
-        except* (trio.BrokenResourceError, trio.ClosedResourceError, EOFError):
+        except* LOST_CONNECTION:
             pass  # the peer went away; its requests went with it
 
     listeners = await trio.open_tcp_listeners(port, host=ip)
-    task_status.started()
+    task_status.started(f"{ip}:{listeners[0].socket.getsockname()[1]}")
     await trio.serve_listeners(serve_one, listeners)
 
 
@@ -128,6 +146,12 @@
     waiting: dict[int, tuple[trio.Event, list[Frame]]] = field(default_factory=dict)
     is_open: bool = True
     next_id: int = 1
+    heard_at: float = float("-inf")
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether frames may be sent; a send that was given up has closed the socket."""
+        return self.is_open and self.stream.socket.fileno() >= 0
 
 
 class TcpPeers:
@@ -143,12 +167,17 @@
         self, address: str, frame: Frame, timeout_s: float = CALL_TIMEOUT_S
     ) -> Frame | PeerUnreachable:
         """Send one request and return its reply."""
+        connection: _Connection | None = None
+        asked_at = trio.current_time()
         with trio.move_on_after(timeout_s):
             try:
                 connection = await self._connect(address)
             except OSError as error:
                 return PeerUnreachable(f"{address}: {error.strerror or error}", refused=True)
             return await self._exchange(address, connection, frame)
+        if connection is not None and connection.heard_at < asked_at:
+            # After a cut, a new connection is there long before an old one sends again.
+            self._close(address, connection)
         return PeerUnreachable(f"{address}: no answer in {timeout_s:g} s")
 
     async def _exchange(
@@ -172,7 +201,7 @@
     async def _connect(self, address: str) -> _Connection:
         async with self._connecting.setdefault(address, trio.Lock()):
             known = self._connections.get(address)
-            if known is not None and known.is_open:
+            if known is not None and known.is_usable:
                 return known
             ip, port = split_address(address)
             stream = await trio.open_tcp_stream(ip, port)
@@ -183,12 +212,13 @@
     async def _read(self, address: str, connection: _Connection) -> None:
         try:
             while (frame := await _receive(connection.stream)) is not None:
+                connection.heard_at = trio.current_time()
                 self.traffic.received += len(encode(frame)) + LENGTH_BYTES
                 waiting = connection.waiting.pop(frame.id, None)
                 if waiting is not None:
                     waiting[1].append(frame)
                     waiting[0].set()
-        except (trio.BrokenResourceError, trio.ClosedResourceError, EOFError):
+        except LOST_CONNECTION:
             pass
         finally:
             self._close(address, connection)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -25,6 +25,8 @@
 from .owned import DirectoryFormat, OwnerParts, Timing
 from .owner import JobView, Owner
 from .peering import (
+    BAD_REQUEST,
+    MALFORMED,
     NOT_HERE,
     NOT_TAKEN,
     OK,
@@ -259,8 +261,11 @@
         forward = frame.forward
         if forward is None:
             return make_reply(NOT_HERE, {})
-        body = json.loads(forward.body)
-        status, answer = await self._handle(forward.operation, body)
+        try:
+            status, answer = await self._handle(forward.operation, json.loads(forward.body))
+        except MALFORMED as error:
+            log_event("peer.malformed", operation=forward.operation, error=repr(error))
+            return make_reply(BAD_REQUEST, {"reason": "the request can't be read"})
         return make_reply(status, answer)
 
     async def _handle(self, operation: int, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/news.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/news.py
@@ -122,8 +122,10 @@
         if isinstance(reply, PeerReply) and reply.status == OK:
             await self.take(decode_news(reply.body))
 
-    async def take(self, news: News) -> None:
+    async def take(self, news: News | None) -> None:
         """Take a peer's news in, and fetch its configuration if that is newer."""
+        if news is None:
+            return
         self.heard[news.host] = HeardNews(news, trio.current_time())
         if news.version > self._host.configuration.state.version:
             reply = await call_peer(
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/peering.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/peering.py
@@ -15,6 +15,10 @@
 NOT_HERE = 421
 NOT_TAKEN = 503
 UNSETTLED = 504
+BAD_REQUEST = 400
+
+MALFORMED = (KeyError, IndexError, TypeError, ValueError, AttributeError)
+"""What reading a body raises that is not as agreed."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,6 +33,16 @@
     owner: str = ""
 
 
+NEWS_KINDS = {
+    "host": str,
+    "address": str,
+    "version": int,
+    "store_ok": bool,
+    "term": int,
+    "owner": str,
+}
+
+
 @dataclass(frozen=True, slots=True)
 class PeerReply:
     """A peer's answer; status as in HTTP."""
@@ -46,7 +60,10 @@
     if isinstance(reply, PeerUnreachable):
         return reply
     answer = reply.forward_reply
-    return PeerReply(answer.status, json.loads(answer.body))
+    try:
+        return PeerReply(int(answer.status), dict(json.loads(answer.body)))
+    except MALFORMED as error:
+        return PeerUnreachable(f"{address}: a malformed reply: {error!r}")
 
 
 def make_reply(status: int, body: dict[str, Any]) -> Frame:
@@ -59,13 +76,20 @@
     return asdict(news)
 
 
-def decode_news(body: dict[str, Any]) -> News:
-    """Read news from a body."""
-    return News(**{name: body[name] for name in News.__slots__ if name in body})
+def decode_news(body: dict[str, Any]) -> News | None:
+    """Read news from a body; None if it is none."""
+    try:
+        news = News(**{name: body[name] for name in News.__slots__ if name in body})
+    except TypeError:
+        return None
+    is_sound = all(isinstance(getattr(news, name), kind) for name, kind in NEWS_KINDS.items())
+    return news if is_sound else None
 
 
 __all__ = [
+    "BAD_REQUEST",
     "CALL_S",
+    "MALFORMED",
     "NOT_HERE",
     "NOT_TAKEN",
     "OK",
