Run jobs with times: each time once, when it is due

Ruled out: one stored job for each time (an acceptance must stay one write, and a cancel one key); making a time's steps only when it is due (the progress record would change its length; 50,000 tasks a job is the bound instead, and more is refused with the reason). Change: JobSpec has a Schedule; TaskKey names the time; a job's steps are held for each time; the planner skips what is not due and wakes when it is; lateness counts from the due time; guarantees count a scheduled job once it is due. Left: copies, advice, waves, paces and pools are still not served.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/model.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/model.py
@@ -37,11 +37,15 @@
 
 
 class TaskKey(NamedTuple):
-    """One task of one job; it keeps its name over all of its attempts."""
+    """One task of one job; it keeps its name over all of its attempts.
+
+    `occurrence` counts the times of a scheduled job, from 0.
+    """
 
     job: str
     step: int
     member: int
+    occurrence: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,11 +89,25 @@
     public: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Schedule:
+    """A job's steps run `count` times; the first is due at `first_at` (s since the epoch)."""
+
+    count: int
+    first_at: float
+    interval_s: float
+
+    def due_at(self, occurrence: int) -> float:
+        """Return when one of the times is due, in seconds since the epoch."""
+        return self.first_at + occurrence * self.interval_s
+
+
 @dataclass(frozen=True, slots=True)
 class JobSpec:
     """One accepted job; `accepted_at` is in seconds since the epoch.
 
     `queue` is the queue as it was then; it counts when no newer configuration has it.
+    Without a `schedule` the steps run once, from now on.
     """
 
     id: str
@@ -98,6 +116,12 @@
     payload: str
     steps: tuple[StepSpec, ...]
     accepted_at: float
+    schedule: Schedule | None = None
+
+    @property
+    def occurrences(self) -> int:
+        """How many times the steps run."""
+        return self.schedule.count if self.schedule else 1
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
@@ -20,7 +20,6 @@
     Unhealthy,
 )
 from .fleet import ExecutorState
-from .model import TaskKey
 from .owned import OwnedCell
 from .planner import Start
 from .progress import Attempt, Phase
@@ -52,7 +51,7 @@
         checkpoint = _choose_checkpoint(group)
         now = trio.current_time()
         for start in group:
-            key = _task_key(start)
+            key = start.job.key_of(start.step, start.task)
             attempt = Attempt(key, run, start.executor.id, start.step.spec.need, now)
             attempt.moved_at = now
             self.cell.place(start.task, attempt, start.executor)
@@ -67,7 +66,8 @@
         log_event(
             "start.decided",
             job=group[0].job.spec.id,
-            step=group[0].job.steps.index(group[0].step),
+            step=group[0].step.number,
+            occurrence=group[0].step.occurrence,
             tasks=[start.task.index for start in group],
             run=run,
             executors=[start.executor.id for start in group],
@@ -177,11 +177,6 @@
         return False
 
 
-def _task_key(start: Start) -> TaskKey:
-    """Return the key of the task to be started."""
-    return TaskKey(start.job.spec.id, start.job.steps.index(start.step), start.task.index)
-
-
 def _choose_checkpoint(group: list[Start]) -> str:
     """Return the newest checkpoint; any member's is good for its whole gang."""
     newest = max(
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/overview.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/overview.py
@@ -62,7 +62,7 @@
 
 def _describe_guarantees(cell: OwnedCell, desired: DesiredState) -> list[dict[str, Any]]:
     """Return what each tenant may claim, has in use, and could have taken back from others."""
-    guaranteed = find_guaranteed(list(cell.active.values()), desired)
+    guaranteed = find_guaranteed(list(cell.active.values()), desired, cell.parts.wall_clock())
     reclaimable = sum(
         attempt.need.accelerators
         for job in cell.active.values()
@@ -95,12 +95,13 @@
 def describe_job(job: JobState) -> dict[str, Any]:
     """Return a job's tasks with where they run, how far they are, and what failed."""
     tasks = []
-    for number, step in enumerate(job.steps):
+    for step in job.steps:
         for task in step.tasks:
             attempt = task.attempt
             tasks.append(
                 {
-                    "step": number,
+                    "time": step.occurrence,
+                    "step": step.number,
                     "task": task.index,
                     "state": _state_of(task.done, attempt is not None),
                     "executor": attempt.executor if attempt else "",
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
@@ -199,9 +199,9 @@
     def stop_gang(self, attempt: Attempt, reason: str) -> None:
         """Have the other members of an attempt's gang run stopped."""
         job = self.jobs.get(attempt.task.job)
-        if job is None or not job.steps[attempt.task.step].spec.gang:
+        if job is None or not job.step_of(attempt.task).spec.gang:
             return
-        for task in job.steps[attempt.task.step].tasks:
+        for task in job.step_of(attempt.task).tasks:
             other = task.attempt
             if other is not None and other is not attempt and other.run == attempt.run:
                 self.request_stop(other, reason)
@@ -245,7 +245,7 @@
         self, state: ExecutorState, job: JobState, task: TaskState, end: EndedRun
     ) -> None:
         state.note_good()
-        step = job.steps[end.task.step]
+        step = job.step_of(end.task)
         if step.spec.lasting or task.done:
             return
         finished = step.tasks if step.spec.gang else [task]
@@ -264,7 +264,7 @@
         state.failed_streak += 1
         if state.failed_streak >= BAD_AFTER_FAILURES:
             state.note_bad(now)
-        step = job.steps[end.task.step]
+        step = job.step_of(end.task)
         if end.run in task.failed_runs or step.spec.lasting:
             return
         task.failed_runs.add(end.run)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -363,7 +363,7 @@
             return
         for attempt in list(state.attempts.values()):
             job = self.cell.jobs.get(attempt.task.job)
-            if job is not None and job.steps[attempt.task.step].spec.checkpointing:
+            if job is not None and job.step_of(attempt.task).spec.checkpointing:
                 self.cell.request_stop(attempt, "the executor leaves")
                 self.cell.stop_gang(attempt, "a member's executor leaves")
 
@@ -375,7 +375,7 @@
         job = self.cell.jobs.get(attempt.task.job)
         if job is None:
             return
-        step = job.steps[attempt.task.step]
+        step = job.step_of(attempt.task)
         if step.spec.lasting:
             return
         if step.spec.gang and not is_whole(step, attempt):
@@ -392,7 +392,7 @@
         job = self.cell.jobs.get(attempt.task.job)
         if job is None or attempt.phase is not Phase.RUNNING:
             return
-        step = job.steps[attempt.task.step]
+        step = job.step_of(attempt.task)
         if step.spec.lasting or not is_slow(step, attempt) or step.rescues >= MAX_RESCUES:
             return
         left, anew = remaining_s(step, attempt), restarted_s(step, attempt)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -93,7 +93,7 @@
                 room = Room(state, state.free, state.room_soon())
                 self.rooms.setdefault(state.executor.pool, []).append(room)
         self.plan = Plan()
-        self.guaranteed = find_guaranteed(self.jobs, desired)
+        self.guaranteed = find_guaranteed(self.jobs, desired, wall_now)
         self._reserved = 0
         self._full: set[tuple[str, Resources, str, bool]] = set()
         self._urgent_peaks = urgent_peaks or {}
@@ -110,26 +110,36 @@
             if not job.is_active:
                 continue
             queue = self.desired.current_queue(job.spec)
-            for number, step in enumerate(job.steps):
-                if not job.is_ready(step):
+            for step in job.steps:
+                if step.is_done:
+                    continue
+                if not job.is_ready(step, self.wall_now):
+                    self._await_due(step)
                     continue
                 if step.ready_at is None:
                     step.ready_at = self.now
                 tasks = step.open_tasks()
                 if not tasks or (step.spec.gang and any(t.attempt for t in step.tasks)):
                     continue
-                tasks = self._without_doubt(job, number, tasks)
+                tasks = self._without_doubt(job, step, tasks)
                 if not tasks or (step.spec.gang and len(tasks) < len(step.tasks)):
                     continue
-                yield Candidate(job, step, queue, tasks, *self._rank(job, queue))
+                yield Candidate(job, step, queue, tasks, *self._rank(job, step, queue))
+
+    def _await_due(self, step: StepState) -> None:
+        """Have a plan made when a step's time comes."""
+        if step.due_at is not None and step.due_at > self.wall_now:
+            self._recheck(step.due_at - self.wall_now)
 
-    def _without_doubt(self, job: JobState, number: int, tasks: list[TaskState]) -> list[TaskState]:
+    def _without_doubt(
+        self, job: JobState, step: StepState, tasks: list[TaskState]
+    ) -> list[TaskState]:
         """Leave out the tasks that an earlier owner's run may still be working on."""
-        return [t for t in tasks if not self._may_run(TaskKey(job.spec.id, number, t.index))]
+        return [t for t in tasks if not self._may_run(job.key_of(step, t))]
 
-    def _rank(self, job: JobState, queue: Queue) -> tuple[bool, tuple[float, ...]]:
+    def _rank(self, job: JobState, step: StepState, queue: Queue) -> tuple[bool, tuple[float, ...]]:
         guaranteed = job.spec.id in self.guaranteed
-        latest, last_useful = latest_starts(job, queue, self.now, self.wall_now)
+        latest, last_useful = latest_starts(job, step, queue, self.now, self.wall_now)
         first = 0 if guaranteed else 1
         if queue.priority == URGENT:
             return guaranteed, (0, first, latest < self.now, queue.priority, latest)
@@ -484,15 +494,15 @@
 
     def _whole_gang(self, attempt: Attempt) -> list[Attempt]:
         job = self._job(attempt)
-        if job is None or not job.steps[attempt.task.step].spec.gang:
+        if job is None or not job.step_of(attempt.task).spec.gang:
             return [attempt]
-        tasks = job.steps[attempt.task.step].tasks
+        tasks = job.step_of(attempt.task).tasks
         return [t.attempt for t in tasks if t.attempt is not None]
 
     def _loss(self, attempt: Attempt) -> float:
         """Return the core-seconds that are lost when an attempt is stopped now."""
         job = self._job(attempt)
-        step = job.steps[attempt.task.step].spec if job else None
+        step = job.step_of(attempt.task).spec if job else None
         total = 0.01
         for member in self._whole_gang(attempt):
             elapsed = max(0.0, self.now - (member.began_at or member.ordered_at))
@@ -549,13 +559,15 @@
     return counts
 
 
-def find_guaranteed(jobs: list[JobState], desired: DesiredState) -> set[str]:
+def find_guaranteed(jobs: list[JobState], desired: DesiredState, wall_now: float) -> set[str]:
     """Return the urgent jobs that lie within their tenants' guarantees, oldest first."""
     left = {tenant.name: tenant.guaranteed for tenant in desired.tenants}
     found = set()
     for job in sorted(jobs, key=lambda j: j.spec.accepted_at):
         if desired.current_queue(job.spec).priority != URGENT or not job.is_active:
             continue
+        if not job.is_due(wall_now):
+            continue
         wanted = max(s.spec.count * s.spec.need.accelerators for s in job.steps)
         room = left.get(job.spec.tenant, 0)
         if wanted <= room:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
@@ -62,10 +62,16 @@
 
 @dataclass(slots=True, eq=False)
 class StepState:
-    """One step; `ready_at` is when its turn came (trio's clock), None before."""
+    """One step of one occurrence; `ready_at` is when its turn came (trio's clock), None before.
+
+    `due_at` is when its occurrence may begin (s since the epoch), None for at once.
+    """
 
     spec: StepSpec
     tasks: list[TaskState]
+    number: int = 0
+    occurrence: int = 0
+    due_at: float | None = None
     ready_at: float | None = None
     chosen_rack: str | None = None
     best_ratio: float = float("inf")
@@ -92,6 +98,7 @@
 class JobState:
     """A job that this owner knows; `recorded` is the status that the store has.
 
+    `steps` holds those of the first occurrence, then those of the next one, and so on.
     `created` is the store's revision at which it was taken in, 0 if that isn't known yet.
     """
 
@@ -133,18 +140,35 @@
 
     def task(self, key: TaskKey) -> TaskState | None:
         """Return one of its tasks, if it has it."""
-        if not 0 <= key.step < len(self.steps):
+        if not 0 <= key.step < len(self.spec.steps):
             return None
-        tasks = self.steps[key.step].tasks
+        if not 0 <= key.occurrence < self.spec.occurrences:
+            return None
+        tasks = self.step_of(key).tasks
         return tasks[key.member] if 0 <= key.member < len(tasks) else None
 
+    def step_of(self, key: TaskKey) -> StepState:
+        """Return the step of one of its tasks."""
+        return self.steps[key.occurrence * len(self.spec.steps) + key.step]
+
+    def key_of(self, step: StepState, task: TaskState) -> TaskKey:
+        """Return the key of one of its tasks."""
+        return TaskKey(self.spec.id, step.number, task.index, step.occurrence)
+
     def attempts(self) -> list[Attempt]:
         """Return all attempts that may be anywhere."""
         return [t.attempt for s in self.steps for t in s.tasks if t.attempt is not None]
 
-    def is_ready(self, step: StepState) -> bool:
-        """Whether all steps before a step are done."""
-        return all(self.steps[number].is_done for number in step.spec.after)
+    def is_ready(self, step: StepState, wall_now: float) -> bool:
+        """Whether a step's time has come and all steps before it are done."""
+        if step.due_at is not None and wall_now < step.due_at:
+            return False
+        first = step.occurrence * len(self.spec.steps)
+        return all(self.steps[first + number].is_done for number in step.spec.after)
+
+    def is_due(self, wall_now: float) -> bool:
+        """Whether any of its times has come."""
+        return self.spec.schedule is None or wall_now >= self.spec.schedule.first_at
 
     def to_record(self) -> ProgressRecord:
         """Return what must outlast the owner."""
@@ -173,10 +197,20 @@
 
 def make_job(spec: JobSpec, now: float) -> JobState:
     """Return the state of a job of which nothing has run."""
-    steps = [StepState(step, [TaskState(i) for i in range(step.count)]) for step in spec.steps]
+    steps = [
+        _make_step(spec, occurrence, number)
+        for occurrence in range(spec.occurrences)
+        for number in range(len(spec.steps))
+    ]
     return JobState(spec, steps, arrived_at=now)
 
 
+def _make_step(spec: JobSpec, occurrence: int, number: int) -> StepState:
+    step = spec.steps[number]
+    due_at = spec.schedule.due_at(occurrence) if spec.schedule else None
+    return StepState(step, [TaskState(i) for i in range(step.count)], number, occurrence, due_at)
+
+
 def longest_chain_s(spec: JobSpec) -> float:
     """Return the longest chain of estimated step times (s)."""
     ends: list[float] = []
@@ -186,9 +220,13 @@
     return max(ends, default=0.0)
 
 
-def latest_starts(job: JobState, queue: Queue, now: float, wall_now: float) -> tuple[float, float]:
-    """Return when (trio's clock) the rest must start to be on time, and to be of any worth."""
+def latest_starts(
+    job: JobState, step: StepState, queue: Queue, now: float, wall_now: float
+) -> tuple[float, float]:
+    """Return when (trio's clock) a step must start to be on time, and to be of any worth."""
     objective = queue.stretch * longest_chain_s(job.spec) + queue.target_s
-    begun = job.spec.accepted_at - wall_now + now
-    left = max((s.spec.estimate_s for s in job.steps if not s.is_done), default=0.0)
+    asked_at = job.spec.accepted_at if step.due_at is None else step.due_at
+    begun = asked_at - wall_now + now
+    rest = [s for s in job.steps if s.occurrence == step.occurrence and not s.is_done]
+    left = max((s.spec.estimate_s for s in rest), default=0.0)
     return begun + objective - left, begun + LATE_FACTOR * objective - left
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass, field
+from dataclasses import astuple, dataclass, field
 from enum import StrEnum
 from typing import Any
 
-from .model import JobSpec, Queue, Resources, StepSpec
+from .model import JobSpec, Queue, Resources, Schedule, StepSpec
 
 
 class JobStatus(StrEnum):
@@ -45,6 +45,8 @@
         }
         if self.cancelled:
             value["cancelled"] = True
+        if spec.schedule is not None:
+            value["schedule"] = list(astuple(spec.schedule))
         return json.dumps(value, separators=(",", ":")).encode()
 
     @classmethod
@@ -59,6 +61,7 @@
             value["payload"],
             steps,
             value["accepted"],
+            Schedule(*value["schedule"]) if "schedule" in value else None,
         )
         return cls(spec, value.get("cancelled", False))
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/speed.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/speed.py
@@ -33,7 +33,7 @@
         return
     gained = percent - attempt.measured_percent
     attempt.measured_at, attempt.measured_percent = now, percent
-    step = job.steps[attempt.task.step]
+    step = job.step_of(attempt.task)
     if step.spec.gang and not is_whole(step, attempt):
         return
     expected = elapsed / max(0.05, step.spec.estimate_s) * 100 / far_factor
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
@@ -165,7 +165,7 @@
 
     def _far_factor(self, job: JobState, attempt: Attempt) -> float:
         """Return how many times as long the attempt takes because of where it runs."""
-        step = job.steps[attempt.task.step]
+        step = job.step_of(attempt.task)
         far = self.cell.parts.timing.far_factor
         if step.spec.data_rack and self.state.executor.rack != step.spec.data_rack:
             return far
@@ -181,7 +181,7 @@
         job = self.cell.jobs[run.task.job]
         task = self.cell.find_task(run.task)
         assert task is not None
-        step = job.steps[run.task.step]
+        step = job.step_of(run.task)
         attempt = Attempt(run.task, run.run, self.state.id, step.spec.need, received)
         attempt.phase = Phase.RUNNING
         attempt.settled_at = received
--- a/packages/heronthread-emulator/src/heronthread_emulator/checker.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/checker.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from collections.abc import Iterator
 from dataclasses import dataclass
 
-from heronthread_dispatch.model import TaskKey
+from heronthread_dispatch.model import JobSpec, StepSpec, TaskKey
 from heronthread_dispatch.record import JobRecord, JobStatus
 
 from .executors import EmulatedExecutors, Event
@@ -41,6 +42,7 @@
         found += _check_one_at_a_time(task, events)
         found += _check_done_for_good(task, events, executors)
         found += _check_budget(task, events, told)
+        found += _check_due(task, events, told)
     found += _check_tokens(executors.events)
     found += _check_told(by_task, told)
     return found
@@ -92,6 +94,16 @@
     return found
 
 
+def _check_due(task: TaskKey, events: list[Event], told: dict[str, Told]) -> list[Violation]:
+    known = told.get(task.job)
+    schedule = known.record.spec.schedule if known else None
+    if schedule is None:
+        return []
+    due_at = schedule.due_at(task.occurrence)
+    early = [event for event in events if event.what == "start" and event.at < due_at]
+    return [Violation("nothing starts before its time", f"{task} {event}") for event in early]
+
+
 def _check_tokens(events: list[Event]) -> list[Violation]:
     highest: dict[str, int] = {}
     found = []
@@ -128,24 +140,28 @@
 
 def _check_all_done(job: str, known: Told, by_task: dict[TaskKey, list[Event]]) -> list[Violation]:
     found = []
-    for number, step in enumerate(known.record.spec.steps):
-        done = [
-            any(e.what == "done" for e in by_task.get(TaskKey(job, number, index), ()))
-            for index in range(step.count)
-        ]
+    for step, tasks in _list_steps(known.record.spec):
+        done = [any(e.what == "done" for e in by_task.get(task, ())) for task in tasks]
         if not all(done) and not (step.gang and any(done)):
             found.append(Violation("succeeded means all is done", job))
     return found
 
 
+def _list_steps(spec: JobSpec) -> Iterator[tuple[StepSpec, list[TaskKey]]]:
+    """Yield each step of each time with its tasks."""
+    for occurrence in range(spec.occurrences):
+        for number, step in enumerate(spec.steps):
+            yield step, [TaskKey(spec.id, number, i, occurrence) for i in range(step.count)]
+
+
 def _failed_often(job: str, known: Told, by_task: dict[TaskKey, list[Event]]) -> bool:
     limit = known.record.spec.queue.max_attempts
-    for number, step in enumerate(known.record.spec.steps):
+    for step, tasks in _list_steps(known.record.spec):
         runs: dict[int, set[int]] = defaultdict(set)
-        for index in range(step.count):
-            for event in by_task.get(TaskKey(job, number, index), ()):
+        for task in tasks:
+            for event in by_task.get(task, ()):
                 if event.what == "failed":
-                    runs[0 if step.gang else index].add(event.run)
+                    runs[0 if step.gang else task.member].add(event.run)
         if any(len(numbers) >= limit for numbers in runs.values()):
             return True
     return False
--- a/packages/heronthread-emulator/src/heronthread_emulator/executors.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/executors.py
@@ -174,7 +174,7 @@
             for e in self.by_id.values()
             if not e.is_gone
             for r in e.running.values()
-            if r.task[:2] == run.task[:2] and r.run == run.run
+            if r.task._replace(member=0) == run.task._replace(member=0) and r.run == run.run
         ]
 
     def _end(self, executor: EmulatedExecutor, run: Run, kind: EndKind) -> None:
--- a/packages/heronthread-emulator/src/heronthread_emulator/site.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/site.py
@@ -19,6 +19,7 @@
     JobSpec,
     Queue,
     Resources,
+    Schedule,
     StepSpec,
     Tenant,
 )
@@ -238,6 +239,7 @@
         accelerators: int = 1,
         work_s: float = 2.0,
         gang: bool = False,
+        schedule: Schedule | None = None,
         **more: object,
     ) -> JobRecord:
         """Return a job of one step, and let the executors know what it does."""
@@ -246,6 +248,12 @@
         self.executors.specs[job_id] = {0: WorkSpec(need, work_s, count if gang else 1)}
         state = make_state()
         spec = JobSpec(
-            job_id, state.by_name[queue], tenant, "payload", (step,), trio.current_time()
+            job_id,
+            state.by_name[queue],
+            tenant,
+            "payload",
+            (step,),
+            trio.current_time(),
+            schedule,
         )
         return JobRecord(spec)
--- a/packages/heronthread-emulator/src/heronthread_emulator/soak.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak.py
@@ -10,6 +10,7 @@
 import trio
 import trio.testing
 from heronthread_dispatch.intake import NotTaken, Taken, Unsettled
+from heronthread_dispatch.model import Schedule
 from heronthread_dispatch.owner import JobView
 from trio._core import _run as trio_run
 
@@ -22,6 +23,7 @@
 HOSTS = 4
 EXECUTORS = 6
 CALLER_TRIES = 5
+SCHEDULED_SHARE = 0.2
 
 
 @dataclass(slots=True)
@@ -105,6 +107,7 @@
             work_s=self.random.uniform(0.5, 5.0),
             gang=gang,
             checkpointing=self.random.random() < 0.4,
+            schedule=self._choose_schedule(),
         )
         told = self.told[job_id] = Told(record)
         for _ in range(self.random.choice([1, CALLER_TRIES])):
@@ -118,6 +121,12 @@
                 return
             await trio.sleep(1.0)
 
+    def _choose_schedule(self) -> Schedule | None:
+        if self.random.random() >= SCHEDULED_SHARE:
+            return None
+        first_at = trio.current_time() + self.random.uniform(-1.0, 5.0)
+        return Schedule(self.random.randint(1, 3), first_at, self.random.uniform(0.5, 4.0))
+
     async def _settle(self) -> None:
         """Mend everything, then wait until every taken job is final or time is up."""
         self.site.mend()
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -68,6 +68,8 @@
         ({"data": json.dumps({"steps": [{"gpus": "x"}]})}, 400, "gpus"),
         ({"data": json.dumps({"steps": [{"after": [0]}]})}, 400, "earlier"),
         ({"data": json.dumps({"steps": [{}, {"after": [5]}]})}, 400, "earlier"),
+        ({"data": json.dumps({"steps": [{}], "repeat-count": -1})}, 400, "repeat-count"),
+        ({"data": json.dumps({"steps": [{"count": 9}], "repeat-count": 9_000})}, 400, "50000"),
         ({"data": json.dumps({"spec": "x" * 4_001, "steps": [{}]})}, 413, "bytes"),
         ({"data": "x" * 3_000}, 413, "bytes"),
         ({"method": "PUT"}, 405, "PUT"),
@@ -85,6 +87,18 @@
         assert site.executors.starts() == []
 
 
+async def test_job_with_times_is_not_begun_early(autojump_clock: trio.testing.MockClock) -> None:
+    async with EmulatedSite.open(hosts=1) as site:
+        client = await _open(site)
+        start_at_ms = int((trio.current_time() + 3.0) * 1000)
+        job = {**JOB, "repeat-count": 2, "start-at-ms": start_at_ms, "interval-ms": 1500}
+        assert (await client.ask("POST", data=json.dumps(job)))[0] == 200
+        await trio.sleep(2.9)
+        assert site.executors.starts() == []
+        await trio.sleep(2.0)
+        assert [start.task.occurrence for start in site.executors.starts()] == [0, 1]
+
+
 async def test_job_of_another_tenant_is_not_there(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
--- a/tests/platform/test_executors.py
+++ b/tests/platform/test_executors.py
@@ -27,6 +27,25 @@
     return Executor("i-1", address, "pool", "zone", "r1", (), Resources(1, 1, 1))
 
 
+async def test_task_of_a_later_time_is_named_by_it() -> None:
+    name = "5c0e7a21d94b36f8.3.1.17"
+
+    def answer(call: Call) -> tuple[int, object]:
+        assert call.body["task"] == name
+        return 200, {"clock-ms": 5, "running": [[name, 2, "", 41]]}
+
+    async with scripted(answer) as server:
+        with HttpClient() as client:
+            link = PlatformExecutors(client)
+            executor, task = _executor(server.address), TASK._replace(occurrence=3)
+            assert await link.stop(executor, StopOrder(task, 2, 7)) == Obeyed()
+        with HttpClient() as client:
+            server.answer = lambda call: (200, {"clock-ms": 5, "running": [[name, 2, "", 41]]})
+            report = await PlatformExecutors(client).hold(executor, HoldOrder(7, 0, None, 0.0))
+            assert isinstance(report, Report)
+            assert report.running[0].task == task
+
+
 async def test_start_is_spelled_as_the_protocol_says() -> None:
     def answer(call: Call) -> tuple[int, object]:
         return 200, {"clock-ms": 5}
--- a/tests/platform/test_fuzz.py
+++ b/tests/platform/test_fuzz.py
@@ -16,7 +16,7 @@
 from heronthread_dispatch.http_client import HttpClient, Reply
 from heronthread_dispatch.keystore import Events, HistoryLost, Item, Listing, Missing, Transaction
 from heronthread_dispatch.model import DesiredState, Executor, Resources
-from heronthread_platform.callers import read_job_body
+from heronthread_platform.callers import JobBody, read_job_body
 from heronthread_platform.configuration import CONFIGURATION
 from heronthread_platform.executors import DIRECTORY, PlatformExecutors
 from heronthread_platform.store import PlatformStore
@@ -35,7 +35,10 @@
         for name in ("count", "cpu", "mem-mb", "gpus", "after", "gang", "requirements", "affinity")
     },
 )
-JOB = st.fixed_dictionaries({}, optional={"spec": VALUES, "steps": st.lists(STEP) | VALUES})
+TIMES = {name: VALUES for name in ("repeat-count", "start-at-ms", "interval-ms")}
+JOB = st.fixed_dictionaries(
+    {}, optional={"spec": VALUES, "steps": st.lists(STEP) | VALUES, **TIMES}
+)
 CONFIG = st.fixed_dictionaries(
     {},
     optional={"version": VALUES, "routes": VALUES, "tenants": VALUES, "limits": VALUES},
@@ -69,13 +72,13 @@
 @given(JOB | VALUES)
 def test_any_body_is_a_job_or_a_reason(value: object) -> None:
     found = read_job_body(_encode(value))
-    assert isinstance(found, str | tuple)
+    assert isinstance(found, str | JobBody)
 
 
 @FIXED
 @given(st.binary(max_size=40))
 def test_any_bytes_are_a_reason(data: bytes) -> None:
-    assert isinstance(read_job_body(data), str | tuple)
+    assert isinstance(read_job_body(data), str | JobBody)
     assert CONFIGURATION.parse(data) is None or isinstance(CONFIGURATION.parse(data), DesiredState)
     DIRECTORY.parse("i-1", data)
 
