Move a run only for its executor's sake, not because it is longer than others

The speed of a task was compared with the fastest of its step, though callers' steps are uneven: 68 tasks were stopped up to 12 times each at one ratio on one executor after another (job 22d2fa: 8 stops at 3.45 to 3.73). Change: a run that becomes several times slower than it was itself shows its executor slow; one that is behind the median of its step is moved at most once, and not if its executor did well with other runs at the time. A speed is read off once enough has been gained, since progress comes in whole percents. A test of longer tasks on sound executors fails before; one of an executor that becomes slow under a lone run is new.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -22,7 +22,7 @@
 from .record import JobRecord, JobStatus, ProgressRecord
 from .recorder import PROGRESS_PREFIX, Deposed, progress_key
 from .retention import remove_old_jobs
-from .speed import is_slow, is_whole, remaining_s, restarted_s
+from .speed import is_whole, remaining_s, restarted_s, should_move
 from .tenure import Term
 from .watching import ExecutorWatch
 
@@ -341,7 +341,7 @@
                     self._move_from(state, now)
                 for attempt in list(state.attempts.values()):
                     self._check_stall(state, attempt, now)
-                    self._check_speed(attempt)
+                    self._check_speed(state, attempt, now)
 
     def _check_gangs(self, job: JobState, now: float) -> None:
         """Stop what is left of a gang run whose other members are nowhere any more."""
@@ -387,13 +387,16 @@
         self.cell.request_stop(attempt, "no progress")
         self.cell.stop_gang(attempt, "a member makes no progress")
 
-    def _check_speed(self, attempt: Attempt) -> None:
+    def _check_speed(self, state: ExecutorState, attempt: Attempt, now: float) -> None:
         """Start anew what is so slow that this ends sooner, where there is room for it."""
         job = self.cell.jobs.get(attempt.task.job)
         if job is None or attempt.phase is not Phase.RUNNING:
             return
         step = job.step_of(attempt.task)
-        if step.spec.lasting or not is_slow(step, attempt) or step.rescues >= MAX_RESCUES:
+        task = job.task(attempt.task)
+        if task is None or step.spec.lasting or step.rescues >= MAX_RESCUES:
+            return
+        if not should_move(step, task, attempt, state, now):
             return
         left, anew = remaining_s(step, attempt), restarted_s(step, attempt)
         if left < RESCUE_GAIN * anew + 2 * self.parts.timing.stop_s:
@@ -402,12 +405,16 @@
         if not self._has_sound_room(step, members):
             return
         step.rescues += 1
+        for member in step.tasks if step.spec.gang else [task]:
+            member.moves += 1
         log_event(
             "attempt.slow",
             job=job.spec.id,
             step=attempt.task.step,
             executor=attempt.executor,
             ratio=attempt.ratio,
+            rate=round(attempt.rate, 2),
+            best_rate=round(attempt.best_rate, 2),
             left_s=round(left, 2),
             anew_s=round(anew, 2),
         )
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
@@ -26,6 +26,9 @@
 
     Times are on trio's clock. `settled_at` is when an answer proved the last order carried
     out; a report asked for later must name the run. `moved_at` is when `percent` last rose.
+    `rate` is the last measured speed (percent a second) and `best_rate` the highest one;
+    `ratio` is the time that it takes over the time that was estimated. `is_long`: it was
+    behind its step while its executor did well with others, so it is the task itself.
     """
 
     task: TaskKey
@@ -44,11 +47,17 @@
     measured_at: float | None = None
     measured_percent: float = 0.0
     ratio: float | None = None
+    rate: float = 0.0
+    best_rate: float = 0.0
+    is_long: bool = False
 
 
 @dataclass(slots=True, eq=False)
 class TaskState:
-    """One task; it has at most one attempt that may be anywhere."""
+    """One task; it has at most one attempt that may be anywhere.
+
+    `moves` counts the attempts stopped because others of its step were faster.
+    """
 
     index: int
     done: bool = False
@@ -58,6 +67,7 @@
     last_run: int = 0
     attempt: Attempt | None = None
     avoid: dict[str, float] = field(default_factory=dict)
+    moves: int = 0
 
 
 @dataclass(slots=True, eq=False)
@@ -65,6 +75,7 @@
     """One step of one occurrence; `ready_at` is when its turn came (trio's clock), None before.
 
     `due_at` is when its occurrence may begin (s since the epoch), None for at once.
+    `ratios` holds each task's last measured time over the estimate.
     """
 
     spec: StepSpec
@@ -74,7 +85,7 @@
     due_at: float | None = None
     ready_at: float | None = None
     chosen_rack: str | None = None
-    best_ratio: float = float("inf")
+    ratios: dict[int, float] = field(default_factory=dict)
     rescues: int = 0
     partial_since: float | None = None
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/speed.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/speed.py
@@ -1,19 +1,27 @@
 """How fast runs get on, and which executors are slow for now.
 
-A caller's estimate may be far off, so the tasks of a step are compared with each other;
-a gang, whose members get on together, is compared with its estimate.
+A run that gets much slower than it was itself shows that its executor has become slow. A run
+that is slower than others of its step may just be longer: the callers' estimates may be far
+off, and the tasks of a step may differ. Such a run speaks against its executor only if no
+other run there does well, and its task is moved for it once.
 """
 
 from __future__ import annotations
 
+from statistics import median
+
 from .fleet import ExecutorState
-from .progress import Attempt, JobState, Phase, StepState
+from .progress import Attempt, JobState, Phase, StepState, TaskState
 
 MEASURE_S = 0.6
+LONGEST_MEASURE_S = 3.0
+CLEAR_GAIN = 5.0
+CLEAR_LOSS = 10.0
 SLOW_RATIO = 3.2
 SLOW_FOR_S = 6.0
 HEALTHY_S = 1.5
 LONGEST_RATIO = 50.0
+LEAST_COMPARED = 3
 
 
 def measure_speed(
@@ -24,57 +32,95 @@
     now: float,
     far_factor: float,
 ) -> None:
-    """Take in a reading of `percent`; the attempt's `ratio` is its time over that expected."""
+    """Take in a reading of `percent` once it tells the speed since the last one."""
     if attempt.measured_at is None:
         attempt.measured_at, attempt.measured_percent = now, percent
         return
+    step = job.step_of(attempt.task)
     elapsed = now - attempt.measured_at
-    if elapsed < MEASURE_S or attempt.phase is not Phase.RUNNING:
-        return
     gained = percent - attempt.measured_percent
+    if attempt.phase is not Phase.RUNNING or not _is_telling(attempt, elapsed, gained):
+        return
     attempt.measured_at, attempt.measured_percent = now, percent
-    step = job.step_of(attempt.task)
     if step.spec.gang and not is_whole(step, attempt):
         return
+    attempt.rate = gained / elapsed
+    attempt.best_rate = max(attempt.best_rate, attempt.rate)
     expected = elapsed / max(0.05, step.spec.estimate_s) * 100 / far_factor
-    ratio = min(LONGEST_RATIO, expected / gained) if gained > 0 else LONGEST_RATIO
-    attempt.ratio = ratio
-    _judge(step, state, ratio, now)
+    attempt.ratio = min(LONGEST_RATIO, expected / gained) if gained > 0 else LONGEST_RATIO
+    step.ratios[attempt.task.member] = attempt.ratio
+    _judge(step, state, attempt, now)
 
 
-def _judge(step: StepState, state: ExecutorState, ratio: float, now: float) -> None:
-    if step.spec.gang:
-        relative = ratio
-    else:
-        step.best_ratio = min(step.best_ratio, ratio)
-        relative = ratio / step.best_ratio
-    if relative < SLOW_RATIO:
+def _is_telling(attempt: Attempt, elapsed: float, gained: float) -> bool:
+    """Whether a reading is far enough from the last one; `percent` may come in whole numbers."""
+    if elapsed < MEASURE_S:
+        return False
+    would_show = elapsed * attempt.best_rate >= CLEAR_LOSS
+    return gained >= CLEAR_GAIN or would_show or elapsed >= LONGEST_MEASURE_S
+
+
+def _judge(step: StepState, state: ExecutorState, attempt: Attempt, now: float) -> None:
+    if has_slowed(attempt):
+        state.slow_until = now + SLOW_FOR_S
+    elif not _is_behind(step, attempt):
         state.healthy_at = now
         state.slow_until = 0.0
-    elif not step.spec.gang or now - state.healthy_at > HEALTHY_S:
+    elif now - state.healthy_at <= HEALTHY_S:
+        attempt.is_long = True
+    elif not attempt.is_long:
         state.slow_until = now + SLOW_FOR_S
 
 
-def is_slow(step: StepState, attempt: Attempt) -> bool:
-    """Whether an attempt takes several times as long as others of its step, or as expected."""
-    if attempt.ratio is None:
-        return False
+def has_slowed(attempt: Attempt) -> bool:
+    """Whether an attempt is several times slower than it was before."""
+    return attempt.best_rate > 0 and attempt.rate * SLOW_RATIO <= attempt.best_rate
+
+
+def usual_ratio(step: StepState) -> float | None:
+    """Return what the tasks of a step take over their estimate; None if that isn't known.
+
+    A gang's members get on together, so there is nothing to compare them with.
+    """
     if step.spec.gang:
-        return attempt.ratio >= SLOW_RATIO
-    return attempt.ratio >= SLOW_RATIO * step.best_ratio
+        return 1.0
+    if len(step.ratios) < LEAST_COMPARED:
+        return None
+    return median(step.ratios.values())
+
+
+def _is_behind(step: StepState, attempt: Attempt) -> bool:
+    usual = usual_ratio(step)
+    if usual is None or attempt.ratio is None:
+        return False
+    return attempt.ratio >= SLOW_RATIO * usual
+
+
+def should_move(
+    step: StepState, task: TaskState, attempt: Attempt, state: ExecutorState, now: float
+) -> bool:
+    """Whether an attempt is so slow, for its executor's sake, that it may do better elsewhere."""
+    if has_slowed(attempt):
+        return True
+    may_be_long = attempt.is_long or task.moves > 0
+    return not may_be_long and state.slow_until > now and _is_behind(step, attempt)
 
 
 def remaining_s(step: StepState, attempt: Attempt) -> float:
     """Return the time that an attempt still takes at its present speed."""
+    if attempt.rate > 0:
+        return (100 - attempt.percent) / attempt.rate
     ratio = attempt.ratio if attempt.ratio is not None else 1.0
     return step.spec.estimate_s * ratio * (1 - attempt.percent / 100)
 
 
 def restarted_s(step: StepState, attempt: Attempt) -> float:
     """Return the time that the rest would take on a sound executor."""
-    usual = 1.0 if step.spec.gang else min(step.best_ratio, LONGEST_RATIO)
     kept = attempt.percent / 100 if step.spec.checkpointing else 0.0
-    return step.spec.estimate_s * usual * (1 - kept)
+    if has_slowed(attempt):
+        return 100 / attempt.best_rate * (1 - kept)
+    usual = usual_ratio(step)
+    return step.spec.estimate_s * (1.0 if usual is None else usual) * (1 - kept)
 
 
 def is_whole(step: StepState, attempt: Attempt) -> bool:
--- a/packages/heronthread-emulator/src/heronthread_emulator/executors.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/executors.py
@@ -116,11 +116,15 @@
 
 
 class EmulatedExecutors:
-    """All executors of a site, as one `ExecutorLink`, and what happened on them."""
+    """All executors of a site, as one `ExecutorLink`, and what happened on them.
+
+    `lengths` names tasks that work longer (s) than their step says.
+    """
 
     def __init__(self) -> None:
         self.by_id: dict[str, EmulatedExecutor] = {}
         self.specs: dict[str, dict[int, WorkSpec]] = {}
+        self.lengths: dict[TaskKey, float] = {}
         self.events: list[Event] = []
         self.taken_note: set[tuple[str, int]] = set()
         self.lapses: list[tuple[str, float]] = []
@@ -293,7 +297,7 @@
             order.task,
             order.run,
             work.need,
-            work.work_s,
+            self.lengths.get(order.task, work.work_s),
             members=work.members,
             arrived_at=trio.current_time(),
             kind=work.kind,
