Keep headroom by what urgent work wanted, in whole racks, and break into it only when due

Headroom counted what urgent work held, not what it waited for; it was at most a fifth; it was strewn over racks though most urgent gangs are to share one; and any job that had waited 1.5 s broke into it. Change: the recent peak counts what waits as well; up to two fifths; the emptiest rack first; an idle job breaks in once it would be late otherwise, or while under 0.6 of the pool is in use (no job stands beside an idle pool). Room and headroom are modules of their own.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -320,7 +320,7 @@
             self.cell.may_run_elsewhere,
         )
         plan = planner.make()
-        self._urgent.note(trio.current_time(), planner.urgent_in_use())
+        self._urgent.note(trio.current_time(), planner.urgent_demand())
         for attempt in plan.stops:
             self.cell.request_stop(attempt, "taken back for urgent work")
         for group in plan.groups:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -6,17 +6,19 @@
 from dataclasses import dataclass, field
 
 from .fleet import ExecutorState
-from .model import DesiredState, Queue, Resources, StepSpec, TaskKey
+from .headroom import Headroom
+from .model import DesiredState, Queue, Resources, TaskKey
 from .progress import Attempt, JobState, Phase, StepState, TaskState, latest_starts
+from .room import Room, count_members, group_by_rack, holds_when_empty
 
 URGENT = 0
 REMOTE_PATIENCE_S = 1.2
 SPREAD_PATIENCE_S = 1.5
 RESERVATIONS = 2
-HEADROOM_SHARE = 0.2
 ENDS_SOON_S = 0.5
 END_PATIENCE_S = 0.8
 HEADROOM_PATIENCE_S = 1.5
+DUE_MARGIN_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,27 +40,12 @@
     recheck_in_s: float | None = None
 
 
-@dataclass(slots=True, eq=False)
-class Room:
-    """What is left at one executor while a plan is made."""
-
-    state: ExecutorState
-    now: Resources
-    soon: Resources
-
-    def take(self, need: Resources) -> None:
-        """Use room for one task."""
-        self.now = self.now.minus(need)
-        self.soon = self.soon.minus(need)
-
-    def fits(self, need: Resources) -> bool:
-        """Whether one more task fits now without what was promised to others."""
-        return need.fits_in(self.now) and need.fits_in(self.soon)
-
-
 @dataclass(slots=True, eq=False)
 class Candidate:
-    """A step that has tasks to start, with what decides its turn."""
+    """A step that has tasks to start, with what decides its turn.
+
+    `latest` is when (trio's clock) it must start to be on time.
+    """
 
     job: JobState
     step: StepState
@@ -66,6 +53,7 @@
     tasks: list[TaskState]
     guaranteed: bool
     order: tuple[float, ...]
+    latest: float
 
 
 class Planner:
@@ -96,8 +84,8 @@
         self.guaranteed = find_guaranteed(self.jobs, desired, wall_now)
         self._reserved = 0
         self._full: set[tuple[str, Resources, str, bool]] = set()
-        self._urgent_peaks = urgent_peaks or {}
-        self._headroom: set[str] | None = None
+        self._headroom = Headroom(self.rooms, urgent_peaks or {})
+        self._urgent_missing: dict[str, int] = {}
 
     def make(self) -> Plan:
         """Return what to start and what to take back now."""
@@ -137,15 +125,17 @@
         """Leave out the tasks that an earlier owner's run may still be working on."""
         return [t for t in tasks if not self._may_run(job.key_of(step, t))]
 
-    def _rank(self, job: JobState, step: StepState, queue: Queue) -> tuple[bool, tuple[float, ...]]:
+    def _rank(
+        self, job: JobState, step: StepState, queue: Queue
+    ) -> tuple[bool, tuple[float, ...], float]:
         guaranteed = job.spec.id in self.guaranteed
         latest, last_useful = latest_starts(job, step, queue, self.now, self.wall_now)
         first = 0 if guaranteed else 1
         if queue.priority == URGENT:
-            return guaranteed, (0, first, latest < self.now, queue.priority, latest)
+            return guaranteed, (0, first, latest < self.now, queue.priority, latest), latest
         lateness = (latest < self.now) + (last_useful < self.now)
         due = last_useful if lateness else latest
-        return guaranteed, (1, lateness, first, queue.priority, due)
+        return guaranteed, (1, lateness, first, queue.priority, due), latest
 
     def _serve(self, candidate: Candidate) -> None:
         rooms = self._usable(candidate)
@@ -160,6 +150,9 @@
             self.plan.groups.append(group)
         missing = len(candidate.tasks) - len(placed)
         if missing and candidate.queue.priority == URGENT:
+            pool = candidate.queue.pool
+            needed = missing * candidate.step.spec.need.accelerators
+            self._urgent_missing[pool] = self._urgent_missing.get(pool, 0) + needed
             self._take_back(candidate, candidate.tasks[-missing:], rooms)
         elif missing and candidate.step.spec.gang:
             self._reserve(candidate, rooms)
@@ -175,33 +168,27 @@
         return rooms
 
     def _keeps_out(self, candidate: Candidate) -> bool:
-        """Whether a candidate leaves the headroom for urgent work alone."""
+        """Whether a candidate leaves the headroom for urgent work alone.
+
+        One that has nothing running waits no longer once it would be late otherwise, nor
+        while much of the pool is idle.
+        """
         if candidate.queue.priority == URGENT:
             return False
-        idle = not candidate.job.attempts()
-        return not (idle and self._waited(candidate) >= HEADROOM_PATIENCE_S)
+        if candidate.job.attempts() or self._waited(candidate) < HEADROOM_PATIENCE_S:
+            return True
+        is_due = self.now >= candidate.latest - DUE_MARGIN_S
+        return not (is_due or self._headroom.is_mostly_idle(candidate.queue.pool))
 
-    def _find_headroom(self) -> set[str]:
-        """Choose the emptiest executors, with as much room as urgent work lately used more.
+    def _find_headroom(self) -> frozenset[str]:
+        return self._headroom.choose(self.urgent_in_use())
 
-        Stopping others' work costs that work, and the urgent job the time of the stops.
-        """
-        if self._headroom is None:
-            self._headroom = set()
-            for pool, rooms in self.rooms.items():
-                self._choose_headroom(pool, rooms)
-        return self._headroom
-
-    def _choose_headroom(self, pool: str, rooms: list[Room]) -> None:
-        assert self._headroom is not None
-        total = sum(room.state.executor.capacity.accelerators for room in rooms)
-        used = self.urgent_in_use().get(pool, 0)
-        wanted = min(self._urgent_peaks.get(pool, 0) - used, int(total * HEADROOM_SHARE))
-        for room in sorted(rooms, key=lambda r: r.soon.accelerators, reverse=True):
-            if wanted <= 0:
-                return
-            self._headroom.add(room.state.id)
-            wanted -= max(0, room.soon.accelerators)
+    def urgent_demand(self) -> dict[str, int]:
+        """Return the accelerators that urgent work holds or waits for, by pool."""
+        demand = self.urgent_in_use()
+        for pool, missing in self._urgent_missing.items():
+            demand[pool] = demand.get(pool, 0) + missing
+        return demand
 
     def urgent_in_use(self) -> dict[str, int]:
         """Return the accelerators that urgent work holds, with this plan's starts, by pool."""
@@ -297,13 +284,13 @@
         everywhere = [rooms]
         if not spec.same_rack and not spec.data_rack:
             return everywhere
-        racks = _by_rack(rooms)
+        racks = group_by_rack(rooms)
         if spec.data_rack:
             scopes = [racks[spec.data_rack]] if spec.data_rack in racks else []
             others = [r for name, r in racks.items() if name != spec.data_rack]
         else:
             scopes, others = list(racks.values()), []
-        possible = any(_holds_when_empty(r, spec, len(candidate.tasks)) for r in scopes)
+        possible = any(holds_when_empty(r, spec, len(candidate.tasks)) for r in scopes)
         if not possible:
             return [*scopes, *others, rooms]
         if self._waited(candidate) >= SPREAD_PATIENCE_S and candidate.queue.priority == URGENT:
@@ -321,7 +308,7 @@
                 return chosen
             left = float(sum(room.now.accelerators for room in scope))
             left += 1e3 * sum(room.state.slow_until > self.now for room in chosen)
-            if len(scopes) > 1 and len(_by_rack(chosen)) > 1:
+            if len(scopes) > 1 and len(group_by_rack(chosen)) > 1:
                 left += 1e6
             if best is None or left < best[0]:
                 best = (left, chosen)
@@ -358,7 +345,7 @@
         left = len(candidate.tasks)
         for room in sorted(scope, key=self._preference, reverse=True):
             while left and spec.need.fits_in(room.state.executor.capacity):
-                if not _could_take(room, spec.need):
+                if not room.fits(spec.need):
                     break
                 room.take(spec.need)
                 left -= 1
@@ -368,7 +355,7 @@
         for scope in scopes:
             if scope and scope[0].state.executor.rack == step.chosen_rack:
                 return scope
-        best = max(scopes, key=lambda scope: _members_that_fit(scope, step.spec.need))
+        best = max(scopes, key=lambda scope: count_members(scope, step.spec.need))
         step.chosen_rack = best[0].state.executor.rack if best else None
         return best
 
@@ -521,35 +508,6 @@
     return worked * (100 - attempt.percent) / gained - (now - attempt.moved_at)
 
 
-def _by_rack(rooms: list[Room]) -> dict[str, list[Room]]:
-    racks: dict[str, list[Room]] = {}
-    for room in rooms:
-        racks.setdefault(room.state.executor.rack, []).append(room)
-    return racks
-
-
-def _holds_when_empty(rooms: list[Room], spec: StepSpec, count: int) -> bool:
-    need = spec.need
-    total = 0
-    for room in rooms:
-        total += _times(need, room.state.executor.capacity)
-    return total >= count
-
-
-def _times(need: Resources, room: Resources) -> int:
-    """Return how many times `need` fits in `room`."""
-    counts = [have // want for want, have in zip(need, room, strict=True) if want > 0]
-    return min(counts, default=1_000_000)
-
-
-def _members_that_fit(scope: list[Room], need: Resources) -> int:
-    return sum(max(0, _times(need, room.now)) for room in scope)
-
-
-def _could_take(room: Room, need: Resources) -> bool:
-    return need.fits_in(room.soon) and need.fits_in(room.now)
-
-
 def _count_by_executor(step: StepState) -> dict[str, int]:
     counts: dict[str, int] = {}
     if step.spec.spread_limit:
