--- a/packages/heronthread-cli/src/heronthread_cli/commands.py
+++ b/packages/heronthread-cli/src/heronthread_cli/commands.py
@@ -23,6 +23,8 @@
 
 from .cell import Cell
 from .client import Client
+from .day import describe_day
+from .day_tables import show_day
 from .demo import DemoResult, run_demo
 from .emulation import Emulation
 from .exits import BadInput, CommandError, HostUnreachable
@@ -215,6 +217,18 @@
         if trace.unreadable:
             note(f"{trace.unreadable} lines could not be read")
 
+    def day(self, *logs: str, json: bool = False) -> None:
+        """Show a day from the logs of all hosts: takeovers, outages, waiting, use of racks.
+
+        Args:
+            logs: paths of log files, one for each host or all in one.
+            json: print one JSON object.
+        """
+        day = describe_day(_read(log).decode(errors="replace").splitlines() for log in logs)
+        if not day.lines:
+            raise BadInput(f"{len(logs)} logs hold no line that can be read")
+        show_day(day, as_json=json)
+
     def report(self, event: str, out: str, log: str, file: str) -> None:
         """Write one self-contained HTML page about an event, from JSON-line logs.
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
@@ -71,6 +71,7 @@
             tasks=[start.task.index for start in group],
             run=run,
             executors=[start.executor.id for start in group],
+            accelerators=group[0].step.spec.need.accelerators,
             version=self.cell.parts.desired().version,
             waited_s=round(now - (group[0].step.ready_at or now), 3),
             term=self.cell.term.number,
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -202,7 +202,13 @@
         if state is None:
             state = make_executor(executor, now)
             self.cell.executors[executor_id] = state
-            log_event("executor.found", executor=executor_id, pool=executor.pool)
+            log_event(
+                "executor.found",
+                executor=executor_id,
+                pool=executor.pool,
+                rack=executor.rack,
+                accelerators=executor.capacity.accelerators,
+            )
             if self._nursery is not None:
                 self._watch(state)
         else:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -19,6 +19,8 @@
 END_PATIENCE_S = 0.8
 HEADROOM_PATIENCE_S = 1.5
 DUE_MARGIN_S = 1.0
+URGENT_LOSS_FACTOR = 6.0
+URGENT_LEAST_LOSS = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -487,7 +489,10 @@
         return [t.attempt for t in tasks if t.attempt is not None]
 
     def _loss(self, attempt: Attempt) -> float:
-        """Return the core-seconds that are lost when an attempt is stopped now."""
+        """Return the core-seconds that are lost when an attempt is stopped now.
+
+        Urgent work counts several times: it is late if it has to start anew.
+        """
         job = self._job(attempt)
         step = job.step_of(attempt.task).spec if job else None
         total = 0.01
@@ -496,6 +501,8 @@
             if step is not None and step.checkpointing:
                 elapsed = min(elapsed, 0.3)
             total += elapsed * member.need.cores
+        if job is not None and self.desired.current_queue(job.spec).priority == URGENT:
+            total = (total + URGENT_LEAST_LOSS) * URGENT_LOSS_FACTOR
         return total
 
 
--- a/packages/heronthread-dispatch/tests/test_owner.py
+++ b/packages/heronthread-dispatch/tests/test_owner.py
@@ -267,6 +267,28 @@
         assert len([s for s in site.executors.starts() if s.task.job == "urgent"]) == 2
 
 
+async def test_guarantee_is_taken_from_ordinary_work_before_urgent_work(
+    autojump_clock: Clock,
+) -> None:
+    """The urgent job beyond its guarantee began last, so it would lose least."""
+    async with EmulatedSite.open(hosts=2, executors=4) as site:
+        await site.wait_for_owner()
+        host = site.hosts["h0"]
+        await host.requests.accept(site.make_job("low", queue="batch", count=15, work_s=60.0), 2.0)
+        await trio.sleep(5.0)
+        beyond = site.make_job("beyond", queue="urgent", count=17, work_s=60.0)
+        await host.requests.accept(beyond, 2.0)
+        await trio.sleep(2.0)
+        claim = site.make_job(
+            "claim", queue="urgent", tenant="second", accelerators=8, work_s=2.0, gang=True
+        )
+        await host.requests.accept(claim, 2.0)
+        await trio.sleep(1.5)
+        stopped = {event.task.job for event in site.executors.events if event.what == "stopped"}
+        assert stopped == {"low"}
+        assert len([s for s in site.executors.starts() if s.task.job == "claim"]) == 1
+
+
 async def test_cancelled_job_is_stopped_and_never_started_again(autojump_clock: Clock) -> None:
     async with EmulatedSite.open(hosts=2) as site:
         await site.wait_for_owner()
