Keep lasting tasks apart from what disturbs them, and within what may be missed

Cause: lasting steps were restarted, but what fills was counted as if it used processors and could stand beside what serves, where it may push that over its target; and urgent work could take any number of a step's tasks away at once. Ruled out for now: pacing what fills (it needs a controller measured against the users' disturbances, which no deployment seen so far plays); apart from each other neither can be harmed, at the cost of the room left unused. Change: sharing.py keeps serving and filling tasks on different executors, has what fills make way, and bounds what may be away; filling steps come last; urgent tasks that are no gang take room back for some if not for all.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/model.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/model.py
@@ -55,6 +55,11 @@
     A `gang` works only while all of its tasks are there. `same_rack` and `data_rack` cost
     speed when not met; `label` and `spread_limit` (tasks for each executor, 0 for any
     number) must be met. `estimate_s` is the caller's guess of one task's time.
+
+    `lasting` tasks run until the job is cancelled. Those that serve users of their own have a
+    `target_s` for their answers; those that `fill` use what others leave unused, so their
+    processors take no room, and disturb the ones that serve. `may_miss` bounds how many tasks
+    of the step the system may take away at once; 0 for any number.
     """
 
     count: int
@@ -68,6 +73,14 @@
     spread_limit: int = 0
     checkpointing: bool = False
     lasting: bool = False
+    target_s: float = 0.0
+    fills: bool = False
+    may_miss: int = 0
+
+    @property
+    def serves(self) -> bool:
+        """Whether its tasks answer users of their own, and want no disturbance."""
+        return self.target_s > 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -10,6 +10,7 @@
 from .model import DesiredState, Queue, Resources, TaskKey
 from .progress import Attempt, JobState, Phase, StepState, TaskState, latest_starts
 from .room import Room, count_members, group_by_rack, holds_when_empty
+from .sharing import Neighbours, may_be_taken_away
 
 URGENT = 0
 REMOTE_PATIENCE_S = 1.2
@@ -88,6 +89,7 @@
         self._full: set[tuple[str, Resources, str, bool]] = set()
         self._headroom = Headroom(self.rooms, urgent_peaks or {})
         self._urgent_missing: dict[str, int] = {}
+        self._neighbours = Neighbours(self.jobs)
 
     def make(self) -> Plan:
         """Return what to start and what to take back now."""
@@ -135,6 +137,8 @@
         first = 0 if guaranteed else 1
         if queue.priority == URGENT:
             return guaranteed, (0, first, latest < self.now, queue.priority, latest), latest
+        if step.spec.fills:
+            return guaranteed, (2, queue.priority, latest), latest
         lateness = (latest < self.now) + (last_useful < self.now)
         due = last_useful if lateness else latest
         return guaranteed, (1, lateness, first, queue.priority, due), latest
@@ -150,7 +154,10 @@
                 Start(candidate.job, candidate.step, task, room.state) for task, room in placed
             ]
             self.plan.groups.append(group)
+            self._neighbours.note_placed(candidate.step.spec, (room for _, room in placed))
         missing = len(candidate.tasks) - len(placed)
+        if missing and candidate.step.spec.serves:
+            self._clear_filling(candidate, missing)
         if missing and candidate.queue.priority == URGENT:
             pool = candidate.queue.pool
             needed = missing * candidate.step.spec.need.accelerators
@@ -159,9 +166,24 @@
         elif missing and candidate.step.spec.gang:
             self._reserve(candidate, rooms)
 
+    def _clear_filling(self, candidate: Candidate, missing: int) -> None:
+        """Have what fills make way for tasks that serve."""
+        rooms = self.rooms.get(candidate.queue.pool, [])
+        for attempt in self._neighbours.find_in_the_way(candidate.step.spec, rooms, missing):
+            if self._may_be_away(attempt, self._doomed()):
+                self._stop(attempt)
+
+    def _doomed(self) -> set[int]:
+        return {id(attempt) for attempt in self.plan.stops}
+
+    def _may_be_away(self, attempt: Attempt, doomed: set[int]) -> bool:
+        job = self._job(attempt)
+        return job is not None and may_be_taken_away(job.step_of(attempt.task), doomed)
+
     def _usable(self, candidate: Candidate) -> list[Room]:
         spec = candidate.step.spec
         rooms = self.rooms.get(candidate.queue.pool, [])
+        rooms = self._neighbours.leave_apart(spec, rooms)
         if spec.label:
             rooms = [r for r in rooms if spec.label in r.state.executor.labels]
         if self._keeps_out(candidate):
@@ -395,7 +417,10 @@
     def _clear(
         self, candidate: Candidate, count: int, scope: list[Room]
     ) -> tuple[float, list[Attempt], list[Room]] | None:
-        """Return the cheapest victims (cost, victims, rooms) that make room for `count`."""
+        """Return the cheapest victims (cost, victims, rooms) that make room for `count`.
+
+        Where the tasks are no gang, room for some of them is better than for none.
+        """
         need = candidate.step.spec.need
         limit = candidate.step.spec.spread_limit
         soon = {room.state.id: room.soon for room in scope}
@@ -414,8 +439,10 @@
                     best = (option[0], room, option[1])
                     if option[0] == 0.0:
                         break
-            if best is None:
+            if best is None and (candidate.step.spec.gang or not chosen):
                 return None
+            if best is None:
+                break
             cost += best[0]
             for attempt in best[2]:
                 victims.append(attempt)
@@ -448,8 +475,11 @@
         ]
         options.sort(key=lambda option: option[0])
         cost = 0.0
-        victims = []
+        victims: list[Attempt] = []
         for loss, attempt in options:
+            away = doomed | self._doomed() | {id(victim) for victim in victims}
+            if not self._may_be_away(attempt, away):
+                continue
             victims.append(attempt)
             cost += loss
             soon = soon.plus(attempt.need)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
@@ -81,7 +81,7 @@
 
 
 def _encode_step(step: StepSpec) -> list[Any]:
-    flags = [step.gang, step.same_rack, step.checkpointing, step.lasting]
+    flags = [step.gang, step.same_rack, step.checkpointing, step.lasting, step.fills]
     return [
         step.count,
         list(step.need),
@@ -91,12 +91,14 @@
         step.label,
         step.data_rack,
         step.spread_limit,
+        step.target_s,
+        step.may_miss,
     ]
 
 
 def _decode_step(value: list[Any]) -> StepSpec:
-    count, need, estimate, after, flags, label, rack, limit = value
-    gang, same_rack, checkpointing, lasting = (flag == "1" for flag in flags)
+    count, need, estimate, after, flags, label, rack, limit, target, may_miss = value
+    gang, same_rack, checkpointing, lasting, fills = (flag == "1" for flag in flags)
     return StepSpec(
         count,
         Resources(*need),
@@ -109,6 +111,9 @@
         limit,
         checkpointing,
         lasting,
+        target,
+        fills,
+        may_miss,
     )
 
 
--- a/packages/heronthread-emulator/src/heronthread_emulator/executors.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/executors.py
@@ -118,13 +118,15 @@
 class EmulatedExecutors:
     """All executors of a site, as one `ExecutorLink`, and what happened on them.
 
-    `lengths` names tasks that work longer (s) than their step says.
+    `lengths` names tasks that work longer (s) than their step says; `shown_percent` is
+    reported for all runs if it is set, as of lasting ones that are at work.
     """
 
     def __init__(self) -> None:
         self.by_id: dict[str, EmulatedExecutor] = {}
         self.specs: dict[str, dict[int, WorkSpec]] = {}
         self.lengths: dict[TaskKey, float] = {}
+        self.shown_percent: float | None = None
         self.events: list[Event] = []
         self.taken_note: set[tuple[str, int]] = set()
         self.lapses: list[tuple[str, float]] = []
@@ -240,7 +242,7 @@
             await trio.sleep(SILENCE_S)
             return Unanswered("silent")
         running = tuple(
-            RunningRun(r.task, r.run, "", 100 * r.worked_s / r.work_s)
+            RunningRun(r.task, r.run, "", self.shown_percent or 100 * r.worked_s / r.work_s)
             for r in place.running.values()
         )
         return Report(place.clock_ms(), running, tuple(place.ended[:500]))
--- a/tests/platform/test_fuzz.py
+++ b/tests/platform/test_fuzz.py
@@ -32,7 +32,10 @@
     {},
     optional={
         name: VALUES
-        for name in ("count", "cpu", "mem-mb", "gpus", "after", "gang", "requirements", "affinity")
+        for name in (
+            *("count", "cpu", "mem-mb", "gpus", "after", "gang", "requirements", "affinity"),
+            *("long-running", "target-ms", "fills", "may-miss"),
+        )
     },
 )
 TIMES = {name: VALUES for name in ("repeat-count", "start-at-ms", "interval-ms")}
