Ask a service which executors may run a step, where a queue's policy wants it

Cause: a queue may leave the choice of executors to a service; each start then needs a ticket. Such starts were refused for ever, and the job stood. Ruled out: asking at each start (answers are slow and one at a time for a host); spreading questions over hosts (one owner asks one question of up to 100 executors for a whole step; measure first whether that is too slow). Change: approval.py asks about the emptiest executors that nothing is known of, keeps tickets until they run out and denials for good; the planner places only where a ticket is at hand; a refused ticket is forgotten; platform/advice.py translates.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/executor_link.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/executor_link.py
@@ -31,12 +31,16 @@
     OLD_RUN = "old run"
     LATE = "late"
     NO_ROOM = "no room"
+    NOT_APPROVED = "not approved"
     OTHER = "other"
 
 
 @dataclass(frozen=True, slots=True)
 class StartOrder:
-    """One run of a task; `until_ms` is a time on the executor's clock."""
+    """One run of a task; `until_ms` is a time on the executor's clock.
+
+    `ticket` proves the approval where the task's queue wants one.
+    """
 
     task: TaskKey
     run: int
@@ -44,6 +48,7 @@
     checkpoint: str
     token: int
     until_ms: int
+    ticket: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -6,13 +6,14 @@
 import hashlib
 import json
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 import trio
 from heronthread_daemon.peer import Peers
 from heronthread_daemon.wire.ttypes import Frame
 
+from .approval import Approver, NoApprover
 from .configuring import ConfigurationFormat, ConfigurationInForce
 from .events import log_event
 from .executor_link import ExecutorLink
@@ -70,6 +71,7 @@
     configuration: ConfigurationFormat
     directory: DirectoryFormat
     wall_clock: Callable[[], float]
+    approver: Approver = field(default_factory=NoApprover)
 
 
 class Host:
@@ -204,6 +206,7 @@
             lambda: self.configuration.state,
             self._may_order,
             self.statistics,
+            self.parts.approver,
         )
 
     def _rank(self) -> int:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/model.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/model.py
@@ -83,12 +83,25 @@
         return self.target_s > 0
 
 
+@dataclass(frozen=True, slots=True)
+class ApprovalTerms:
+    """A service says which executors may run a step.
+
+    It takes `decision_s`, and `each_s` for each executor named; a ticket holds `validity_s`.
+    """
+
+    decision_s: float
+    each_s: float
+    validity_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Queue:
     """Where jobs of one kind enter, and how they are to be treated.
 
     A job is on time within `stretch` times its longest chain plus `target_s`.
-    Priority 0 comes first and may take capacity back from the others.
+    Priority 0 comes first and may take capacity back from the others. With `approval` only
+    some executors may run a step, and each start brings a ticket.
     """
 
     name: str
@@ -100,6 +113,7 @@
     stretch: float
     target_s: float
     public: bool = False
+    approval: ApprovalTerms | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
@@ -89,7 +89,13 @@
             until = state.deadline_ms(now, self.cell.parts.timing.hold_s)
             assert until is not None, "an executor that was heard has a clock"
             order = StartOrder(
-                attempt.task, attempt.run, payload, checkpoint, self.cell.term.number, until
+                attempt.task,
+                attempt.run,
+                payload,
+                checkpoint,
+                self.cell.term.number,
+                until,
+                self.cell.approvals.find_ticket(attempt.task._replace(member=0), state.id) or "",
             )
             outcome = await self.cell.parts.link.start(state.executor, order)
             if not isinstance(outcome, Unanswered):
@@ -126,6 +132,8 @@
         elif outcome.reason is Refusal.FENCED:
             self._depose()
             return
+        elif outcome.reason is Refusal.NOT_APPROVED:
+            self.cell.approvals.drop(attempt.task._replace(member=0), state.id)
         else:
             state.rest_until = max(state.rest_until, now + NO_ROOM_REST_S)
         if start.task.attempt is attempt:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
@@ -9,6 +9,7 @@
 import trio
 from heronthread_coordination import Measure
 
+from .approval import Approvals, Approver, NoApprover
 from .events import log_event
 from .executor_link import EndedRun, EndKind, ExecutorLink
 from .fleet import ExecutorState
@@ -68,6 +69,7 @@
     desired: Callable[[], DesiredState]
     may_order: Callable[[], bool]
     statistics: Statistics
+    approver: Approver = field(default_factory=NoApprover)
     random: random.Random = field(default_factory=random.Random)
 
 
@@ -82,6 +84,7 @@
         self.active: dict[str, JobState] = {}
         self.executors: dict[str, ExecutorState] = {}
         self.changed = trio.Event()
+        self.approvals = Approvals(parts.approver, self.wake_planner)
         self.to_stop: list[tuple[Attempt, str]] = []
         self.stop_wanted = trio.Event()
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -110,6 +110,7 @@
                 nursery.start_soon(self._record_used)
                 nursery.start_soon(self._keep_house)
                 nursery.start_soon(remove_old_jobs, self.cell)
+                nursery.start_soon(self.cell.approvals.run)
                 self.is_ready = True
                 nursery.start_soon(self._pass_barrier)
                 await trio.sleep(FIRST_HEARING_S)
@@ -324,6 +325,7 @@
             self.parts.wall_clock(),
             self._urgent.peaks(trio.current_time()),
             self.cell.may_run_elsewhere,
+            self.cell.approvals,
         )
         plan = planner.make()
         self._urgent.note(trio.current_time(), planner.urgent_demand())
@@ -331,6 +333,8 @@
             self.cell.request_stop(attempt, "taken back for urgent work")
         for group in plan.groups:
             self._orders.start_group(group)
+        for question in plan.questions:
+            self.cell.approvals.want(question)
         if plan.recheck_in_s is None:
             return PLAN_EVERY_S
         return min(PLAN_EVERY_S, max(0.02, plan.recheck_in_s))
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
+from .approval import LARGEST_QUESTION, USUAL_QUESTION, Approvals, Question
 from .fleet import ExecutorState
 from .headroom import Headroom
 from .model import DesiredState, Queue, Resources, TaskKey
@@ -36,10 +37,11 @@
 
 @dataclass(slots=True)
 class Plan:
-    """Starts in groups (a gang is one group), and attempts to take back."""
+    """Starts in groups (a gang is one group), attempts to take back, and approvals to ask for."""
 
     groups: list[list[Start]] = field(default_factory=list)
     stops: list[Attempt] = field(default_factory=list)
+    questions: list[Question] = field(default_factory=list)
     recheck_in_s: float | None = None
 
 
@@ -58,6 +60,11 @@
     order: tuple[float, ...]
     latest: float
 
+    @property
+    def key(self) -> TaskKey:
+        """The key of the step's first task, which names the step."""
+        return self.job.key_of(self.step, self.step.tasks[0])
+
 
 class Planner:
     """Makes one plan for one pool of executors at one moment."""
@@ -71,6 +78,7 @@
         wall_now: float,
         urgent_peaks: dict[str, int] | None = None,
         may_run: Callable[[TaskKey], bool] = lambda task: False,
+        approvals: Approvals | None = None,
     ) -> None:
         self.jobs = list(jobs)
         self.desired = desired
@@ -86,10 +94,11 @@
         self.plan = Plan()
         self.guaranteed = find_guaranteed(self.jobs, desired, wall_now)
         self._reserved = 0
-        self._full: set[tuple[str, Resources, str, bool]] = set()
+        self._full: set[tuple[object, ...]] = set()
         self._headroom = Headroom(self.rooms, urgent_peaks or {})
         self._urgent_missing: dict[str, int] = {}
         self._neighbours = Neighbours(self.jobs)
+        self._approvals = approvals
 
     def make(self) -> Plan:
         """Return what to start and what to take back now."""
@@ -156,6 +165,8 @@
             self.plan.groups.append(group)
             self._neighbours.note_placed(candidate.step.spec, (room for _, room in placed))
         missing = len(candidate.tasks) - len(placed)
+        if missing and candidate.queue.approval is not None:
+            self._ask_for_more(candidate)
         if missing and candidate.step.spec.serves:
             self._clear_filling(candidate, missing)
         if missing and candidate.queue.priority == URGENT:
@@ -166,6 +177,31 @@
         elif missing and candidate.step.spec.gang:
             self._reserve(candidate, rooms)
 
+    def _keep_approved(self, candidate: Candidate, rooms: list[Room]) -> list[Room]:
+        """Return the rooms for which a ticket is at hand."""
+        if self._approvals is None:
+            return []
+        step = candidate.key
+        return [r for r in rooms if self._approvals.find_ticket(step, r.state.id) is not None]
+
+    def _ask_for_more(self, candidate: Candidate) -> None:
+        """Ask about executors with room of which nothing is known, the emptiest first."""
+        if self._approvals is None or candidate.queue.approval is None:
+            return
+        step, spec = candidate.key, candidate.step.spec
+        unknown = [
+            room
+            for room in self.rooms.get(candidate.queue.pool, [])
+            if not self._approvals.is_denied(step, room.state.id)
+            and self._approvals.find_ticket(step, room.state.id) is None
+            and (not spec.label or spec.label in room.state.executor.labels)
+        ]
+        unknown.sort(key=lambda room: (not room.fits(spec.need), -room.now.accelerators))
+        count = min(LARGEST_QUESTION, max(USUAL_QUESTION, len(candidate.tasks)))
+        chosen = tuple(room.state.id for room in unknown[:count])
+        if chosen:
+            self.plan.questions.append(Question(step, chosen, candidate.queue.approval))
+
     def _clear_filling(self, candidate: Candidate, missing: int) -> None:
         """Have what fills make way for tasks that serve."""
         rooms = self.rooms.get(candidate.queue.pool, [])
@@ -184,6 +220,8 @@
         spec = candidate.step.spec
         rooms = self.rooms.get(candidate.queue.pool, [])
         rooms = self._neighbours.leave_apart(spec, rooms)
+        if candidate.queue.approval is not None:
+            rooms = self._keep_approved(candidate, rooms)
         if spec.label:
             rooms = [r for r in rooms if spec.label in r.state.executor.labels]
         if self._keeps_out(candidate):
@@ -243,7 +281,16 @@
         self, candidate: Candidate, rooms: list[Room]
     ) -> list[tuple[TaskState, Room]]:
         spec = candidate.step.spec
-        full_key = (candidate.queue.pool, spec.need, spec.label, self._keeps_out(candidate))
+        approval = candidate.key if candidate.queue.approval else None
+        full_key = (
+            candidate.queue.pool,
+            spec.need,
+            spec.label,
+            self._keeps_out(candidate),
+            spec.serves,
+            spec.fills,
+            approval,
+        )
         if full_key in self._full:
             return []
         fitting = [r for r in rooms if r.fits(spec.need)]
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import json
-from dataclasses import astuple, dataclass, field
+from dataclasses import astuple, dataclass, field, replace
 from enum import StrEnum
 from typing import Any
 
-from .model import JobSpec, Queue, Resources, Schedule, StepSpec
+from .model import ApprovalTerms, JobSpec, Queue, Resources, Schedule, StepSpec
 
 
 class JobStatus(StrEnum):
@@ -56,7 +56,7 @@
         steps = tuple(_decode_step(step) for step in value["steps"])
         spec = JobSpec(
             value["id"],
-            Queue(*value["queue"]),
+            _decode_queue(value["queue"]),
             value["tenant"],
             value["payload"],
             steps,
@@ -77,9 +77,15 @@
         queue.stretch,
         queue.target_s,
         queue.public,
+        list(astuple(queue.approval)) if queue.approval else None,
     ]
 
 
+def _decode_queue(value: list[Any]) -> Queue:
+    queue, approval = Queue(*value[:-1]), value[-1]
+    return replace(queue, approval=ApprovalTerms(*approval)) if approval else queue
+
+
 def _encode_step(step: StepSpec) -> list[Any]:
     flags = [step.gang, step.same_rack, step.checkpointing, step.lasting, step.fills]
     return [
--- a/packages/heronthread-emulator/src/heronthread_emulator/executors.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/executors.py
@@ -27,6 +27,8 @@
 )
 from heronthread_dispatch.model import Executor, Resources, TaskKey
 
+from .approver import EmulatedApprover
+
 SILENCE_S = 0.8
 LATENCY_S = 0.002
 TICK_S = 0.02
@@ -119,7 +121,8 @@
     """All executors of a site, as one `ExecutorLink`, and what happened on them.
 
     `lengths` names tasks that work longer (s) than their step says; `shown_percent` is
-    reported for all runs if it is set, as of lasting ones that are at work.
+    reported for all runs if it is set, as of lasting ones that are at work. With an `approver`
+    every start needs its ticket.
     """
 
     def __init__(self) -> None:
@@ -127,6 +130,7 @@
         self.specs: dict[str, dict[int, WorkSpec]] = {}
         self.lengths: dict[TaskKey, float] = {}
         self.shown_percent: float | None = None
+        self.approver: EmulatedApprover | None = None
         self.events: list[Event] = []
         self.taken_note: set[tuple[str, int]] = set()
         self.lapses: list[tuple[str, float]] = []
@@ -292,6 +296,9 @@
             return Obeyed()
         if order.run <= place.floor.get(order.task, 0):
             return Refused(Refusal.OLD_RUN)
+        name = place.executor.id
+        if self.approver and not self.approver.is_good(order.ticket, order.task, name):
+            return Refused(Refusal.NOT_APPROVED)
         work = self.specs.get(order.task.job, {}).get(order.task.step, DEFAULT_WORK)
         if not work.need.fits_in(place.executor.capacity.minus(place.used())):
             return Refused(Refusal.NO_ROOM)
--- a/packages/heronthread-emulator/src/heronthread_emulator/site.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/site.py
@@ -14,6 +14,7 @@
 from heronthread_dispatch.host import Host, HostParts, HostSettings
 from heronthread_dispatch.intake import IntakeOutcome
 from heronthread_dispatch.model import (
+    ApprovalTerms,
     DesiredState,
     Executor,
     JobSpec,
@@ -26,24 +27,27 @@
 from heronthread_dispatch.owned import DirectoryFormat, Timing
 from heronthread_dispatch.record import JobRecord
 
+from .approver import EmulatedApprover
 from .executors import EmulatedExecutor, EmulatedExecutors, WorkSpec
 from .store import EmulatedStore, StoreView
 
 CAPACITY = Resources(64_000, 262_144, 8)
 POOL = "pool"
+APPROVAL = ApprovalTerms(0.2, 0.01, 5.0)
 PEER_LATENCY_S = 0.001
 
 Handler = Callable[[Frame], Awaitable[Frame]]
 
 
-def make_queue(name: str, priority: int = 1) -> Queue:
+def make_queue(name: str, priority: int = 1, approval: ApprovalTerms | None = None) -> Queue:
     """Return a queue with ordinary terms."""
-    return Queue(name, "host", f"/{name}/", POOL, priority, 4, 3.0, 1.0)
+    return Queue(name, "host", f"/{name}/", POOL, priority, 4, 3.0, 1.0, False, approval)
 
 
 def make_state(version: int = 1, guaranteed: int = 16) -> DesiredState:
     """Return a configuration with an urgent and an ordinary queue."""
     queues = [make_queue("urgent", 0), make_queue("ordinary", 1), make_queue("batch", 2)]
+    queues.append(make_queue("approved", 1, APPROVAL))
     tenants = [
         Tenant("first", ("key-1",), guaranteed),
         Tenant("second", ("key-2",), guaranteed),
@@ -99,6 +103,7 @@
         self.store = EmulatedStore()
         self.executors = EmulatedExecutors()
         self.peers = EmulatedPeers()
+        self.approver = EmulatedApprover()
         self.hosts: dict[str, Host] = {}
         self.views: dict[str, StoreView] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
@@ -159,6 +164,7 @@
             ConfigurationFormat("configuration", _parse_state),
             DirectoryFormat("executors/", _parse_executor),
             trio.current_time,
+            self.approver,
         )
         host = Host(HostSettings(name, name, (), Timing(6.0, 0.1, 3.0)), parts)
         self.hosts[name] = host
--- /dev/null
+++ b/tests/platform/test_advice.py
@@ -0,0 +1,41 @@
+import pytest
+from heronthread_dispatch.approval import Approved, Question
+from heronthread_dispatch.executor_link import Unanswered
+from heronthread_dispatch.http_client import HttpClient
+from heronthread_dispatch.model import ApprovalTerms, TaskKey
+from heronthread_platform.advice import PlatformAdvice
+from heronthread_platform.configuration import CONFIGURATION
+
+from .peer_server import Call, scripted
+
+QUESTION = Question(
+    TaskKey("5c0e7a21d94b36f8", 1, 0, 3), ("i-1", "i-2"), ApprovalTerms(0.01, 0.0, 5.0)
+)
+
+
+async def test_question_is_spelled_as_the_protocol_says() -> None:
+    def answer(call: Call) -> tuple[int, object]:
+        return 200, {"healthy": [["i-2", "t-9"]]}
+
+    async with scripted(answer) as server:
+        with HttpClient() as client:
+            found = await PlatformAdvice(client, server.address).ask(QUESTION)
+    assert found == Approved({"i-2": "t-9"})
+    assert (server.calls[0].method, server.calls[0].target) == ("POST", "/heronthread/advise")
+    assert server.calls[0].body == {"step": "5c0e7a21d94b36f8.3.1", "workers": ["i-1", "i-2"]}
+
+
+@pytest.mark.parametrize("reply", [(429, {}), (200, {}), (200, [1]), (200, {"healthy": [1]}), None])
+async def test_anything_else_is_no_answer(reply: tuple[int, object] | None) -> None:
+    async with scripted(lambda call: reply) as server:
+        with HttpClient() as client:
+            found = await PlatformAdvice(client, server.address).ask(QUESTION)
+    assert isinstance(found, Unanswered)
+
+
+def test_terms_are_read_from_the_configuration() -> None:
+    route = b'{"name":"r","host":"h","path-prefix":"/r/","service":"s","advice":%s}'
+    advice = b'{"decision-ms":200,"per-item-ms":2,"validity-ms":4000}'
+    state = CONFIGURATION.parse(b'{"version":3,"routes":[%s]}' % (route % advice))
+    assert state is not None
+    assert state.queues[0].approval == ApprovalTerms(0.2, 0.002, 4.0)
