Refuse truthfully when time runs out before anything was written

Ruled out: refusals too early (the store answered none of the hosts), doubt that was real (writes without an answer, still 504). Change: each call that may do something opens a doubt and its answer closes it; a budget that ends while none is open is a refusal, with when to come back. No pause after the last way. attempt.closed names the time of a scheduled job.

--- a/packages/heronthread-cli/src/heronthread_cli/day.py
+++ b/packages/heronthread-cli/src/heronthread_cli/day.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 Message = dict[str, Any]
+TaskId = tuple[str, int, int, int]
 
 PLANNED = "planned stop"
 DEPOSED = "deposed"
@@ -58,6 +59,7 @@
 class RackUse:
     """Accelerators of one rack; the means are over the time between its first and last change.
 
+    Over a takeover they are upper bounds: no line tells of a run that ended meanwhile.
     `split` are free ones at executors that others partly use: a whole-executor task can't.
     """
 
@@ -209,7 +211,7 @@
             sizes[message["executor"]] = int(message.get("accelerators", 0))
     used: Counter[str] = Counter()
     areas: dict[str, list[float]] = {rack: [0.0, 0.0] for rack in racks.values()}
-    needs: dict[tuple[Any, ...], int] = {}
+    needs: dict[TaskId, tuple[str, int]] = {}
     begun, last = None, 0.0
     for message in messages:
         if message["message_type"] not in ("start.decided", "attempt.closed"):
@@ -217,9 +219,10 @@
         at = message["timestamp"]
         begun = at if begun is None else begun
         for executor, rack in racks.items():
-            areas[rack][0] += used[executor] * (at - last if at > begun else 0.0)
-            if 0 < used[executor] < sizes[executor]:
-                areas[rack][1] += (sizes[executor] - used[executor]) * (at - last)
+            held = min(used[executor], sizes[executor])
+            areas[rack][0] += held * (at - last if at > begun else 0.0)
+            if 0 < held < sizes[executor]:
+                areas[rack][1] += (sizes[executor] - held) * (at - last)
         last = at
         _play_change(message, used, needs)
     seconds = max(0.001, last - (begun or 0.0))
@@ -231,13 +234,22 @@
     return rows
 
 
-def _play_change(message: Message, used: Counter[str], needs: dict[tuple[Any, ...], int]) -> None:
-    job, run = message.get("job"), message.get("run")
-    if message["message_type"] == "start.decided":
-        need = int(message.get("accelerators", 0))
-        for index, executor in zip(message["tasks"], message["executors"], strict=False):
-            used[executor] += need
-            needs[job, message.get("step"), index, run, executor] = need
+def _play_change(
+    message: Message, used: Counter[str], needs: dict[TaskId, tuple[str, int]]
+) -> None:
+    """Play a start or an end; a task is at one executor, so a later start ends an earlier run.
+
+    That matters where a run ended while nobody owned the cell: no line tells of its end.
+    """
+    job, step = str(message.get("job")), int(message.get("step", 0))
+    time = int(message.get("occurrence", 0))
+    if message["message_type"] == "attempt.closed":
+        executor, need = needs.pop((job, time, step, int(message.get("index", 0))), ("", 0))
+        used[executor] -= need
         return
-    key = (job, message.get("step"), message.get("index"), run, message.get("executor"))
-    used[str(message.get("executor"))] -= needs.pop(key, 0)
+    need = int(message.get("accelerators", 0))
+    for index, executor in zip(message["tasks"], message["executors"], strict=False):
+        before, held = needs.pop((job, time, step, int(index)), ("", 0))
+        used[before] -= held
+        needs[job, time, step, int(index)] = (executor, need)
+        used[executor] += need
--- a/packages/heronthread-cli/tests/test_day.py
+++ b/packages/heronthread-cli/tests/test_day.py
@@ -62,6 +62,18 @@
     ]
 
 
+def test_run_whose_end_nobody_told_ends_with_the_next_start_of_its_task() -> None:
+    log = [
+        _line(0.0, "h", "executor.found", executor="e0", rack="r0", accelerators=8),
+        _line(0.0, "h", "executor.found", executor="e1", rack="r1", accelerators=8),
+        _start(0.0, 1),
+        _start(5.0, 2, "e1"),
+        _line(10.0, "h", "attempt.closed", job="a", step=0, index=0, run=2, executor="e1"),
+    ]
+    racks = describe_day([log]).racks
+    assert [(r.rack, r.mean_used) for r in racks] == [("r0", 2.0), ("r1", 2.0)]
+
+
 def test_waiting_is_summed_up_by_queue() -> None:
     log = [_line(0.0, "h", "job.accept", job="a", queue="q", outcome="Taken")]
     log += [_start(1.0 + n, 1, waited_s=float(n)) for n in range(3)]
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/intake.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/intake.py
@@ -43,14 +43,26 @@
     """There is no such job."""
 
 
+@dataclass(slots=True)
+class Doubt:
+    """Whether a call is under way that may do something: set before it, cleared by its answer.
+
+    If time runs out while it is not set, nothing was done and nothing will be.
+    """
+
+    is_open: bool = False
+
+
 IntakeOutcome = Taken | NotTaken | Unsettled | NoSuchJob
-Attempt = Callable[[], Awaitable[IntakeOutcome]]
+Attempt = Callable[[Doubt], Awaitable[IntakeOutcome]]
 
 
-async def accept_job(store: KeyStore, record: JobRecord) -> IntakeOutcome:
+async def accept_job(store: KeyStore, record: JobRecord, doubt: Doubt) -> IntakeOutcome:
     """Keep a job unless its id is there already; then it is the same job."""
     put = Put(job_key(record.spec.id), record.encode())
+    doubt.is_open = True
     outcome = await store.commit(Transaction(((put.key, 0),), (put,)))
+    doubt.is_open = False
     if isinstance(outcome, Committed):
         return Taken(record)
     if isinstance(outcome, Mismatch):
@@ -59,7 +71,7 @@
     return _describe(outcome)
 
 
-async def accept_after_look(store: KeyStore, record: JobRecord) -> IntakeOutcome:
+async def accept_after_look(store: KeyStore, record: JobRecord, doubt: Doubt) -> IntakeOutcome:
     """Take a job in at a store that may be down: look first, since a look does nothing.
 
     A write that gets no answer leaves doubt; a refused look leaves none.
@@ -69,10 +81,10 @@
         return NotTaken(item.reason)
     if isinstance(item, Item):
         return Taken(JobRecord.decode(item.value))
-    return await accept_job(store, record)
+    return await accept_job(store, record, doubt)
 
 
-async def cancel_job(store: KeyStore, job_id: str, tenant: str) -> IntakeOutcome:
+async def cancel_job(store: KeyStore, job_id: str, tenant: str, doubt: Doubt) -> IntakeOutcome:
     """Keep that a job is to be cancelled."""
     key = job_key(job_id)
     item = await store.read(key)
@@ -88,7 +100,9 @@
             return Taken(record)
         record = JobRecord(record.spec, cancelled=True)
         transaction = Transaction(((key, item.revision),), (Put(key, record.encode()),))
+        doubt.is_open = True
         outcome = await store.commit(transaction)
+        doubt.is_open = False
         if isinstance(outcome, Committed):
             return Taken(record)
         if not isinstance(outcome, Mismatch):
@@ -109,15 +123,19 @@
 
     Once one way left it unsettled, a later refusal does not make it undone.
     """
-    doubt: Unsettled | None = None
+    unsettled: Unsettled | None = None
     outcome: IntakeOutcome = NotTaken("nothing was tried")
+    doubt = Doubt()
     with trio.move_on_after(budget_s):
-        for attempt in attempts:
-            outcome = await attempt()
+        for number, attempt in enumerate(attempts):
+            if number:
+                await trio.sleep(RETRY_S)
+            outcome = await attempt(doubt)
             if isinstance(outcome, Taken | NoSuchJob):
                 return outcome
             if isinstance(outcome, Unsettled):
-                doubt = outcome
-            await trio.sleep(RETRY_S)
-        return doubt or outcome
-    return doubt or Unsettled("the time for an answer has run out")
+                unsettled = outcome
+        return unsettled or outcome
+    if unsettled is None and not doubt.is_open:
+        return NotTaken("the time for an answer has run out before anything was written")
+    return unsettled or Unsettled("the time for an answer has run out")
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
@@ -183,6 +183,7 @@
             job=attempt.task.job,
             step=attempt.task.step,
             index=attempt.task.member,
+            occurrence=attempt.task.occurrence,
             run=attempt.run,
             executor=attempt.executor,
             why=why,
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/requests.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/requests.py
@@ -12,6 +12,7 @@
 
 from .events import log_event
 from .intake import (
+    Doubt,
     IntakeOutcome,
     NoSuchJob,
     NotTaken,
@@ -50,7 +51,7 @@
         body = {"record": base64.b64encode(record.encode()).decode()}
         started = trio.current_time()
         outcome = await self._intake(
-            lambda: self._accept_here(record), Operation.ACCEPT_JOB, body, budget_s
+            partial(self._accept_here, record), Operation.ACCEPT_JOB, body, budget_s
         )
         elapsed = trio.current_time() - started
         self._host.statistics.count("accepts", type(outcome).__name__)
@@ -70,15 +71,15 @@
         )
         return outcome
 
-    async def _accept_here(self, record: JobRecord) -> IntakeOutcome:
+    async def _accept_here(self, record: JobRecord, doubt: Doubt) -> IntakeOutcome:
         if self._host.store.is_answering:
-            return await accept_job(self._host.store, record)
-        return await accept_after_look(self._host.store, record)
+            return await accept_job(self._host.store, record, doubt)
+        return await accept_after_look(self._host.store, record, doubt)
 
     async def cancel(self, job_id: str, tenant: str, budget_s: float) -> IntakeOutcome:
         """Cancel a job."""
         outcome = await self._intake(
-            lambda: cancel_job(self._host.store, job_id, tenant),
+            partial(cancel_job, self._host.store, job_id, tenant),
             Operation.CANCEL_JOB,
             {"job": job_id, "tenant": tenant},
             budget_s,
@@ -101,8 +102,12 @@
             self._tell_owner(outcome.record)
         return outcome
 
-    async def _intake_by(self, address: str, operation: int, body: dict[str, Any]) -> IntakeOutcome:
+    async def _intake_by(
+        self, address: str, operation: int, body: dict[str, Any], doubt: Doubt
+    ) -> IntakeOutcome:
+        doubt.is_open = True
         reply = await call_peer(self._host.parts.peers, address, operation, body, PEER_INTAKE_S)
+        doubt.is_open = False
         if isinstance(reply, PeerUnreachable):
             return NotTaken(reply.reason) if reply.refused else Unsettled(reply.reason)
         if reply.status == OK:
--- a/packages/heronthread-emulator/src/heronthread_emulator/site.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/site.py
@@ -154,9 +154,13 @@
         self.executors.by_id[name].is_cut = True
         self.store.remove(f"executors/{name}")
 
+    def store_view(self) -> StoreView:
+        """Return a way to the store without faults."""
+        return StoreView(self.store, self.nursery)
+
     def start_host(self, name: str) -> Host:
         """Start a host."""
-        view = StoreView(self.store, self.nursery)
+        view = self.store_view()
         parts = HostParts(
             view,
             self.executors,
