--- a/packages/heronthread-cli/src/heronthread_cli/commands.py
+++ b/packages/heronthread-cli/src/heronthread_cli/commands.py
@@ -24,7 +24,7 @@
 from .cell import Cell
 from .client import Client
 from .day import describe_day
-from .day_tables import show_day
+from .day_tables import show_day, show_losses
 from .demo import DemoResult, run_demo
 from .emulation import Emulation
 from .exits import BadInput, CommandError, HostUnreachable
@@ -217,17 +217,21 @@
         if trace.unreadable:
             note(f"{trace.unreadable} lines could not be read")
 
-    def day(self, *logs: str, json: bool = False) -> None:
+    def day(self, *logs: str, json: bool = False, losses: bool = False) -> None:
         """Show a day from the logs of all hosts: takeovers, outages, waiting, use of racks.
 
         Args:
             logs: paths of log files, one for each host or all in one.
-            json: print one JSON object.
+            json: print JSON.
+            losses: print only the requests that were lost or late, each with its cause.
         """
         day = describe_day(_read(log).decode(errors="replace").splitlines() for log in logs)
         if not day.lines:
             raise BadInput(f"{len(logs)} logs hold no line that can be read")
-        show_day(day, as_json=json)
+        if losses:
+            show_losses(day.losses, as_json=json)
+        else:
+            show_day(day, as_json=json)
 
     def report(self, event: str, out: str, log: str, file: str) -> None:
         """Write one self-contained HTML page about an event, from JSON-line logs.
--- a/packages/heronthread-cli/src/heronthread_cli/day.py
+++ b/packages/heronthread-cli/src/heronthread_cli/day.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-import json
 from collections import Counter, defaultdict
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from statistics import median
-from typing import Any
 
-Message = dict[str, Any]
+from .losses import Loss, list_losses
+from .messages import Message, merge_logs
+
 TaskId = tuple[str, int, int, int]
 
 PLANNED = "planned stop"
@@ -80,30 +80,14 @@
     stops: dict[str, int] = field(default_factory=dict)
     racks: list[RackUse] = field(default_factory=list)
     lines: dict[str, int] = field(default_factory=dict)
-
-
-def read_messages(log: Iterable[str]) -> Iterator[Message]:
-    """Yield the JSON lines of a log, whatever stands before each; others are passed over."""
-    for line in log:
-        start = line.find('{"')
-        if start < 0:
-            continue
-        try:
-            message = json.loads(line[start:])
-        except ValueError:
-            continue
-        if isinstance(message, dict) and "message_type" in message:
-            yield message
+    losses: list[Loss] = field(default_factory=list)
 
 
 def describe_day(logs: Iterable[Iterable[str]]) -> Day:
     """Return what the logs of all hosts say together."""
-    messages = [message for log in logs for message in read_messages(log)]
-    messages.sort(key=lambda message: float(message.get("timestamp", 0.0)))
-    first = float(messages[0].get("timestamp", 0.0)) if messages else 0.0
-    for message in messages:
-        message["timestamp"] = round(float(message.get("timestamp", first)) - first, 3)
+    messages = merge_logs(logs)
     day = Day()
+    day.losses = list_losses(messages)
     day.takeovers = _find_takeovers(messages)
     day.outages = _find_outages(messages)
     day.waiting = _sum_up_waiting(messages)
--- a/packages/heronthread-cli/src/heronthread_cli/day_tables.py
+++ b/packages/heronthread-cli/src/heronthread_cli/day_tables.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from .day import Day
+from .losses import Loss, count_causes
 from .output import print_line, show_rows
 
 
@@ -16,6 +17,7 @@
     if as_json:
         print_line(json.dumps(asdict(day)))
         return
+    _show_counts("Requests lost, by cause", count_causes(day.losses))
     _show("Takeovers", day.takeovers)
     _show("Outages of the store", day.outages)
     _show_counts("What callers were told", day.answers)
@@ -25,6 +27,15 @@
     _show_counts("Lines", day.lines)
 
 
+def show_losses(losses: Sequence[Loss], *, as_json: bool) -> None:
+    """Print the requests that were lost or late, and how many by cause."""
+    if as_json:
+        print_line(json.dumps([asdict(loss) for loss in losses]))
+        return
+    _show("Requests lost", losses)
+    _show_counts("By cause", count_causes(losses))
+
+
 def _show(title: str, rows: Sequence[Any]) -> None:
     print_line(f"\n{title}")
     if not rows:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
@@ -15,7 +15,15 @@
 from .fleet import ExecutorState
 from .keystore import KeyStore
 from .model import DesiredState, Executor, TaskKey
-from .progress import UNSETTLED, Attempt, JobState, Phase, TaskState, make_job
+from .progress import (
+    UNSETTLED,
+    Attempt,
+    JobState,
+    Phase,
+    TaskState,
+    longest_chain_s,
+    make_job,
+)
 from .record import JobRecord
 from .recorder import Recorder
 from .statistics import Statistics
@@ -104,12 +112,26 @@
             job = make_job(record.spec, trio.current_time())
             self.jobs[record.spec.id] = job
             self.active[record.spec.id] = job
-            log_event("job.known", job=job.spec.id, term=self.term.number)
+            self._log_known(job)
         job.created = job.created or created
         if record.cancelled and not job.cancelled:
             self._cancel(job)
         self.wake_planner()
 
+    def _log_known(self, job: JobState) -> None:
+        queue = self.parts.desired().current_queue(job.spec)
+        log_event(
+            "job.known",
+            job=job.spec.id,
+            queue=queue.name,
+            priority=queue.priority,
+            chain_s=round(longest_chain_s(job.spec), 3),
+            stretch=queue.stretch,
+            target_s=queue.target_s,
+            tasks=sum(step.spec.count for step in job.steps),
+            term=self.term.number,
+        )
+
     def _cancel(self, job: JobState) -> None:
         job.cancelled = True
         log_event("job.cancelled", job=job.spec.id, status=job.status.value)
@@ -134,6 +156,13 @@
         statistics.count("jobs_ended", job.status.value)
         elapsed = self.parts.wall_clock() - spec.accepted_at
         statistics.record(spec.tenant, spec.queue.name, Measure.COMPLETION, elapsed)
+        log_event(
+            "job.ended",
+            job=spec.id,
+            status=job.status.value,
+            elapsed_s=round(elapsed, 3),
+            term=self.term.number,
+        )
 
     def may_run_elsewhere(self, task: TaskKey) -> bool:
         """Whether an earlier owner may have left a run at an executor that is silent.
@@ -235,6 +264,8 @@
         is_current = attempt is not None and attempt.run == end.run
         if is_current and attempt is not None:
             self.close(attempt, end.kind.value)
+        else:
+            self._log_end_only(state, end)
         self.note_checkpoint(task, end.run, end.checkpoint)
         if end.kind is EndKind.DONE:
             self._note_done(state, job, task, end)
@@ -245,6 +276,19 @@
         if is_current and attempt is not None and end.kind is not EndKind.DONE:
             self.stop_gang(attempt, f"a member ended {end.kind.value}")
 
+    def _log_end_only(self, state: ExecutorState, end: EndedRun) -> None:
+        """Log an end of a run that this owner has no attempt of, as after a takeover."""
+        log_event(
+            "attempt.ended",
+            job=end.task.job,
+            step=end.task.step,
+            index=end.task.member,
+            occurrence=end.task.occurrence,
+            run=end.run,
+            executor=state.id,
+            why=end.kind.value,
+        )
+
     def _note_done(
         self, state: ExecutorState, job: JobState, task: TaskState, end: EndedRun
     ) -> None:
