Measure a gang's members against each other, not against their caller's guess

A member that stood still was found after 3 s only, and the blame fell on whichever member was looked at first. Ruled out: that members get on together, as the emulated site had it: logs show members at 100, 100, 100 and 2 percent; the emulator now does the same. Also the named switches of mechanisms (Policy), settings included.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -39,6 +39,7 @@
     encode_news,
     make_reply,
 )
+from .policy import DEFAULT_POLICY, Policy
 from .record import JobRecord
 from .requests import Requests
 from .statistics import Statistics
@@ -59,6 +60,7 @@
     peer_address: str
     seeds: tuple[str, ...] = ()
     timing: Timing = Timing()
+    policy: Policy = DEFAULT_POLICY
 
 
 @dataclass(frozen=True, slots=True)
@@ -207,6 +209,7 @@
             self._may_order,
             self.statistics,
             self.parts.approver,
+            self.settings.policy,
         )
 
     def _rank(self) -> int:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/housekeeping.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/housekeeping.py
@@ -8,7 +8,7 @@
 from .fleet import ExecutorState
 from .owned import OwnedCell
 from .progress import Attempt, JobState, Phase, StepState
-from .speed import is_whole, remaining_s, restarted_s, should_move
+from .speed import is_whole, remaining_s, restarted_s, should_move, usual_ratio
 
 HOUSEKEEPING_S = 0.4
 STALL_S = 3.2
@@ -87,13 +87,16 @@
         job = self.cell.jobs.get(attempt.task.job)
         if job is None or attempt.phase is not Phase.RUNNING:
             return
+        if not self.cell.parts.policy.move_slow_runs:
+            return
         step = job.step_of(attempt.task)
         task = job.task(attempt.task)
         if task is None or step.spec.lasting or step.rescues >= MAX_RESCUES:
             return
-        if not should_move(step, task, attempt, state, now):
+        usual = usual_ratio(step, self.cell.parts.policy)
+        if not should_move(step, task, attempt, state, usual, now):
             return
-        left, anew = remaining_s(step, attempt), restarted_s(step, attempt)
+        left, anew = remaining_s(step, attempt), restarted_s(step, attempt, usual)
         if left < RESCUE_GAIN * anew + 2 * self.cell.parts.timing.stop_s:
             return
         members = len(step.tasks) if step.spec.gang else 1
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
@@ -15,6 +15,7 @@
 from .fleet import ExecutorState
 from .keystore import KeyStore
 from .model import DesiredState, Executor, TaskKey
+from .policy import DEFAULT_POLICY, Policy
 from .progress import (
     UNSETTLED,
     Attempt,
@@ -78,6 +79,7 @@
     may_order: Callable[[], bool]
     statistics: Statistics
     approver: Approver = field(default_factory=NoApprover)
+    policy: Policy = DEFAULT_POLICY
     random: random.Random = field(default_factory=random.Random)
 
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -332,6 +332,7 @@
             self._urgent.peaks(trio.current_time()),
             self.cell.may_run_elsewhere,
             self.cell.approvals,
+            self.parts.policy,
         )
         plan = planner.make()
         self._urgent.note(trio.current_time(), planner.urgent_demand())
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -10,6 +10,7 @@
 from .headroom import Headroom
 from .model import URGENT, DesiredState, Queue, TaskKey
 from .plan import Candidate, Plan, Start
+from .policy import DEFAULT_POLICY, Policy
 from .progress import Attempt, JobState, Phase, StepState, TaskState, latest_starts
 from .room import Room, count_members, group_by_rack, holds_when_empty
 from .sharing import Neighbours
@@ -35,7 +36,9 @@
         urgent_peaks: dict[str, int] | None = None,
         may_run: Callable[[TaskKey], bool] = lambda task: False,
         approvals: Approvals | None = None,
+        policy: Policy = DEFAULT_POLICY,
     ) -> None:
+        self.policy = policy
         self.jobs = list(jobs)
         self.desired = desired
         self._may_run = may_run
@@ -185,7 +188,7 @@
         One that has nothing running waits no longer once it would be late otherwise, nor
         while much of the pool is idle.
         """
-        if candidate.queue.priority == URGENT:
+        if candidate.queue.priority == URGENT or not self.policy.headroom:
             return False
         if candidate.job.attempts() or candidate.waited_s(self.now) < HEADROOM_PATIENCE_S:
             return True
@@ -276,7 +279,7 @@
         rack = candidate.step.spec.data_rack
         if not any(r.state.executor.rack == rack for r in rooms):
             return True
-        if candidate.waited_s(self.now) >= REMOTE_PATIENCE_S:
+        if candidate.waited_s(self.now) >= REMOTE_PATIENCE_S or not self.policy.wait_for_data:
             return True
         self._recheck(REMOTE_PATIENCE_S - candidate.waited_s(self.now))
         return False
@@ -350,7 +353,7 @@
 
     def _reserve(self, candidate: Candidate, rooms: list[Room]) -> None:
         """Keep what is free in one rack for a gang that can't start yet."""
-        if self._reserved >= RESERVATIONS:
+        if self._reserved >= RESERVATIONS or not self.policy.reserve:
             return
         self._reserved += 1
         spec = candidate.step.spec
--- /dev/null
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/policy.py
@@ -0,0 +1,28 @@
+"""Switches for the mechanisms that decide how well work is served; none touches a promise."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Policy:
+    """Each mechanism on or off, so that what it is worth can be measured.
+
+    Promises (guarantees, whole gangs, at most one run, truthful answers) hold with any of them
+    off. docs/decisions.md tells what each was measured to be worth.
+
+    `headroom` leaves room for urgent work; `move_slow_runs` starts slow runs anew elsewhere;
+    `reserve` keeps what is free for a waiting gang; `wait_for_data` waits a while for room near
+    a step's data; `compare_members` measures a gang's members against each other instead of
+    their caller's estimate.
+    """
+
+    headroom: bool = True
+    move_slow_runs: bool = True
+    reserve: bool = True
+    wait_for_data: bool = True
+    compare_members: bool = True
+
+
+DEFAULT_POLICY = Policy()
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/speed.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/speed.py
@@ -8,9 +8,10 @@
 
 from __future__ import annotations
 
-from statistics import median
+from statistics import median, median_low
 
 from .fleet import ExecutorState
+from .policy import DEFAULT_POLICY, Policy
 from .progress import Attempt, JobState, Phase, StepState, TaskState
 
 MEASURE_S = 0.6
@@ -21,7 +22,9 @@
 SLOW_FOR_S = 6.0
 HEALTHY_S = 1.5
 LONGEST_RATIO = 50.0
+LEAST_ESTIMATE_S = 0.05
 LEAST_COMPARED = 3
+LEAST_MEMBERS = 2
 
 
 def measure_speed(
@@ -31,6 +34,7 @@
     percent: float,
     now: float,
     far_factor: float,
+    policy: Policy = DEFAULT_POLICY,
 ) -> None:
     """Take in a reading of `percent` once it tells the speed since the last one."""
     if attempt.measured_at is None:
@@ -39,31 +43,44 @@
     step = job.step_of(attempt.task)
     elapsed = now - attempt.measured_at
     gained = percent - attempt.measured_percent
-    if attempt.phase is not Phase.RUNNING or not _is_telling(attempt, elapsed, gained):
+    expected_rate = max(attempt.best_rate, _usual_rate(step, policy) / far_factor)
+    if attempt.phase is not Phase.RUNNING or not _is_telling(elapsed, gained, expected_rate):
         return
     attempt.measured_at, attempt.measured_percent = now, percent
     if step.spec.gang and not is_whole(step, attempt):
         return
     attempt.rate = gained / elapsed
     attempt.best_rate = max(attempt.best_rate, attempt.rate)
-    expected = elapsed / max(0.05, step.spec.estimate_s) * 100 / far_factor
+    expected = elapsed / max(LEAST_ESTIMATE_S, step.spec.estimate_s) * 100 / far_factor
     attempt.ratio = min(LONGEST_RATIO, expected / gained) if gained > 0 else LONGEST_RATIO
     step.ratios[attempt.task.member] = attempt.ratio
-    _judge(step, state, attempt, now)
+    _judge(step, state, attempt, usual_ratio(step, policy), now)
 
 
-def _is_telling(attempt: Attempt, elapsed: float, gained: float) -> bool:
+def _usual_rate(step: StepState, policy: Policy) -> float:
+    """Return how fast the members of a gang get on (percent a second), 0 if not known."""
+    usual = usual_ratio(step, policy, least_members=1)
+    if usual is None or not (step.spec.gang and policy.compare_members):
+        return 0.0
+    return 100 / (max(LEAST_ESTIMATE_S, step.spec.estimate_s) * usual)
+
+
+def _is_telling(elapsed: float, gained: float, expected_rate: float) -> bool:
     """Whether a reading is far enough from the last one; `percent` may come in whole numbers."""
     if elapsed < MEASURE_S:
         return False
-    would_show = elapsed * attempt.best_rate >= CLEAR_LOSS
+    would_show = elapsed * expected_rate >= CLEAR_LOSS
     return gained >= CLEAR_GAIN or would_show or elapsed >= LONGEST_MEASURE_S
 
 
-def _judge(step: StepState, state: ExecutorState, attempt: Attempt, now: float) -> None:
+def _judge(
+    step: StepState, state: ExecutorState, attempt: Attempt, usual: float | None, now: float
+) -> None:
     if has_slowed(attempt):
         state.slow_until = now + SLOW_FOR_S
-    elif not _is_behind(step, attempt):
+    elif usual is None and step.spec.gang:
+        return
+    elif not _is_behind(attempt, usual):
         state.healthy_at = now
         state.slow_until = 0.0
     elif now - state.healthy_at <= HEALTHY_S:
@@ -77,33 +94,43 @@
     return attempt.best_rate > 0 and attempt.rate * SLOW_RATIO <= attempt.best_rate
 
 
-def usual_ratio(step: StepState) -> float | None:
+def usual_ratio(
+    step: StepState, policy: Policy = DEFAULT_POLICY, least_members: int = LEAST_MEMBERS
+) -> float | None:
     """Return what the tasks of a step take over their estimate; None if that isn't known.
 
-    A gang's members get on together, so there is nothing to compare them with.
+    The members of a gang take equally long, and each gets on by itself until the last one is
+    done, so the better half tells what is usual. The estimate doesn't: it may be off tenfold.
     """
-    if step.spec.gang:
+    if step.spec.gang and not policy.compare_members:
         return 1.0
+    if step.spec.gang:
+        ratios = [t.attempt.ratio for t in step.tasks if t.attempt and t.attempt.ratio is not None]
+        return median_low(ratios) if len(ratios) >= least_members else None
     if len(step.ratios) < LEAST_COMPARED:
         return None
     return median(step.ratios.values())
 
 
-def _is_behind(step: StepState, attempt: Attempt) -> bool:
-    usual = usual_ratio(step)
+def _is_behind(attempt: Attempt, usual: float | None) -> bool:
     if usual is None or attempt.ratio is None:
         return False
     return attempt.ratio >= SLOW_RATIO * usual
 
 
 def should_move(
-    step: StepState, task: TaskState, attempt: Attempt, state: ExecutorState, now: float
+    step: StepState,
+    task: TaskState,
+    attempt: Attempt,
+    state: ExecutorState,
+    usual: float | None,
+    now: float,
 ) -> bool:
     """Whether an attempt is so slow, for its executor's sake, that it may do better elsewhere."""
     if has_slowed(attempt):
         return True
     may_be_long = attempt.is_long or task.moves > 0
-    return not may_be_long and state.slow_until > now and _is_behind(step, attempt)
+    return not may_be_long and state.slow_until > now and _is_behind(attempt, usual)
 
 
 def remaining_s(step: StepState, attempt: Attempt) -> float:
@@ -114,12 +141,11 @@
     return step.spec.estimate_s * ratio * (1 - attempt.percent / 100)
 
 
-def restarted_s(step: StepState, attempt: Attempt) -> float:
+def restarted_s(step: StepState, attempt: Attempt, usual: float | None) -> float:
     """Return the time that the rest would take on a sound executor."""
     kept = attempt.percent / 100 if step.spec.checkpointing else 0.0
     if has_slowed(attempt):
         return 100 / attempt.best_rate * (1 - kept)
-    usual = usual_ratio(step)
     return step.spec.estimate_s * (1.0 if usual is None else usual) * (1 - kept)
 
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
@@ -155,7 +155,8 @@
             attempt.settled_at = received
             attempt.moved_at = received
         factor = self._far_factor(job, attempt)
-        measure_speed(job, attempt, self.state, run.percent, received, factor)
+        policy = self.cell.parts.policy
+        measure_speed(job, attempt, self.state, run.percent, received, factor, policy)
         if run.percent > attempt.percent:
             attempt.percent = run.percent
             attempt.moved_at = received
--- a/packages/heronthread-emulator/src/heronthread_emulator/executors.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/executors.py
@@ -168,12 +168,10 @@
             if trio.current_time() - run.arrived_at > GANG_TIMEOUT_S:
                 self._end(executor, run, EndKind.ALONE)
             return
-        together = self._members(run) if run.members > 1 else [(executor, run)]
-        slowest = max(place.slowness for place, _ in together)
-        run.worked_s += TICK_S / slowest
-        if run.worked_s >= run.work_s:
+        run.worked_s = min(run.work_s, run.worked_s + TICK_S / executor.slowness)
+        members = self._members(run) if run.members > 1 else [(executor, run)]
+        if all(member.worked_s >= member.work_s for _, member in members):
             kind = run.kind
-            members = self._members(run) if run.members > 1 else [(executor, run)]
             for place, member in members:
                 own = kind if member is run or kind is EndKind.DONE else EndKind.BROKEN
                 self._end(place, member, own)
