--- a/packages/heronthread-dispatch/src/heronthread_dispatch/housekeeping.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/housekeeping.py
@@ -8,7 +8,7 @@
 from .fleet import ExecutorState
 from .owned import OwnedCell
 from .progress import Attempt, JobState, Phase, StepState
-from .speed import is_whole, remaining_s, restarted_s, should_move, usual_ratio
+from .speed import SLOW_FOR_S, is_whole, remaining_s, restarted_s, should_move, usual_ratio
 
 HOUSEKEEPING_S = 0.4
 STALL_S = 3.2
@@ -73,9 +73,10 @@
         step = job.step_of(attempt.task)
         if step.spec.lasting:
             return
-        if step.spec.gang and not is_whole(step, attempt):
+        if step.spec.gang and not (is_whole(step, attempt) and _is_last(step, attempt)):
             return
         state.note_bad(now)
+        state.slow_until = max(state.slow_until, now + SLOW_FOR_S)
         task = job.task(attempt.task)
         if task is not None:
             task.avoid[state.id] = now + 2 * STALL_S
@@ -132,3 +133,10 @@
                 free = free.minus(step.spec.need)
                 found += 1
         return found >= members
+
+
+def _is_last(step: StepState, attempt: Attempt) -> bool:
+    """Whether no member of a gang has got on less; the others may just be waiting for it."""
+    return all(
+        task.attempt is None or task.attempt.percent >= attempt.percent for task in step.tasks
+    )
