--- a/packages/heronthread-cli/tests/test_losses.py
+++ b/packages/heronthread-cli/tests/test_losses.py
@@ -83,3 +83,16 @@
     )
     assert [(loss.request, loss.outcome) for loss in losses] == [("b", FAILED)]
     assert count_causes(losses) == {"failed: its tasks failed too often": 1}
+
+
+def test_a_run_slower_than_others_of_its_step_is_told() -> None:
+    (loss,) = _losses(
+        _accept(1.0, "a"),
+        _known(1.0, "a"),
+        _start(1.0, "a", 1, 0.0),
+        _line(3.0, "attempt.closed", job="a", step=0, index=1, run=1, why="done", best_rate=50.0),
+        _end(9.0, "a", 1, "done"),
+        _line(9.0, "job.ended", job="a", status="succeeded"),
+    )
+    assert (loss.outcome, loss.objective_s) == (LATE, 3.5)
+    assert (loss.cause, loss.cause_s) == ("running slower than its step can", 6.0)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/policy.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/policy.py
@@ -16,7 +16,7 @@
     `reserve` keeps what is free for a waiting gang; `wait_for_data` waits a while for room near
     a step's data; `compare_members` measures a gang's members against each other instead of
     their caller's estimate; `urgent_on_sound` keeps urgent work off executors that are slow or
-    stand still.
+    stand still; `look_early` reads the progress of a gang's run more often while it is young.
     """
 
     headroom: bool = True
@@ -25,6 +25,7 @@
     wait_for_data: bool = True
     compare_members: bool = True
     urgent_on_sound: bool = True
+    look_early: bool = True
 
 
 DEFAULT_POLICY = Policy()
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
@@ -22,6 +22,8 @@
 from .speed import measure_speed
 
 WAIT_S = 1.0
+EARLY_WAIT_S = 0.35
+YOUNG_S = 2.5
 PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.8
 RECORD_PATIENCE_S = 0.25
@@ -69,7 +71,8 @@
         sent = trio.current_time()
         until = self._choose_deadline(sent)
         waits = state.heard and state.attempts and state.seen == state.noted
-        order = HoldOrder(self.cell.term.number, state.seen, until, WAIT_S if waits else 0.0)
+        wait_s = self._choose_wait(sent) if waits else 0.0
+        order = HoldOrder(self.cell.term.number, state.seen, until, wait_s)
         outcome = await self.cell.parts.link.hold(state.executor, order)
         if isinstance(outcome, Report):
             self._silent = 0
@@ -83,6 +86,24 @@
         else:
             await self._note_silence()
 
+    def _choose_wait(self, now: float) -> float:
+        """Return how long the executor may wait for an end before it reports."""
+        if not self.cell.parts.policy.look_early:
+            return WAIT_S
+        young = any(
+            now - attempt.ordered_at < YOUNG_S and self._is_compared(attempt)
+            for attempt in self.state.attempts.values()
+        )
+        return EARLY_WAIT_S if young else WAIT_S
+
+    def _is_compared(self, attempt: Attempt) -> bool:
+        """Whether early readings tell whether a run gets on: those of a gang's members do."""
+        job = self.cell.jobs.get(attempt.task.job)
+        if job is None:
+            return False
+        spec = job.step_of(attempt.task).spec
+        return spec.gang and spec.count > 1
+
     def _choose_deadline(self, now: float) -> int | None:
         """Return until when to hold; a silent executor is only looked at.
 
--- a/packages/heronthread-dispatch/tests/test_speed.py
+++ b/packages/heronthread-dispatch/tests/test_speed.py
@@ -61,3 +61,63 @@
         view = await site.hosts["h0"].requests.find_job("a")
         assert view.status is JobStatus.SUCCEEDED
         assert len(site.executors.starts()) == 2
+
+
+async def test_gang_with_a_low_estimate_is_left_alone(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Its members take five times what their caller guessed, all alike: nobody is slow."""
+    async with EmulatedSite.open(executors=4, racks=1) as site:
+        await site.wait_for_owner()
+        record = site.make_job("a", count=2, accelerators=8, work_s=1.0, gang=True)
+        for member in range(2):
+            site.executors.lengths[TaskKey("a", 0, member)] = 5.0
+        await site.hosts["h0"].requests.accept(record, 2.0)
+        await trio.sleep(7)
+        view = await site.hosts["h0"].requests.find_job("a")
+        assert view.status is JobStatus.SUCCEEDED
+        assert len(site.executors.starts()) == 2
+
+
+async def test_gang_member_that_stands_still_is_found_before_its_peers_are_done(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    async with EmulatedSite.open(executors=4, racks=1) as site:
+        await site.wait_for_owner()
+        site.executors.by_id["e0"].stands_still = True
+        record = site.make_job("a", count=2, accelerators=8, work_s=2.5, gang=True)
+        await site.hosts["h0"].requests.accept(record, 2.0)
+        await trio.sleep(2.0)
+        runs = {start.run for start in site.executors.starts()}
+        assert len(runs) == 2
+
+
+async def test_blame_for_a_gang_that_stands_still_falls_on_its_last_member(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    async with EmulatedSite.open(executors=2, racks=1) as site:
+        cell = site.hosts[await site.wait_for_owner()].owner.cell
+        site.executors.by_id["e1"].stands_still = True
+        record = site.make_job("a", count=2, accelerators=8, work_s=2.5, gang=True)
+        await site.hosts["h0"].requests.accept(record, 2.0)
+        await trio.sleep(4.5)
+        states = cell.executors
+        assert states["e1"].slow_until > 0
+        assert states["e0"].slow_until == 0
+
+
+async def test_urgent_work_keeps_off_an_executor_known_as_slow(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """The slow one is empty, since its work was moved; the sound ones must be cleared."""
+    async with EmulatedSite.open(executors=3, racks=1) as site:
+        cell = site.hosts[await site.wait_for_owner()].owner.cell
+        busy = site.make_job("busy", count=2, accelerators=8, work_s=30.0)
+        cell.executors["e0"].slow_until = trio.current_time() + 6.0
+        await site.hosts["h0"].requests.accept(busy, 2.0)
+        await trio.sleep(0.5)
+        urgent = site.make_job("urgent", queue="urgent", accelerators=8, work_s=2.0)
+        await site.hosts["h0"].requests.accept(urgent, 2.0)
+        await trio.sleep(1.5)
+        placed = [s.executor for s in site.executors.starts() if s.task.job == "urgent"]
+        assert placed and placed[0] != "e0"
