Read the executors' entries four times a second, not at each heartbeat

Cause: the owner's watch returned at every executor's heartbeat, 16 a second with 24 executors, up to a hundred with 176; each return is a priced call. Ruled out: the watches of hosts, which return every 2.5 s. The ledger also tells of runs slower than their step can.

--- a/packages/heronthread-cli/src/heronthread_cli/losses.py
+++ b/packages/heronthread-cli/src/heronthread_cli/losses.py
@@ -20,6 +20,7 @@
 CANCELLED = "cancelled"
 WORK = "work"
 FIRST_START = "waiting for its first start"
+SLOW = "running slower than its step can"
 NEXT_START = "waiting to be started again"
 DONE = "done"
 
@@ -52,6 +53,7 @@
     ended: float | None = None
     why: str = ""
     stop_reason: str = ""
+    best_rate: float = 0.0
 
 
 @dataclass(slots=True)
@@ -140,6 +142,7 @@
             attempt.stop_reason = str(message.get("reason", ""))
         elif attempt.ended is None:
             attempt.ended, attempt.why = at, str(message.get("why", ""))
+            attempt.best_rate = float(message.get("best_rate", 0.0))
         return
 
 
@@ -206,11 +209,22 @@
             parts[NEXT_START if number else FIRST_START] += max(0.0, attempt.began - at)
             at = last if attempt.ended is None else attempt.ended
             parts[_describe(attempt)] += at - attempt.began
+        slow = _slowed_s(tasks, slowest[-1][1])
+        parts[SLOW] += slow
+        parts[WORK] -= slow
         if slowest[-1][1].why != DONE and slowest[-1][1].ended is not None:
             parts[NEXT_START] += last - at
     return parts
 
 
+def _slowed_s(tasks: dict[int, list[tuple[int, _Attempt]]], attempt: _Attempt) -> float:
+    """Return how much longer a run took than at the best speed that its step's tasks showed."""
+    best = max(a.best_rate for runs in tasks.values() for _, a in runs)
+    if not best or attempt.why != DONE or attempt.ended is None:
+        return 0.0
+    return max(0.0, attempt.ended - attempt.began - 100 / best)
+
+
 def _end_of(runs: list[tuple[int, _Attempt]], open_end: float) -> float:
     ended = runs[-1][1].ended
     return open_end if ended is None else ended
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/follow.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/follow.py
@@ -19,6 +19,8 @@
     """Calls `on_listing` with everything there is and `on_change` with each later change.
 
     `at` is the revision up to which changes are known; None before the first listing.
+    `gather_s` is a pause after each answer: a watch counts as a call each time it returns,
+    so keys that change all the time are read some times a second and not at each change.
     """
 
     store: KeyStore
@@ -26,6 +28,7 @@
     on_listing: Callable[[Listing], None]
     on_change: Callable[[Item | Gone], None]
     wait_s: float = WATCH_S
+    gather_s: float = 0.0
     at: int | None = None
 
     async def run(self) -> None:
@@ -60,3 +63,5 @@
             self.at = max(self.at, outcome.at)
             for event in outcome.events:
                 self.on_change(event)
+            if outcome.events and self.gather_s:
+                await trio.sleep(self.gather_s)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
@@ -217,6 +217,8 @@
             occurrence=attempt.task.occurrence,
             run=attempt.run,
             executor=attempt.executor,
+            percent=attempt.percent,
+            best_rate=round(attempt.best_rate, 2),
             why=why,
         )
         self.wake_planner()
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -32,6 +32,8 @@
 LATE_OWNER_S = 1.2
 FIRST_HEARING_S = 0.04
 URGENT_WINDOW_S = 12.0
+DIRECTORY_GATHER_S = 0.25
+"""Executors write every 1.5 s each; that one leaves is news for `drain_ms`, 2 s at least."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,7 +73,11 @@
         with self._scope:
             jobs = Follower(self.parts.store, JOB_PREFIX, self._take_jobs, self._take_job)
             directory = Follower(
-                self.parts.store, self.parts.directory.prefix, self._take_listing, self._take_entry
+                self.parts.store,
+                self.parts.directory.prefix,
+                self._take_listing,
+                self._take_entry,
+                gather_s=DIRECTORY_GATHER_S,
             )
             await self._load(jobs, directory)
             log_event(
