Wait for what ends within the time of a stop instead of stopping others

Cause: urgent work stopped others although a run would have ended within 0.9 s, which a stop takes as well; only runs ending within 0.5 s were waited for. Now the deployment's stop time. Ruled out: longer waiting, which would cost urgent work its time.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -339,6 +339,7 @@
             self.cell.may_run_elsewhere,
             self.cell.approvals,
             self.parts.policy,
+            self.parts.timing.stop_s,
         )
         plan = planner.make()
         self._urgent.note(trio.current_time(), planner.urgent_demand())
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -21,6 +21,7 @@
 RESERVATIONS = 2
 HEADROOM_PATIENCE_S = 1.5
 DUE_MARGIN_S = 1.0
+USUAL_STOP_S = 0.5
 
 
 class Planner:
@@ -37,6 +38,7 @@
         may_run: Callable[[TaskKey], bool] = lambda task: False,
         approvals: Approvals | None = None,
         policy: Policy = DEFAULT_POLICY,
+        stop_s: float = USUAL_STOP_S,
     ) -> None:
         self.policy = policy
         self.jobs = list(jobs)
@@ -57,7 +59,7 @@
         self._headroom = Headroom(self.rooms, urgent_peaks or {})
         self._urgent_missing: dict[str, int] = {}
         self._neighbours = Neighbours(self.jobs)
-        self._victims = Victims(self.jobs, desired, self.guaranteed, now, self.plan.stops)
+        self._victims = Victims(self.jobs, desired, self.guaranteed, now, self.plan.stops, stop_s)
         self._approvals = approvals
 
     def make(self) -> Plan:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/victims.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/victims.py
@@ -10,14 +10,16 @@
 from .room import Room
 from .sharing import may_be_taken_away
 
-ENDS_SOON_S = 0.5
 END_PATIENCE_S = 0.8
 URGENT_LOSS_FACTOR = 6.0
 URGENT_LEAST_LOSS = 10.0
 
 
 class Victims:
-    """Finds attempts to stop; `stops` are those that the plan stops already."""
+    """Finds attempts to stop; `stops` are those that the plan stops already.
+
+    A stop takes up to `stop_s`: what ends by itself within that time is waited for instead.
+    """
 
     def __init__(
         self,
@@ -26,12 +28,14 @@
         guaranteed: set[str],
         now: float,
         stops: list[Attempt],
+        stop_s: float,
     ) -> None:
         self._jobs = {job.spec.id: job for job in jobs}
         self._desired = desired
         self._guaranteed = guaranteed
         self._now = now
         self._stops = stops
+        self._stop_s = stop_s
 
     def clear(
         self, candidate: Candidate, count: int, scope: list[Room]
@@ -111,7 +115,7 @@
         for attempt in room.state.attempts.values():
             if id(attempt) in doomed or attempt.phase is not Phase.RUNNING:
                 continue
-            if expected_end_s(attempt, self._now) <= ENDS_SOON_S:
+            if expected_end_s(attempt, self._now) <= self._stop_s:
                 soon = soon.plus(attempt.need)
         return soon
 
