--- a/packages/heronthread-dispatch/src/heronthread_dispatch/headroom.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/headroom.py
@@ -20,16 +20,13 @@
     def __init__(self, rooms: dict[str, list[Room]], peaks: dict[str, int]) -> None:
         self._rooms = rooms
         self._peaks = peaks
-        self._chosen: frozenset[str] | None = None
 
     def choose(self, used: dict[str, int]) -> frozenset[str]:
-        """Return the executors to leave alone, given what urgent work holds; chosen once."""
-        if self._chosen is None:
-            chosen: list[str] = []
-            for pool, rooms in self._rooms.items():
-                chosen += self._choose_in_pool(rooms, self._peaks.get(pool, 0) - used.get(pool, 0))
-            self._chosen = frozenset(chosen)
-        return self._chosen
+        """Return the executors to leave alone, given what urgent work holds by pool."""
+        chosen: list[str] = []
+        for pool, rooms in self._rooms.items():
+            chosen += self._choose_in_pool(rooms, self._peaks.get(pool, 0) - used.get(pool, 0))
+        return frozenset(chosen)
 
     def _choose_in_pool(self, rooms: list[Room], missing: int) -> list[str]:
         """Choose the emptiest executors, rack by rack: urgent gangs are to share one."""
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -48,15 +48,19 @@
         self.wall_now = wall_now
         self.by_id = {state.id: state for state in executors}
         self.rooms: dict[str, list[Room]] = {}
+        self._room_of: dict[str, Room] = {}
         for state in self.by_id.values():
             if state.accepts_work(now):
                 room = Room(state, state.free, state.room_soon())
                 self.rooms.setdefault(state.executor.pool, []).append(room)
+                self._room_of[state.id] = room
         self.plan = Plan()
         self.guaranteed = find_guaranteed(self.jobs, desired, wall_now)
         self._reserved = 0
         self._full: set[tuple[object, ...]] = set()
+        self._too_large: dict[tuple[object, ...], int] = {}
         self._headroom = Headroom(self.rooms, urgent_peaks or {})
+        self._left_alone: frozenset[str] | None = None
         self._urgent_missing: dict[str, int] = {}
         self._neighbours = Neighbours(self.jobs)
         self._victims = Victims(self.jobs, desired, self.guaranteed, now, self.plan.stops, stop_s)
@@ -213,7 +217,9 @@
         return not (is_due or self._headroom.is_mostly_idle(candidate.queue.pool))
 
     def _find_headroom(self) -> frozenset[str]:
-        return self._headroom.choose(self.urgent_in_use())
+        if self._left_alone is None:
+            self._left_alone = self._headroom.choose(self.urgent_in_use())
+        return self._left_alone
 
     def urgent_demand(self) -> dict[str, int]:
         """Return the accelerators that urgent work holds or waits for, by pool."""
@@ -292,6 +298,15 @@
         until = task.avoid.get(room.state.id)
         return until is not None and until > self.now
 
+    def _avoided_by_any(self, candidate: Candidate) -> set[str]:
+        """Return the executors that some task of a candidate is to avoid for now."""
+        return {
+            executor
+            for task in candidate.tasks
+            for executor, until in task.avoid.items()
+            if until > self.now
+        }
+
     def _may_go_remote(self, candidate: Candidate, rooms: list[Room]) -> bool:
         rack = candidate.step.spec.data_rack
         if not any(r.state.executor.rack == rack for r in rooms):
@@ -308,13 +323,44 @@
     # Gangs
 
     def _place_gang(self, candidate: Candidate, rooms: list[Room]) -> list[tuple[TaskState, Room]]:
-        best = self._best_fit(candidate, self._gang_scopes(candidate, rooms))
+        scopes = self._gang_scopes(candidate, rooms)
+        key, count = self._gang_key(candidate, rooms, scopes), len(candidate.tasks)
+        if count >= self._too_large.get(key, count + 1):
+            return []
+        best = self._best_fit(candidate, scopes)
         if best is None:
+            if not self._avoided_by_any(candidate):
+                self._too_large[key] = count
             return []
         for room in best:
             room.take(candidate.step.spec.need)
         return list(zip(candidate.tasks, best, strict=True))
 
+    def _gang_key(
+        self, candidate: Candidate, rooms: list[Room], scopes: list[list[Room]]
+    ) -> tuple[object, ...]:
+        """Return what decides, beside a gang's size, where it may go in this plan.
+
+        What is free only shrinks while a plan is made, so where one did not fit, no larger
+        one with the same key does.
+        """
+        spec = candidate.step.spec
+        return (
+            candidate.queue.pool,
+            spec.need,
+            spec.label,
+            spec.same_rack,
+            spec.data_rack,
+            spec.spread_limit,
+            spec.serves,
+            spec.fills,
+            candidate.queue.priority == URGENT,
+            self._keeps_out(candidate),
+            len(rooms),
+            len(scopes),
+            candidate.key if candidate.queue.approval else None,
+        )
+
     def _gang_scopes(self, candidate: Candidate, rooms: list[Room]) -> list[list[Room]]:
         """Return the sets of executors that a gang may use, the preferred ones first."""
         spec = candidate.step.spec
@@ -355,10 +401,12 @@
         """Return a room for each member, tightest first, or None; takes nothing."""
         spec = candidate.step.spec
         wanted = len(candidate.tasks)
+        avoided = self._avoided_by_any(candidate)
+        fitting = [r for r in scope if r.fits(spec.need) and r.state.id not in avoided]
+        if count_members(fitting, spec.need) < wanted:
+            return None
         chosen: list[Room] = []
-        for room in sorted(scope, key=self._preference):
-            if any(self._avoids(task, room) for task in candidate.tasks):
-                continue
+        for room in sorted(fitting, key=self._preference):
             now, soon, here = room.now, room.soon, 0
             while len(chosen) < wanted and spec.need.fits_in(now) and spec.need.fits_in(soon):
                 if spec.spread_limit and here >= spec.spread_limit:
@@ -422,10 +470,9 @@
         if attempt.phase is Phase.STOPPING or attempt in self.plan.stops:
             return
         self.plan.stops.append(attempt)
-        for rooms in self.rooms.values():
-            for room in rooms:
-                if room.state.id == attempt.executor:
-                    room.soon = room.soon.plus(attempt.need)
+        room = self._room_of.get(attempt.executor)
+        if room is not None:
+            room.soon = room.soon.plus(attempt.need)
 
 
 def _count_by_executor(step: StepState) -> dict[str, int]:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/victims.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/victims.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from dataclasses import dataclass, field
 
 from .model import URGENT, DesiredState, Resources
 from .plan import Candidate
 from .progress import Attempt, JobState, Phase
-from .room import Room
+from .room import Room, count_fits
 from .sharing import may_be_taken_away
 
 END_PATIENCE_S = 0.8
@@ -15,6 +16,41 @@
 URGENT_LEAST_LOSS = 10.0
 
 
+@dataclass(frozen=True, slots=True)
+class _Loss:
+    """An attempt that may be stopped, and the work that is lost with its whole gang."""
+
+    core_seconds: float
+    attempt: Attempt
+
+
+@dataclass(frozen=True, slots=True)
+class _Option:
+    """What to stop at one executor so that one more task fits there."""
+
+    cost: float
+    victims: list[Attempt]
+
+
+@dataclass(slots=True)
+class _Clearing:
+    """One search for room: what is left at each executor, and what was chosen so far."""
+
+    candidate: Candidate
+    soon: dict[str, Resources]
+    here: dict[str, int] = field(default_factory=dict)
+    victims: list[Attempt] = field(default_factory=list)
+    doomed: set[int] = field(default_factory=set)
+    chosen: list[Room] = field(default_factory=list)
+    cost: float = 0.0
+    has_doomed_lasting: bool = False
+
+    @property
+    def need(self) -> Resources:
+        """What one task asks for."""
+        return self.candidate.step.spec.need
+
+
 class Victims:
     """Finds attempts to stop; `stops` are those that the plan stops already.
 
@@ -36,6 +72,9 @@
         self._now = now
         self._stops = stops
         self._stop_s = stop_s
+        self._known: dict[tuple[bool, str], list[_Loss]] = {}
+        self._ending: dict[str, list[Attempt]] = {}
+        self._stopped_ids: set[int] = set()
 
     def clear(
         self, candidate: Candidate, count: int, scope: list[Room]
@@ -44,78 +83,121 @@
 
         Where the tasks are no gang, room for some of them is better than for none.
         """
-        need = candidate.step.spec.need
-        limit = candidate.step.spec.spread_limit
-        soon = {room.state.id: room.soon for room in scope}
-        here: dict[str, int] = {}
-        victims: list[Attempt] = []
-        doomed: set[int] = set()
-        cost = 0.0
-        chosen: list[Room] = []
+        clearing = _Clearing(candidate, {room.state.id: room.soon for room in scope})
+        if not self._may_suffice(clearing, count, scope):
+            return None
+        options = {room.state.id: self._cheapest_here(clearing, room) for room in scope}
         for _ in range(count):
-            best: tuple[float, Room, list[Attempt]] | None = None
-            for room in scope:
-                if limit and here.get(room.state.id, 0) >= limit:
-                    continue
-                option = self._cheapest_here(candidate, room, soon[room.state.id], need, doomed)
-                if option is not None and (best is None or option[0] < best[0]):
-                    best = (option[0], room, option[1])
-                    if option[0] == 0.0:
-                        break
-            if best is None and (candidate.step.spec.gang or not chosen):
+            best = self._cheapest_room(clearing, scope, options)
+            if best is None and (candidate.step.spec.gang or not clearing.chosen):
                 return None
             if best is None:
                 break
-            cost += best[0]
-            for attempt in best[2]:
-                victims.append(attempt)
-                for member in self.whole_gang(attempt):
-                    doomed.add(id(member))
-                    if member.executor in soon:
-                        soon[member.executor] = soon[member.executor].plus(member.need)
-            room = best[1]
-            soon[room.state.id] = soon[room.state.id].minus(need)
-            here[room.state.id] = here.get(room.state.id, 0) + 1
-            chosen.append(room)
-        return cost, victims, chosen
-
-    def _cheapest_here(
-        self,
-        candidate: Candidate,
-        room: Room,
-        soon: Resources,
-        need: Resources,
-        doomed: set[int],
-    ) -> tuple[float, list[Attempt]] | None:
-        if candidate.waited_s(self._now) < END_PATIENCE_S:
+            room, option = best
+            changed = self._apply(clearing, room, option)
+            for other in scope:
+                if other.state.id in changed or clearing.has_doomed_lasting:
+                    options[other.state.id] = self._cheapest_here(clearing, other)
+        return clearing.cost, clearing.victims, clearing.chosen
+
+    def _may_suffice(self, clearing: _Clearing, count: int, scope: list[Room]) -> bool:
+        """Whether room for a gang could be made if everything that may be taken were."""
+        if not clearing.candidate.step.spec.gang:
+            return True
+        need, found = clearing.need, 0
+        for room in scope:
+            most = clearing.soon[room.state.id]
+            for loss in self._takeable(clearing.candidate, room):
+                most = most.plus(loss.attempt.need)
+            if clearing.candidate.waited_s(self._now) < END_PATIENCE_S:
+                most = self._with_ending(room, most, clearing.doomed)
+            found += max(0, count_fits(need, most))
+        return found >= count
+
+    def _cheapest_room(
+        self, clearing: _Clearing, scope: list[Room], options: dict[str, _Option | None]
+    ) -> tuple[Room, _Option] | None:
+        limit = clearing.candidate.step.spec.spread_limit
+        best: tuple[Room, _Option] | None = None
+        for room in scope:
+            if limit and clearing.here.get(room.state.id, 0) >= limit:
+                continue
+            option = options[room.state.id]
+            if option is None or (best is not None and option.cost >= best[1].cost):
+                continue
+            best = (room, option)
+            if option.cost == 0.0:
+                break
+        return best
+
+    def _apply(self, clearing: _Clearing, room: Room, option: _Option) -> set[str]:
+        """Note a choice; return the executors where it changes what the next one costs."""
+        changed = {room.state.id}
+        clearing.cost += option.cost
+        for attempt in option.victims:
+            clearing.victims.append(attempt)
+            clearing.has_doomed_lasting |= self._is_lasting(attempt)
+            for member in self.whole_gang(attempt):
+                clearing.doomed.add(id(member))
+                if member.executor in clearing.soon:
+                    clearing.soon[member.executor] = clearing.soon[member.executor].plus(
+                        member.need
+                    )
+                    changed.add(member.executor)
+        clearing.soon[room.state.id] = clearing.soon[room.state.id].minus(clearing.need)
+        clearing.here[room.state.id] = clearing.here.get(room.state.id, 0) + 1
+        clearing.chosen.append(room)
+        return changed
+
+    def _cheapest_here(self, clearing: _Clearing, room: Room) -> _Option | None:
+        """Return what to stop at one executor so that one more task fits; None if nothing does."""
+        need, soon, doomed = clearing.need, clearing.soon[room.state.id], clearing.doomed
+        if clearing.candidate.waited_s(self._now) < END_PATIENCE_S:
             soon = self._with_ending(room, soon, doomed)
         if need.fits_in(soon):
-            return 0.0, []
-        options = [
-            (self._loss(attempt), attempt)
-            for attempt in room.state.attempts.values()
-            if id(attempt) not in doomed and self._may_take(candidate, attempt)
-        ]
-        options.sort(key=lambda option: option[0])
+            return _Option(0.0, [])
         cost = 0.0
         victims: list[Attempt] = []
-        for loss, attempt in options:
-            away = doomed | {id(victim) for victim in victims}
-            if not self.may_be_away(attempt, away):
+        away = set(doomed)
+        for loss in self._takeable(clearing.candidate, room):
+            attempt = loss.attempt
+            if id(attempt) in away or not self.may_be_away(attempt, away):
                 continue
             victims.append(attempt)
-            cost += loss
-            soon = soon.plus(attempt.need)
+            cost += loss.core_seconds
+            for member in self.whole_gang(attempt):
+                away.add(id(member))
+                if member.executor == room.state.id:
+                    soon = soon.plus(member.need)
             if need.fits_in(soon):
-                return cost, victims
+                return _Option(cost, victims)
         return None
 
+    def _takeable(self, candidate: Candidate, room: Room) -> list[_Loss]:
+        """Return the attempts at an executor that may be taken for a candidate, cheapest first."""
+        key = (candidate.guaranteed, room.state.id)
+        if key not in self._known:
+            losses = [
+                _Loss(self._loss(attempt), attempt)
+                for attempt in room.state.attempts.values()
+                if self._may_take(candidate, attempt)
+            ]
+            self._known[key] = sorted(losses, key=lambda loss: loss.core_seconds)
+        stopped = self._stopped()
+        return [loss for loss in self._known[key] if id(loss.attempt) not in stopped]
+
     def _with_ending(self, room: Room, soon: Resources, doomed: set[int]) -> Resources:
         """Add what will have ended by itself before a stop would be over."""
-        for attempt in room.state.attempts.values():
-            if id(attempt) in doomed or attempt.phase is not Phase.RUNNING:
-                continue
-            if expected_end_s(attempt, self._now) <= self._stop_s:
+        executor = room.state.id
+        if executor not in self._ending:
+            self._ending[executor] = [
+                attempt
+                for attempt in room.state.attempts.values()
+                if attempt.phase is Phase.RUNNING
+                and expected_end_s(attempt, self._now) <= self._stop_s
+            ]
+        for attempt in self._ending[executor]:
+            if id(attempt) not in doomed:
                 soon = soon.plus(attempt.need)
         return soon
 
@@ -124,10 +206,12 @@
         job = self._job(attempt)
         if job is None:
             return False
+        if not job.step_of(attempt.task).spec.lasting:
+            return True
         return may_be_taken_away(job.step_of(attempt.task), self._stopped().union(doomed))
 
     def _may_take(self, candidate: Candidate, attempt: Attempt) -> bool:
-        if attempt.phase is Phase.STOPPING or attempt in self._stops:
+        if attempt.phase is Phase.STOPPING:
             return False
         owner = self._job(attempt)
         if owner is None or owner.spec.id in self._guaranteed:
@@ -161,8 +245,15 @@
             total = (total + URGENT_LEAST_LOSS) * URGENT_LOSS_FACTOR
         return total
 
+    def _is_lasting(self, attempt: Attempt) -> bool:
+        job = self._job(attempt)
+        return job is not None and job.step_of(attempt.task).spec.lasting
+
     def _stopped(self) -> set[int]:
-        return {id(attempt) for attempt in self._stops}
+        """Return the ids of what the plan stops; the plan only ever adds to it."""
+        if len(self._stopped_ids) < len(self._stops):
+            self._stopped_ids = {id(attempt) for attempt in self._stops}
+        return self._stopped_ids
 
     def _job(self, attempt: Attempt) -> JobState | None:
         return self._jobs.get(attempt.task.job)
