--- a/packages/heronthread-dispatch/src/heronthread_dispatch/speed.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/speed.py
@@ -101,9 +101,9 @@
 
     The members of a gang take equally long, and each gets on by itself until the last one is
     done, so the fastest tells what is usual, also where most of them share a slow executor.
-    The estimate doesn't: it may be off tenfold.
+    The estimate doesn't, as it may be off tenfold; it is all there is for a gang of one.
     """
-    if step.spec.gang and not policy.compare_members:
+    if step.spec.gang and not (policy.compare_members and step.spec.count > 1):
         return 1.0
     if step.spec.gang:
         ratios = [t.attempt.ratio for t in step.tasks if t.attempt and t.attempt.ratio is not None]
--- a/packages/heronthread-emulator/src/heronthread_emulator/__init__.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/__init__.py
@@ -2,11 +2,17 @@
 
 from .checker import Told, Violation, check_promises
 from .executors import EmulatedExecutor, EmulatedExecutors
+from .experiment import Difference, Pair, compare_policies, sum_up, switch_off
 from .site import EmulatedSite, make_queue, make_state
 from .soak import SoakResult, run_soak
 from .store import EmulatedStore, StoreView
 
 __all__ = [
+    "Difference",
+    "Pair",
+    "compare_policies",
+    "sum_up",
+    "switch_off",
     "SoakResult",
     "Told",
     "Violation",
--- a/packages/heronthread-emulator/src/heronthread_emulator/site.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/site.py
@@ -25,6 +25,7 @@
     Tenant,
 )
 from heronthread_dispatch.owned import DirectoryFormat, Timing
+from heronthread_dispatch.policy import DEFAULT_POLICY, Policy
 from heronthread_dispatch.record import JobRecord
 
 from .approver import EmulatedApprover
@@ -98,8 +99,9 @@
 class EmulatedSite:
     """The site; hosts run in their own cancel scopes, so that each can be killed alone."""
 
-    def __init__(self, nursery: trio.Nursery) -> None:
+    def __init__(self, nursery: trio.Nursery, policy: Policy = DEFAULT_POLICY) -> None:
         self.nursery = nursery
+        self.policy = policy
         self.store = EmulatedStore()
         self.executors = EmulatedExecutors()
         self.peers = EmulatedPeers()
@@ -112,11 +114,16 @@
     @classmethod
     @asynccontextmanager
     async def open(
-        cls, *, hosts: int = 2, executors: int = 4, racks: int = 2
+        cls,
+        *,
+        hosts: int = 2,
+        executors: int = 4,
+        racks: int = 2,
+        policy: Policy = DEFAULT_POLICY,
     ) -> AsyncIterator[EmulatedSite]:
         """Run a site for as long as the context is open."""
         async with trio.open_nursery() as nursery:
-            site = cls(nursery)
+            site = cls(nursery, policy)
             nursery.start_soon(site.store.run)
             nursery.start_soon(site.executors.run)
             site.configure(1)
@@ -170,7 +177,7 @@
             trio.current_time,
             self.approver,
         )
-        host = Host(HostSettings(name, name, (), Timing(6.0, 0.1, 3.0)), parts)
+        host = Host(HostSettings(name, name, (), Timing(6.0, 0.1, 3.0), self.policy), parts)
         self.hosts[name] = host
         self.views[name] = view
         self.peers.handlers[name] = host.handle
--- a/packages/heronthread-emulator/src/heronthread_emulator/soak.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from typing import TypeVar
 
 import trio
 import trio.testing
@@ -17,6 +18,8 @@
 from .checker import Told, Violation, check_promises
 from .site import EmulatedSite
 
+Played = TypeVar("Played")
+
 FAULTS_S = 30.0
 JOBS = 40
 SETTLE_S = 60.0
@@ -311,7 +314,12 @@
 
 def run_soak(seed: int) -> SoakResult:
     """Play one seed in virtual time; the same seed plays the same run."""
+    return run_seeded(seed, _play, seed)
+
+
+def run_seeded(seed: int, play: Callable[..., Awaitable[Played]], *arguments: object) -> Played:
+    """Run something in virtual time, so that the same seed plays the same run."""
     trio_run._ALLOW_DETERMINISTIC_SCHEDULING = True  # type: ignore[misc]
     trio_run._r.seed(seed)
     random.seed(seed)
-    return trio.run(_play, seed, clock=trio.testing.MockClock(autojump_threshold=0))
+    return trio.run(play, *arguments, clock=trio.testing.MockClock(autojump_threshold=0))
