--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := scheduling coordination daemon cli dispatch emulator
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint format thrift bench-policy bench-capacity bench-configuration histories soak
+.PHONY: demo test lint format thrift bench-policy bench-capacity bench-configuration bench-planning histories soak
 
 $(STAMP): constraints.txt $(wildcard packages/*/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -39,6 +39,9 @@
 bench-configuration: $(STAMP)
 	$(BIN)/python -m benchmarks.configuration
 
+bench-planning: $(STAMP)
+	$(BIN)/python -m benchmarks.planning
+
 SEEDS ?= 200
 PLANT ?=
 histories: $(STAMP)
--- a/packages/heronthread-emulator/src/heronthread_emulator/experiment.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/experiment.py
@@ -171,4 +171,9 @@
         target_s = TARGET_S if queue == "urgent" else ORDINARY_TARGET_S
         ended = done.get(job.record.spec.id, float("inf"))
         on_time[queue].append(ended <= job.at + stretch * job.work_s + target_s)
-    return DayValue(mean(on_time["urgent"]), mean(on_time["ordinary"]), round(lost, 1))
+    return DayValue(_share(on_time["urgent"]), _share(on_time["ordinary"]), round(lost, 1))
+
+
+def _share(on_time: list[bool]) -> float:
+    """Return the share of jobs on time; all of none."""
+    return mean(on_time) if on_time else 1.0
