--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
@@ -212,12 +212,7 @@
             task.attempt = None
         log_event(
             "attempt.closed",
-            job=attempt.task.job,
-            step=attempt.task.step,
-            index=attempt.task.member,
-            occurrence=attempt.task.occurrence,
-            run=attempt.run,
-            executor=attempt.executor,
+            **_describe_run(attempt.task, attempt.run, attempt.executor),
             percent=attempt.percent,
             best_rate=round(attempt.best_rate, 2),
             why=why,
@@ -283,16 +278,8 @@
 
     def _log_end_only(self, state: ExecutorState, end: EndedRun) -> None:
         """Log an end of a run that this owner has no attempt of, as after a takeover."""
-        log_event(
-            "attempt.ended",
-            job=end.task.job,
-            step=end.task.step,
-            index=end.task.member,
-            occurrence=end.task.occurrence,
-            run=end.run,
-            executor=state.id,
-            why=end.kind.value,
-        )
+        run = _describe_run(end.task, end.run, state.id)
+        log_event("attempt.ended", **run, why=end.kind.value)
 
     def _note_done(
         self, state: ExecutorState, job: JobState, task: TaskState, end: EndedRun
@@ -327,3 +314,15 @@
             log_event("job.failed", job=job.spec.id, step=end.task.step, index=end.task.member)
             self._end_attempts(job, "job failed")
         self._settle(job)
+
+
+def _describe_run(task: TaskKey, run: int, executor: str) -> dict[str, object]:
+    """Return the fields of a log line that name one run of a task."""
+    return {
+        "job": task.job,
+        "step": task.step,
+        "index": task.member,
+        "occurrence": task.occurrence,
+        "run": run,
+        "executor": executor,
+    }
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -6,19 +6,18 @@
 
 from .approval import LARGEST_QUESTION, USUAL_QUESTION, Approvals, Question
 from .fleet import ExecutorState
+from .gangs import SPREAD_PATIENCE_S, Gangs
 from .guarantee import find_guaranteed
 from .headroom import Headroom
 from .model import URGENT, DesiredState, Queue, TaskKey
 from .plan import Candidate, Plan, Start
 from .policy import DEFAULT_POLICY, Policy
 from .progress import Attempt, JobState, Phase, StepState, TaskState, latest_starts
-from .room import Room, count_members, group_by_rack, holds_when_empty
+from .room import Room, group_by_rack, holds_when_empty
 from .sharing import Neighbours
 from .victims import Victims
 
 REMOTE_PATIENCE_S = 1.2
-SPREAD_PATIENCE_S = 1.5
-RESERVATIONS = 2
 HEADROOM_PATIENCE_S = 1.5
 DUE_MARGIN_S = 1.0
 USUAL_STOP_S = 0.5
@@ -56,9 +55,8 @@
                 self._room_of[state.id] = room
         self.plan = Plan()
         self.guaranteed = find_guaranteed(self.jobs, desired, wall_now)
-        self._reserved = 0
         self._full: set[tuple[object, ...]] = set()
-        self._too_large: dict[tuple[object, ...], int] = {}
+        self._gangs = Gangs(now, policy, self._keeps_out)
         self._headroom = Headroom(self.rooms, urgent_peaks or {})
         self._left_alone: frozenset[str] | None = None
         self._urgent_missing: dict[str, int] = {}
@@ -121,7 +119,7 @@
     def _serve(self, candidate: Candidate) -> None:
         rooms = self._usable(candidate)
         if candidate.step.spec.gang and len(candidate.tasks) > 1:
-            placed = self._place_gang(candidate, rooms)
+            placed = self._gangs.place(candidate, rooms)
         else:
             placed = self._place_single(candidate, rooms)
         if placed:
@@ -141,7 +139,7 @@
             self._urgent_missing[pool] = self._urgent_missing.get(pool, 0) + needed
             self._take_back(candidate, candidate.tasks[-missing:], rooms)
         elif missing and candidate.step.spec.gang:
-            self._reserve(candidate, rooms)
+            self._gangs.reserve(candidate, rooms)
 
     def _keep_approved(self, candidate: Candidate, rooms: list[Room]) -> list[Room]:
         """Return the rooms for which a ticket is at hand."""
@@ -243,10 +241,6 @@
                 used[queue.pool] = used.get(queue.pool, 0) + need
         return used
 
-    def _preference(self, room: Room) -> tuple[bool, int, int]:
-        """Sort sound executors first, and of those the fullest."""
-        return (room.state.slow_until > self.now, room.now.accelerators, room.now.cpu)
-
     # One task at a time
 
     def _place_single(
@@ -273,7 +267,7 @@
             near = [r for r in fitting if r.state.executor.rack == spec.data_rack]
             if near or not self._may_go_remote(candidate, rooms):
                 fitting = near
-        fitting.sort(key=self._preference)
+        fitting.sort(key=self._gangs.prefer)
         counts = _count_by_executor(candidate.step)
         return self._fill(candidate, fitting, counts)
 
@@ -298,15 +292,6 @@
         until = task.avoid.get(room.state.id)
         return until is not None and until > self.now
 
-    def _avoided_by_any(self, candidate: Candidate) -> set[str]:
-        """Return the executors that some task of a candidate is to avoid for now."""
-        return {
-            executor
-            for task in candidate.tasks
-            for executor, until in task.avoid.items()
-            if until > self.now
-        }
-
     def _may_go_remote(self, candidate: Candidate, rooms: list[Room]) -> bool:
         rack = candidate.step.spec.data_rack
         if not any(r.state.executor.rack == rack for r in rooms):
@@ -320,136 +305,12 @@
         known = self.plan.recheck_in_s
         self.plan.recheck_in_s = in_s if known is None else min(known, in_s)
 
-    # Gangs
-
-    def _place_gang(self, candidate: Candidate, rooms: list[Room]) -> list[tuple[TaskState, Room]]:
-        scopes = self._gang_scopes(candidate, rooms)
-        key, count = self._gang_key(candidate, rooms, scopes), len(candidate.tasks)
-        if count >= self._too_large.get(key, count + 1):
-            return []
-        best = self._best_fit(candidate, scopes)
-        if best is None:
-            if not self._avoided_by_any(candidate):
-                self._too_large[key] = count
-            return []
-        for room in best:
-            room.take(candidate.step.spec.need)
-        return list(zip(candidate.tasks, best, strict=True))
-
-    def _gang_key(
-        self, candidate: Candidate, rooms: list[Room], scopes: list[list[Room]]
-    ) -> tuple[object, ...]:
-        """Return what decides, beside a gang's size, where it may go in this plan.
-
-        What is free only shrinks while a plan is made, so where one did not fit, no larger
-        one with the same key does.
-        """
-        spec = candidate.step.spec
-        return (
-            candidate.queue.pool,
-            spec.need,
-            spec.label,
-            spec.same_rack,
-            spec.data_rack,
-            spec.spread_limit,
-            spec.serves,
-            spec.fills,
-            candidate.queue.priority == URGENT,
-            self._keeps_out(candidate),
-            len(rooms),
-            len(scopes),
-            candidate.key if candidate.queue.approval else None,
-        )
-
-    def _gang_scopes(self, candidate: Candidate, rooms: list[Room]) -> list[list[Room]]:
-        """Return the sets of executors that a gang may use, the preferred ones first."""
-        spec = candidate.step.spec
-        everywhere = [rooms]
-        if not spec.same_rack and not spec.data_rack:
-            return everywhere
-        racks = group_by_rack(rooms)
-        if spec.data_rack:
-            scopes = [racks[spec.data_rack]] if spec.data_rack in racks else []
-            others = [r for name, r in racks.items() if name != spec.data_rack]
-        else:
-            scopes, others = list(racks.values()), []
-        possible = any(holds_when_empty(r, spec, len(candidate.tasks)) for r in scopes)
-        if not possible:
-            return [*scopes, *others, rooms]
-        if candidate.waited_s(self.now) >= SPREAD_PATIENCE_S and candidate.queue.priority == URGENT:
-            return [*scopes, *others, rooms]
-        return scopes
-
-    def _best_fit(self, candidate: Candidate, scopes: list[list[Room]]) -> list[Room] | None:
-        spec = candidate.step.spec
-        best: tuple[float, list[Room]] | None = None
-        for scope in scopes:
-            chosen = self._fit_in_scope(candidate, scope)
-            if chosen is None:
-                continue
-            if not spec.same_rack:
-                return chosen
-            left = float(sum(room.now.accelerators for room in scope))
-            left += 1e3 * sum(room.state.slow_until > self.now for room in chosen)
-            if len(scopes) > 1 and len(group_by_rack(chosen)) > 1:
-                left += 1e6
-            if best is None or left < best[0]:
-                best = (left, chosen)
-        return best[1] if best else None
-
-    def _fit_in_scope(self, candidate: Candidate, scope: list[Room]) -> list[Room] | None:
-        """Return a room for each member, tightest first, or None; takes nothing."""
-        spec = candidate.step.spec
-        wanted = len(candidate.tasks)
-        avoided = self._avoided_by_any(candidate)
-        fitting = [r for r in scope if r.fits(spec.need) and r.state.id not in avoided]
-        if count_members(fitting, spec.need) < wanted:
-            return None
-        chosen: list[Room] = []
-        for room in sorted(fitting, key=self._preference):
-            now, soon, here = room.now, room.soon, 0
-            while len(chosen) < wanted and spec.need.fits_in(now) and spec.need.fits_in(soon):
-                if spec.spread_limit and here >= spec.spread_limit:
-                    break
-                chosen.append(room)
-                here += 1
-                now, soon = now.minus(spec.need), soon.minus(spec.need)
-        return chosen if len(chosen) == wanted else None
-
-    def _reserve(self, candidate: Candidate, rooms: list[Room]) -> None:
-        """Keep what is free in one rack for a gang that can't start yet."""
-        if self._reserved >= RESERVATIONS or not self.policy.reserve:
-            return
-        self._reserved += 1
-        spec = candidate.step.spec
-        scopes = self._gang_scopes(candidate, rooms)
-        if not scopes:
-            return
-        step = candidate.step
-        scope = self._chosen_scope(step, scopes)
-        left = len(candidate.tasks)
-        for room in sorted(scope, key=self._preference, reverse=True):
-            while left and spec.need.fits_in(room.state.executor.capacity):
-                if not room.fits(spec.need):
-                    break
-                room.take(spec.need)
-                left -= 1
-
-    def _chosen_scope(self, step: StepState, scopes: list[list[Room]]) -> list[Room]:
-        """Return the scope chosen before, or the one with most room."""
-        for scope in scopes:
-            if scope and scope[0].state.executor.rack == step.chosen_rack:
-                return scope
-        best = max(scopes, key=lambda scope: count_members(scope, step.spec.need))
-        step.chosen_rack = best[0].state.executor.rack if best else None
-        return best
-
     # Taking back
 
     def _take_back(self, candidate: Candidate, tasks: list[TaskState], rooms: list[Room]) -> None:
         """Use what is being stopped, and stop more if that is not enough."""
         spec = candidate.step.spec
-        scopes = self._gang_scopes(candidate, rooms) if spec.gang else [rooms]
+        scopes = self._gangs.list_scopes(candidate, rooms) if spec.gang else [rooms]
         best: tuple[float, list[Attempt], list[Room]] | None = None
         for scope in scopes:
             found = self._victims.clear(candidate, len(tasks), scope)
--- a/packages/heronthread-dispatch/tests/test_planner.py
+++ b/packages/heronthread-dispatch/tests/test_planner.py
@@ -45,7 +45,7 @@
     usual = Planner(jobs, states, DESIRED, NOW, NOW).make()
     states, jobs = _make(seed, busy=0.25 * (seed % 5))
     planner = Planner(jobs, states, DESIRED, NOW, NOW)
-    planner._too_large = _Forgetful()
+    planner._gangs._too_large = _Forgetful()
     assert _describe(planner.make()) == _describe(usual)
 
 
