Let urgent work use slow executors again: keeping it off costs more than it wins

There the pool is full and a fifth of it slow; keeping urgent work off these stops others' work instead, which is lost, and urgent work waits for the stops.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -13,7 +13,7 @@
 from .plan import Candidate, Plan, Start
 from .policy import DEFAULT_POLICY, Policy
 from .progress import Attempt, JobState, Phase, StepState, TaskState, latest_starts
-from .room import Room, group_by_rack, holds_when_empty
+from .room import Room
 from .sharing import Neighbours
 from .victims import Victims
 
@@ -181,26 +181,11 @@
             rooms = self._keep_approved(candidate, rooms)
         if spec.label:
             rooms = [r for r in rooms if spec.label in r.state.executor.labels]
-        if candidate.queue.priority == URGENT and self.policy.urgent_on_sound:
-            rooms = self._keep_sound(candidate, rooms)
         if self._keeps_out(candidate):
             headroom = self._find_headroom()
             rooms = [r for r in rooms if r.state.id not in headroom]
         return rooms
 
-    def _keep_sound(self, candidate: Candidate, rooms: list[Room]) -> list[Room]:
-        """Return the rooms at executors not known as slow, if these could hold the tasks.
-
-        Slow ones are the emptiest, since what is there is moved away; urgent work has no time
-        to find out that they still are.
-        """
-        sound = [room for room in rooms if room.state.slow_until <= self.now]
-        spec, count = candidate.step.spec, len(candidate.tasks)
-        if not spec.gang:
-            return sound or rooms
-        scopes = group_by_rack(sound).values() if spec.same_rack else [sound]
-        return sound if any(holds_when_empty(s, spec, count) for s in scopes) else rooms
-
     def _keeps_out(self, candidate: Candidate) -> bool:
         """Whether a candidate leaves the headroom for urgent work alone.
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/policy.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/policy.py
@@ -15,8 +15,8 @@
     `headroom` leaves room for urgent work; `move_slow_runs` starts slow runs anew elsewhere;
     `reserve` keeps what is free for a waiting gang; `wait_for_data` waits a while for room near
     a step's data; `compare_members` measures a gang's members against each other instead of
-    their caller's estimate; `urgent_on_sound` keeps urgent work off executors that are slow or
-    stand still; `look_early` reads the progress of a gang's run more often while it is young.
+    their caller's estimate; `look_early` reads a gang's progress more often while its run is
+    young.
     """
 
     headroom: bool = True
@@ -24,7 +24,6 @@
     reserve: bool = True
     wait_for_data: bool = True
     compare_members: bool = True
-    urgent_on_sound: bool = True
     look_early: bool = True
 
 
