--- a/packages/heronthread-dispatch/src/heronthread_dispatch/speed.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/speed.py
@@ -57,6 +57,11 @@
     _judge(step, state, attempt, usual_ratio(step, policy), now)
 
 
+def _is_spread(step: StepState) -> bool:
+    """Whether a step's attempts are at several executors, which can be told apart by them."""
+    return len({task.attempt.executor for task in step.tasks if task.attempt is not None}) > 1
+
+
 def _usual_rate(step: StepState, policy: Policy) -> float:
     """Return how fast the members of a gang get on (percent a second), 0 if not known."""
     usual = usual_ratio(step, policy, least_members=1)
@@ -101,9 +106,10 @@
 
     The members of a gang take equally long, and each gets on by itself until the last one is
     done, so the fastest tells what is usual, also where most of them share a slow executor.
-    The estimate doesn't, as it may be off tenfold; it is all there is for a gang of one.
+    The estimate doesn't, as it may be off tenfold; it is all there is where the whole gang is
+    at one executor.
     """
-    if step.spec.gang and not (policy.compare_members and step.spec.count > 1):
+    if step.spec.gang and not (policy.compare_members and _is_spread(step)):
         return 1.0
     if step.spec.gang:
         ratios = [t.attempt.ratio for t in step.tasks if t.attempt and t.attempt.ratio is not None]
--- a/packages/heronthread-dispatch/tests/test_speed.py
+++ b/packages/heronthread-dispatch/tests/test_speed.py
@@ -133,3 +133,16 @@
         await trio.sleep(9.0)
         places = [start.executor for start in site.executors.starts()]
         assert places == ["e0", "e1"]
+
+
+async def test_gang_that_is_whole_on_one_slow_executor_is_started_anew(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    async with EmulatedSite.open(executors=2, racks=1) as site:
+        await site.wait_for_owner()
+        site.executors.by_id["e0"].slowness = 8.0
+        record = site.make_job("a", count=2, accelerators=4, work_s=3.0, gang=True)
+        await site.hosts["h0"].requests.accept(record, 2.0)
+        await trio.sleep(9.0)
+        places = [start.executor for start in site.executors.starts()]
+        assert places == ["e0", "e0", "e1", "e1"]
