--- a/packages/heronthread-dispatch/src/heronthread_dispatch/news.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/news.py
@@ -21,8 +21,10 @@
 FORGET_S = 30.0
 FAN_OUT = 2
 MOST_TOLD = 8
-"""Peers told at once: with 41 hosts each hears of a change within three rounds (0.1 s)."""
+"""Peers told at once of a change. All of them, told by each of many hosts, would load each with
+as many calls as there are hosts; those that are told tell others."""
 STORE_FIRST_S = 0.25
+"""A watch of the store brings a new version within some tens of milliseconds."""
 FETCH_TRIES = 3
 OUTAGE_LIMIT_S = 40.0
 
