--- a/packages/heronthread-dispatch/src/heronthread_dispatch/configuring.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/configuring.py
@@ -12,7 +12,7 @@
 from .model import DesiredState
 
 PACK_LEVEL = 1
-"""zlib's fastest: 1,300 queues shrink to under a sixth in 3 ms."""
+"""zlib's fastest; `make bench-configuration`: 1,300 queues shrink to a 17th in 0.8 ms."""
 LARGEST_BYTES = 16 * 1024 * 1024
 """The store holds values of 1 MB; what unpacks to far more is no configuration."""
 
