Pass over a peer's configuration that is not base64

Figures: the new test ended the emulated host before, now it keeps its version and takes the next one from the store.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -37,6 +37,7 @@
     call_peer,
     decode_news,
     encode_news,
+    encode_packed,
     make_reply,
 )
 from .policy import DEFAULT_POLICY, Policy
@@ -280,7 +281,7 @@
             self.spawn(self.news.take, decode_news(body))
             return OK, encode_news(self.news.make())
         if operation == Operation.CONFIGURATION:
-            return OK, {"packed": base64.b64encode(self.configuration.pack()).decode()}
+            return OK, {"packed": encode_packed(self.configuration.pack())}
         if operation == Operation.JOB_STATE:
             view = self.owner.view(body["job"]) if self.owner else None
             return (OK, _encode_view(view)) if view else (NOT_HERE, {})
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/news.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/news.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import base64
 import random
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -10,7 +9,16 @@
 import trio
 
 from .events import log_event
-from .peering import OK, News, Operation, PeerReply, call_peer, decode_news, encode_news
+from .peering import (
+    OK,
+    News,
+    Operation,
+    PeerReply,
+    call_peer,
+    decode_news,
+    decode_packed,
+    encode_news,
+)
 
 if TYPE_CHECKING:
     from .host import Host
@@ -66,7 +74,8 @@
     def others(self) -> list[str]:
         """Return the addresses of the other hosts; the seeds while none is known."""
         self._forget_old()
-        known = {a for n, a in self._host.members.items() if n != self._host.settings.name}
+        members = self._host.members.items()
+        known = {member.address for name, member in members if name != self._host.settings.name}
         known |= {h.news.address for h in self.heard.values()}
         known |= set(self._host.settings.seeds) if not known else set()
         known.discard(self._host.settings.peer_address)
@@ -178,6 +187,9 @@
         before = self._host.configuration.state.version
         reply = await call_peer(self._host.parts.peers, address, Operation.CONFIGURATION, {})
         if isinstance(reply, PeerReply) and reply.status == OK and "packed" in reply.body:
-            packed = base64.b64decode(reply.body["packed"])
-            self._host.configuration.offer_packed(packed, address)
+            packed = decode_packed(reply.body["packed"])
+            if packed is None:
+                log_event("config.invalid", source=address, error="it is not in base64")
+            else:
+                self._host.configuration.offer_packed(packed, address)
         return self._host.configuration.state.version > before
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/peering.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/peering.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import base64
 import json
 from dataclasses import asdict, dataclass
 from typing import Any
@@ -76,6 +77,19 @@
     return asdict(news)
 
 
+def encode_packed(packed: bytes) -> str:
+    """Return bytes as a field of a body."""
+    return base64.b64encode(packed).decode()
+
+
+def decode_packed(text: object) -> bytes | None:
+    """Read bytes from a field of a body; None if it holds none."""
+    try:
+        return base64.b64decode(text, validate=True) if isinstance(text, str) else None
+    except ValueError:
+        return None
+
+
 def decode_news(body: dict[str, Any]) -> News | None:
     """Read news from a body; None if it is none."""
     try:
@@ -99,6 +113,8 @@
     "PeerReply",
     "call_peer",
     "decode_news",
+    "decode_packed",
     "encode_news",
+    "encode_packed",
     "make_reply",
 ]
--- a/packages/heronthread-dispatch/tests/test_news.py
+++ b/packages/heronthread-dispatch/tests/test_news.py
@@ -5,6 +5,7 @@
 from heronthread_daemon.peer import PeerUnreachable
 from heronthread_daemon.wire.ttypes import Frame, Operation
 from heronthread_dispatch.keystore import WatchOutcome
+from heronthread_dispatch.peering import OK, make_reply
 from heronthread_emulator import EmulatedSite
 from heronthread_emulator.store import StoreView
 
@@ -72,3 +73,27 @@
         configuration = site.hosts["h0"].configuration
         assert not configuration.offer_packed(b"not compressed", "h1")
         assert configuration.state.version == 1
+
+
+@pytest.mark.parametrize("packed", ["not base64!", 7, None, "bm90IGNvbXByZXNzZWQ="])
+async def test_a_peer_whose_configuration_can_not_be_read_ends_no_host(
+    autojump_clock: Clock, monkeypatch: pytest.MonkeyPatch, packed: object
+) -> None:
+    async with EmulatedSite.open(hosts=3) as site:
+        await site.wait_for_owner()
+        call = site.peers.call
+
+        async def spoil(address: str, frame: Frame, timeout_s: float) -> Frame | PeerUnreachable:
+            if frame.forward is not None and frame.forward.operation == Operation.CONFIGURATION:
+                return make_reply(OK, {"packed": packed})
+            return await call(address, frame, timeout_s)
+
+        monkeypatch.setattr(site.peers, "call", spoil)
+        site.views["h2"].is_silent = True
+        await trio.sleep(3.0)
+        site.configure(2)
+        await trio.sleep(3.0)
+        assert site.hosts["h2"].configuration.state.version == 1
+        site.views["h2"].is_silent = False
+        await trio.sleep(5.0)
+        assert site.hosts["h2"].configuration.state.version == 2
