Let the strongest host own the cell, and measure how late a process gets its turns

Cause: any host came first by a digest of its name; on a site with 15 hosts of 2.15 cores and 82 of 0.5 the owner, which decides for 540 executors, mostly was one of the weak. Change: hosts tell cores and link beside their address in the store; the wait before taking a free cell goes by them, equals by the digest as before, bounded to 1.2 s. Ruled out: a second election (the owner key stays the only decision), names, order of start.

--- a/packages/heronthread-coordination/src/heronthread_coordination/histogram.py
+++ b/packages/heronthread-coordination/src/heronthread_coordination/histogram.py
@@ -13,16 +13,19 @@
 
 
 class Measure(StrEnum):
-    """What is measured of a job, in milliseconds.
+    """What is measured of a job or of a host itself, in milliseconds.
 
     `WAITING`: accepted until started; `START`: decided until running on all workers;
     `COMPLETION`: accepted until done; `ANSWER`: asked until answered at an entry host.
+    `PLAN`: one plan of an owner; `LATENESS`: by how much a timer was late.
     """
 
     WAITING = "waiting"
     START = "start"
     COMPLETION = "completion"
     ANSWER = "answer"
+    PLAN = "plan"
+    LATENESS = "lateness"
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import base64
-import hashlib
 import json
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -20,6 +19,7 @@
 from .follow import Follower
 from .intake import Doubt, NoSuchJob, NotTaken, Taken, accept_job, cancel_job
 from .keystore import Gone, Item, KeyStore, Listing
+from .loop import LoopWatch
 from .news import NewsExchange
 from .observed import ObservedStore
 from .overview import describe_cell, describe_job
@@ -44,10 +44,14 @@
 from .record import JobRecord
 from .requests import Requests
 from .statistics import Statistics
-from .tenure import Presence, Tenure
+from .succession import RANK_DELAY_S, find_stronger, rank
+from .tenure import Presence, Strength, Tenure
 
 CONTEND_S = 0.05
-RANK_DELAY_S = 0.04
+SUCCESSION_S = 0.5
+LEAST_TERM_S = 10.0
+"""Between two handovers to stronger hosts, so that a host that can't own what it is given does
+not get it over and over."""
 CELL_PREFIX = "cell/0/"
 OWNER_KEY = "cell/0/owner"
 HOST_PREFIX = "cell/0/host/"
@@ -60,6 +64,7 @@
     name: str
     peer_address: str
     seeds: tuple[str, ...] = ()
+    strength: Strength = Strength()
     timing: Timing = Timing()
     policy: Policy = DEFAULT_POLICY
 
@@ -85,14 +90,16 @@
         self.parts = parts
         self.store = ObservedStore(parts.store)
         self.configuration = ConfigurationInForce(parts.configuration)
-        presence = Presence(settings.name, settings.peer_address)
+        presence = Presence(settings.name, settings.peer_address, settings.strength)
         self.tenure = Tenure(self.store, presence)
-        self.members: dict[str, str] = {}
+        self.members: dict[str, Presence] = {}
         self.owner: Owner | None = None
         self.owner_presence: Presence | None = None
         self.is_draining = False
         self.statistics = Statistics()
+        self.loop = LoopWatch(self.statistics)
         self._owner_gone_at = 0.0
+        self._handed_over_at = float("-inf")
         self._owner_item: Item | None = None
         self.news = NewsExchange(self)
         self.requests = Requests(self)
@@ -114,6 +121,7 @@
             nursery.start_soon(configuration.run)
             nursery.start_soon(cell.run)
             nursery.start_soon(self.tenure.run)
+            nursery.start_soon(self.loop.run)
             nursery.start_soon(self._contend)
             nursery.start_soon(self.news.run, nursery)
             nursery.start_soon(self.news.watch_changes)
@@ -145,7 +153,7 @@
     def _take_cell(self, listing: Listing) -> None:
         keys = {item.key for item in listing.items}
         self.members = {
-            name: address for name, address in self.members.items() if HOST_PREFIX + name in keys
+            name: member for name, member in self.members.items() if HOST_PREFIX + name in keys
         }
         if OWNER_KEY not in keys:
             self._note_owner(None)
@@ -160,7 +168,7 @@
             if isinstance(event, Gone):
                 self.members.pop(name, None)
             else:
-                self.members[name] = Presence.decode(event.value).address
+                self.members[name] = Presence.decode(event.value)
 
     def _note_owner(self, item: Item | None) -> None:
         presence = Presence.decode(item.value) if item is not None else None
@@ -180,7 +188,8 @@
                 continue
             held = self._owner_item
             if held is None:
-                await trio.sleep(RANK_DELAY_S * self._rank())
+                place = rank(self.tenure.presence, self.members, self._owner_gone_at)
+                await trio.sleep(RANK_DELAY_S * place)
                 if self.owner_presence is not None:
                     continue
             term = await self.tenure.try_own(held)
@@ -214,18 +223,10 @@
             lambda: self.store.answering_since,
         )
 
-    def _rank(self) -> int:
-        """Return this host's place in the order in which hosts try to own the cell."""
-
-        def weigh(name: str) -> bytes:
-            return hashlib.blake2b(f"{name}/{self._owner_gone_at:.0f}".encode()).digest()
-
-        mine = weigh(self.settings.name)
-        return sum(1 for name in self.members if weigh(name) < mine)
-
     async def _own(self, owner: Owner) -> None:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._guard, owner)
+            nursery.start_soon(self._hand_over_to_stronger, owner)
             await owner.run()
             nursery.cancel_scope.cancel()
         if not self.is_draining:
@@ -241,6 +242,27 @@
                 owner.depose()
                 return
 
+    async def _hand_over_to_stronger(self, owner: Owner) -> None:
+        """End the term for a clearly stronger host, when idle or once this one is behind."""
+        while True:
+            await trio.sleep(SUCCESSION_S)
+            stronger = find_stronger(self.tenure.presence, self.members)
+            recent = trio.current_time() - self._handed_over_at < LEAST_TERM_S
+            if stronger is None or recent or not owner.is_settled:
+                continue
+            if owner.cell.active and not self.loop.is_behind:
+                continue
+            self._handed_over_at = trio.current_time()
+            log_event(
+                "owner.hands_over",
+                term=owner.cell.term.number,
+                to=stronger.host,
+                active=len(owner.cell.active),
+                late_s=round(self.loop.mean_s(), 3),
+            )
+            owner.depose()
+            return
+
     def _may_order(self) -> bool:
         return self.tenure.is_valid or self.news.is_outage_agreed()
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -64,6 +64,12 @@
 
     def depose(self) -> None:
         """End this term: somebody else owns the cell, or nobody can tell."""
+        self._has_passed_barrier = False
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether it decides, and no run of an earlier owner is in doubt."""
+        return self.is_ready and self._has_passed_barrier
         if not self._scope.cancel_called:
             log_event("owner.deposed", term=self.cell.term.number)
         self.is_ready = False
@@ -187,6 +193,7 @@
         log_event(
             "owner.ready",
             term=self.cell.term.number,
+        self._has_passed_barrier = True
             barrier_s=round(trio.current_time() - started, 3),
             waited_for=waited_for,
         )
--- /dev/null
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/succession.py
@@ -0,0 +1,41 @@
+"""Which host should own the cell: the one with most processor and the widest link.
+
+The hosts of a cell may differ fourfold, and one of them decides for all executors. No vote is
+needed: each host waits by its place in one order before it tries to take a cell that nobody
+owns, and an owner gives the cell up where that costs little or gains much.
+"""
+
+from __future__ import annotations
+
+import hashlib
+
+from .tenure import Presence
+
+RANK_DELAY_S = 0.04
+LARGEST_RANK = 30
+"""Bounds the wait to 1.2 s where those before in the order do not come."""
+STRONGER_BY = 1.5
+"""A handover stops starts for some tenths of a second; it pays for a clearly stronger host."""
+
+
+def rank(own: Presence, members: dict[str, Presence], gone_at: float) -> int:
+    """Return a host's place in the order in which hosts try to own the cell.
+
+    Equals are ordered by a digest that changes with each loss of an owner, so that a host that
+    fails again and again is not the first each time.
+    """
+
+    def weigh(presence: Presence) -> tuple[float, float, bytes]:
+        digest = hashlib.blake2b(f"{presence.host}/{gone_at:.0f}".encode()).digest()
+        return (-presence.strength.cores, -presence.strength.link_mbps, digest)
+
+    mine = weigh(own)
+    before = sum(1 for member in members.values() if weigh(member) < mine)
+    return min(before, LARGEST_RANK)
+
+
+def find_stronger(own: Presence, members: dict[str, Presence]) -> Presence | None:
+    """Return the strongest member if it is clearly stronger than this host."""
+    strongest = max(members.values(), key=lambda member: member.strength, default=own)
+    is_clear = strongest.strength.cores >= STRONGER_BY * own.strength.cores
+    return strongest if is_clear else None
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/tenure.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/tenure.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 
 import trio
 from heronthread_coordination import Unavailable, Unknown
@@ -27,22 +27,33 @@
 PAUSE_S = 0.15
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class Strength:
+    """What a host has to work with: cores of usual speed, and its link."""
+
+    cores: float = 1.0
+    link_mbps: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class Presence:
     """What a host says of itself in the store."""
 
     host: str
     address: str
+    strength: Strength = Strength()
 
     def encode(self) -> bytes:
         """Return the stored form."""
-        return json.dumps({"host": self.host, "address": self.address}).encode()
+        value = {"host": self.host, "address": self.address, **asdict(self.strength)}
+        return json.dumps(value).encode()
 
     @classmethod
     def decode(cls, data: bytes) -> Presence:
-        """Read the stored form."""
+        """Read the stored form; an older host tells no strength."""
         value = json.loads(data)
-        return cls(value["host"], value["address"])
+        strength = Strength(value.get("cores", 1.0), value.get("link_mbps", 0.0))
+        return cls(value["host"], value["address"], strength)
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,7 +147,8 @@
 
     def is_own(self, held: Item) -> bool:
         """Whether an owner key names this host: this process, or an earlier life of it."""
-        return Presence.decode(held.value) == self.presence
+        found = Presence.decode(held.value)
+        return (found.host, found.address) == (self.presence.host, self.presence.address)
 
     async def try_own(self, held: Item | None = None) -> Term | None:
         """Take the cell if nobody has it; None if it was not to be had.
--- a/packages/heronthread-emulator/src/heronthread_emulator/site.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/site.py
@@ -4,7 +4,7 @@
 
 import json
 import random
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import asynccontextmanager
 
 import trio
@@ -27,6 +27,7 @@
 from heronthread_dispatch.owned import DirectoryFormat, Timing
 from heronthread_dispatch.policy import DEFAULT_POLICY, Policy
 from heronthread_dispatch.record import JobRecord
+from heronthread_dispatch.tenure import Strength
 
 from .approver import EmulatedApprover
 from .executors import EmulatedExecutor, EmulatedExecutors, WorkSpec
@@ -102,6 +103,7 @@
     def __init__(self, nursery: trio.Nursery, policy: Policy = DEFAULT_POLICY) -> None:
         self.nursery = nursery
         self.policy = policy
+        self.strengths: dict[str, Strength] = {}
         self.store = EmulatedStore()
         self.executors = EmulatedExecutors()
         self.peers = EmulatedPeers()
@@ -120,10 +122,12 @@
         executors: int = 4,
         racks: int = 2,
         policy: Policy = DEFAULT_POLICY,
+        strengths: Mapping[str, Strength] | None = None,
     ) -> AsyncIterator[EmulatedSite]:
-        """Run a site for as long as the context is open."""
+        """Run a site for as long as the context is open; hosts are equal unless `strengths`."""
         async with trio.open_nursery() as nursery:
             site = cls(nursery, policy)
+            site.strengths.update(strengths or {})
             nursery.start_soon(site.store.run)
             nursery.start_soon(site.executors.run)
             site.configure(1)
@@ -177,13 +181,22 @@
             trio.current_time,
             self.approver,
         )
-        host = Host(HostSettings(name, name, (), Timing(6.0, 0.1, 3.0), self.policy), parts)
+        host = Host(self._make_settings(name), parts)
         self.hosts[name] = host
         self.views[name] = view
         self.peers.handlers[name] = host.handle
         self.nursery.start_soon(self._run_host, name, host)
         return host
 
+    def _make_settings(self, name: str) -> HostSettings:
+        return HostSettings(
+            name,
+            name,
+            strength=self.strengths.get(name, Strength()),
+            timing=Timing(6.0, 0.1, 3.0),
+            policy=self.policy,
+        )
+
     async def _run_host(self, name: str, host: Host) -> None:
         with trio.CancelScope() as scope:
             self._scopes[name] = scope
