Give other tasks a turn during a long plan, and look for silent executors once a plan

Cause: a plan held the loop for its whole length, and after a takeover each waiting task asked all executors which of them are silent: executors times tasks for each plan. Change: after 20 ms the plan's orders go out and others are served before it goes on with what changed taken in; planning gets half of the time at most; doubt is worked out once a plan.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
@@ -167,16 +167,26 @@
             term=self.term.number,
         )
 
-    def may_run_elsewhere(self, task: TaskKey) -> bool:
-        """Whether an earlier owner may have left a run at an executor that is silent.
+    def find_doubt(self) -> Callable[[TaskKey], bool] | None:
+        """Return whether an earlier owner may have left a run of a task at a silent executor.
 
-        Such an executor is out of it once heard, or once its holding time is over. A job
-        taken in after this owner's term began was never an earlier owner's to start.
+        None if there is no such executor: each is out of it once heard, or once its holding
+        time is over. A job taken in after this owner's term began was never an earlier owner's
+        to start.
         """
-        job = self.jobs.get(task.job)
-        if job is None or job.created > self.term.guard[1]:
-            return False
-        return any(state.only_tasks is None or task in state.only_tasks for state in self.silent())
+        silent = self.silent()
+        if not silent:
+            return None
+        may_hold_any = any(state.only_tasks is None for state in silent)
+        held = frozenset().union(*(state.only_tasks or () for state in silent))
+
+        def may_run(task: TaskKey) -> bool:
+            job = self.jobs.get(task.job)
+            if job is None or job.created > self.term.guard[1]:
+                return False
+            return may_hold_any or task in held
+
+        return may_run
 
     def silent(self) -> list[ExecutorState]:
         """Return the executors of an earlier owner of which nothing is known yet."""
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 import trio
-from heronthread_coordination import Unavailable
+from heronthread_coordination import Measure, Unavailable
 
 from .events import log_event
 from .fleet import ExecutorState, make_executor
@@ -18,6 +18,7 @@
 from .orders import Orders
 from .owned import JOB_PREFIX, OwnedCell, OwnerParts
 from .peaks import RecentPeaks
+from .plan import Plan
 from .planner import Planner
 from .record import JobRecord, JobStatus, ProgressRecord
 from .recorder import PROGRESS_PREFIX, Deposed, progress_key
@@ -29,6 +30,8 @@
 PAUSE_S = 0.15
 COALESCE_S = 0.012
 PLAN_EVERY_S = 0.5
+PLAN_BUDGET_S = 0.02
+"""After so long, other tasks get a turn before a plan goes on: leases, reports, answers."""
 LATE_OWNER_S = 1.2
 FIRST_HEARING_S = 0.04
 URGENT_WINDOW_S = 12.0
@@ -61,15 +64,15 @@
         self._nursery: trio.Nursery | None = None
         self._orders: Orders | None = None
         self._urgent = RecentPeaks(URGENT_WINDOW_S)
-
-    def depose(self) -> None:
-        """End this term: somebody else owns the cell, or nobody can tell."""
         self._has_passed_barrier = False
 
     @property
     def is_settled(self) -> bool:
         """Whether it decides, and no run of an earlier owner is in doubt."""
         return self.is_ready and self._has_passed_barrier
+
+    def depose(self) -> None:
+        """End this term: somebody else owns the cell, or nobody can tell."""
         if not self._scope.cancel_called:
             log_event("owner.deposed", term=self.cell.term.number)
         self.is_ready = False
@@ -190,10 +193,10 @@
             await trio.sleep(0.02)
             self._drop_gone(started)
             self.cell.wake_planner()
+        self._has_passed_barrier = True
         log_event(
             "owner.ready",
             term=self.cell.term.number,
-        self._has_passed_barrier = True
             barrier_s=round(trio.current_time() - started, 3),
             waited_for=waited_for,
         )
@@ -340,42 +343,57 @@
     # Deciding
 
     async def _plan_for_ever(self) -> None:
-        recheck = PLAN_EVERY_S
+        recheck, took = PLAN_EVERY_S, 0.0
         while True:
             with trio.move_on_after(recheck):
                 await self.cell.changed.wait()
-            await trio.sleep(COALESCE_S)
+            # A plan gets at most half of the time, however long it takes.
+            await trio.sleep(max(COALESCE_S, took))
             self.cell.changed = trio.Event()
             if not self.parts.may_order():
                 await trio.sleep(PAUSE_S)
                 continue
-            recheck = self._plan_once()
+            began = trio.current_time()
+            recheck = await self._plan()
+            took = trio.current_time() - began
+            self.parts.statistics.record("", "", Measure.PLAN, took)
 
-    def _plan_once(self) -> float:
-        assert self._orders is not None
+    async def _plan(self) -> float:
+        """Make a plan and carry it out, part by part; return in how long to make another."""
+        now = trio.current_time()
         planner = Planner(
             self.cell.active.values(),
             self.cell.executors.values(),
             self.parts.desired(),
-            trio.current_time(),
+            now,
             self.parts.wall_clock(),
-            self._urgent.peaks(trio.current_time()),
-            self.cell.may_run_elsewhere,
+            self._urgent.peaks(now),
+            self.cell.find_doubt(),
             self.cell.approvals,
             self.parts.policy,
             self.parts.timing.stop_s,
         )
-        plan = planner.make()
-        self._urgent.note(trio.current_time(), planner.urgent_demand())
+        recheck = PLAN_EVERY_S
+        while True:
+            plan = planner.make(PLAN_BUDGET_S)
+            self._urgent.note(trio.current_time(), planner.urgent_demand())
+            self._carry_out(plan)
+            if plan.recheck_in_s is not None:
+                recheck = min(recheck, max(0.02, plan.recheck_in_s))
+            if planner.is_complete:
+                return recheck
+            await trio.sleep(0)
+            if not self.parts.may_order():
+                return recheck
+
+    def _carry_out(self, plan: Plan) -> None:
+        assert self._orders is not None
         for attempt in plan.stops:
             self.cell.request_stop(attempt, "taken back for urgent work")
         for group in plan.groups:
             self._orders.start_group(group)
         for question in plan.questions:
             self.cell.approvals.want(question)
-        if plan.recheck_in_s is None:
-            return PLAN_EVERY_S
-        return min(PLAN_EVERY_S, max(0.02, plan.recheck_in_s))
 
 
 def _describe_use(state: ExecutorState) -> list[Any]:
