Take a job in by a second way once the store is overdue, and refuse at once what it can't take

A write whose answer was lost cost 0.9 s. Change: a call that takes three times what calls took of late (0.35 to 1.2 s) makes the store suspect at once; the next way (a fresh peer, or the store again: the same id is the same job) begins beside the one that hangs; at a suspect store a host looks first, for that time only, and then refuses, as a look leaves no doubt. A peer that is asked does the same. Emulator: a silent store leaves a write in doubt, as the real one does.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -17,7 +17,7 @@
 from .events import log_event
 from .executor_link import ExecutorLink
 from .follow import Follower
-from .intake import Doubt, NoSuchJob, NotTaken, Taken, accept_job, cancel_job
+from .intake import Doubt, NoSuchJob, NotTaken, Taken
 from .keystore import Gone, Item, KeyStore, Listing
 from .loop import LoopWatch
 from .news import NewsExchange
@@ -343,9 +343,9 @@
     ) -> tuple[int, dict[str, Any]]:
         if operation == Operation.ACCEPT_JOB:
             record = JobRecord.decode(base64.b64decode(body["record"]))
-            outcome = await accept_job(self.store, record, Doubt())
+            outcome = await self.requests.accept_here(record, Doubt())
         elif operation == Operation.CANCEL_JOB:
-            outcome = await cancel_job(self.store, body["job"], body["tenant"], Doubt())
+            outcome = await self.requests.cancel_here(body["job"], body["tenant"], Doubt())
         else:
             return NOT_HERE, {}
         if isinstance(outcome, Taken):
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/intake.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/intake.py
@@ -2,13 +2,22 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass, field
 
 import trio
 from heronthread_coordination import Unavailable, Unknown
 
-from .keystore import Committed, Item, KeyStore, Mismatch, Missing, Put, Transaction
+from .keystore import (
+    Committed,
+    Item,
+    KeyStore,
+    Mismatch,
+    Missing,
+    Put,
+    ReadOutcome,
+    Transaction,
+)
 from .owned import job_key
 from .record import JobRecord
 
@@ -56,7 +65,7 @@
 
 
 IntakeOutcome = Taken | NotTaken | Unsettled | NoSuchJob
-Attempt = Callable[[Doubt], Awaitable[IntakeOutcome]]
+Way = Callable[[Doubt], Awaitable[IntakeOutcome]]
 
 
 async def accept_job(store: KeyStore, record: JobRecord, doubt: Doubt) -> IntakeOutcome:
@@ -73,12 +82,14 @@
     return _describe(outcome)
 
 
-async def accept_after_look(store: KeyStore, record: JobRecord, doubt: Doubt) -> IntakeOutcome:
+async def accept_after_look(
+    store: KeyStore, record: JobRecord, doubt: Doubt, look_s: float
+) -> IntakeOutcome:
     """Take a job in at a store that may be down: look first, since a look does nothing.
 
-    A write that gets no answer leaves doubt; a refused look leaves none.
+    A write that gets no answer leaves doubt; a look that gets none in `look_s` leaves none.
     """
-    item = await store.read(job_key(record.spec.id))
+    item = await _look(store, job_key(record.spec.id), look_s)
     if isinstance(item, Unavailable):
         return NotTaken(item.reason)
     if isinstance(item, Item):
@@ -86,10 +97,18 @@
     return await accept_job(store, record, doubt)
 
 
-async def cancel_job(store: KeyStore, job_id: str, tenant: str, doubt: Doubt) -> IntakeOutcome:
-    """Keep that a job is to be cancelled."""
+async def _look(store: KeyStore, key: str, look_s: float) -> ReadOutcome:
+    with trio.move_on_after(look_s):
+        return await store.read(key)
+    return Unavailable(f"the store did not answer a look in {look_s:g} s")
+
+
+async def cancel_job(
+    store: KeyStore, job_id: str, tenant: str, doubt: Doubt, look_s: float = float("inf")
+) -> IntakeOutcome:
+    """Keep that a job is to be cancelled; it is looked up first, for `look_s` at most."""
     key = job_key(job_id)
-    item = await store.read(key)
+    item = await _look(store, key, look_s)
     while True:
         if isinstance(item, Unavailable):
             return NotTaken(item.reason)
@@ -120,24 +139,73 @@
     return Unsettled(outcome.reason)
 
 
-async def insist(attempts: list[Attempt], budget_s: float) -> IntakeOutcome:
-    """Try several ways in turn until one settles it, at most `budget_s` seconds.
+@dataclass(slots=True)
+class _Tries:
+    """The ways that were begun, and what came of them so far."""
 
-    Once one way left it unsettled, a later refusal does not make it undone.
-    """
+    settled: Taken | NoSuchJob | None = None
     unsettled: Unsettled | None = None
-    outcome: IntakeOutcome = NotTaken("nothing was tried")
-    doubt = Doubt()
-    with trio.move_on_after(budget_s):
-        for number, attempt in enumerate(attempts):
-            if number:
-                await trio.sleep(RETRY_S)
-            outcome = await attempt(doubt)
-            if isinstance(outcome, Taken | NoSuchJob):
-                return outcome
-            if isinstance(outcome, Unsettled):
-                unsettled = outcome
-        return unsettled or outcome
-    if unsettled is None and not doubt.is_open:
-        return NotTaken("the time for an answer has run out before anything was written")
-    return unsettled or Unsettled("the time for an answer has run out")
+    refused: NotTaken = field(default_factory=lambda: NotTaken("nothing was tried"))
+    doubts: list[Doubt] = field(default_factory=list)
+    running: int = 0
+    ended: trio.Event = field(default_factory=trio.Event)
+
+    async def run(self, way: Way) -> None:
+        """Go one way to its end."""
+        doubt = Doubt()
+        self.doubts.append(doubt)
+        outcome = await way(doubt)
+        if isinstance(outcome, Taken | NoSuchJob):
+            self.settled = outcome
+        elif isinstance(outcome, Unsettled):
+            self.unsettled = outcome
+        else:
+            self.refused = outcome
+        self.running -= 1
+        self.ended.set()
+        self.ended = trio.Event()
+
+    async def wait_ended(self, running: int) -> None:
+        """Wait until no more than `running` ways go on, or one has settled it."""
+        while self.running > running and self.settled is None:
+            await self.ended.wait()
+
+    def conclude(self, is_late: bool) -> IntakeOutcome:
+        """Return what may be told: a refusal only if no way did anything, nor will."""
+        if self.settled is not None:
+            return self.settled
+        if self.unsettled is not None:
+            return self.unsettled
+        if any(doubt.is_open for doubt in self.doubts):
+            return Unsettled("the time for an answer has run out")
+        if is_late:
+            reason = "the time for an answer has run out before anything was written"
+            return NotTaken(reason)
+        return self.refused
+
+
+async def insist(
+    ways: Iterable[Way], budget_s: float, hedge_s: Callable[[], float] = lambda: float("inf")
+) -> IntakeOutcome:
+    """Go several ways in turn until one settles it, at most `budget_s` seconds.
+
+    The next way begins when one has ended, or has taken `hedge_s()`; both go on then, since a
+    second write of a job is the same job. Once one way left it unsettled, a later refusal does
+    not make it undone.
+    """
+    tries = _Tries()
+    with trio.move_on_after(budget_s) as budget:
+        async with trio.open_nursery() as nursery:
+            for way in ways:
+                others = tries.running
+                tries.running += 1
+                nursery.start_soon(tries.run, way)
+                with trio.move_on_after(hedge_s()) as hedge:
+                    await tries.wait_ended(others)
+                if tries.settled is not None:
+                    break
+                if not hedge.cancelled_caught:
+                    await trio.sleep(RETRY_S)
+            await tries.wait_ended(0)
+            nursery.cancel_scope.cancel()
+    return tries.conclude(budget.cancelled_caught)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/news.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/news.py
@@ -81,15 +81,17 @@
         known.discard(self._host.settings.peer_address)
         return sorted(known)
 
-    def store_peers(self) -> list[str]:
-        """Return up to two peers that said of late that they reach the store."""
+    def find_store_peer(self, asked: set[str]) -> str | None:
+        """Return some peer, not yet asked, that said of late that it reaches the store."""
         now = trio.current_time()
         good = [
             heard.news.address
             for heard in self.heard.values()
-            if heard.news.store_ok and now - heard.at <= 2 * FRESH_S
+            if heard.news.store_ok
+            and now - heard.at <= 2 * FRESH_S
+            and heard.news.address not in asked
         ]
-        return random.sample(good, min(FAN_OUT, len(good)))
+        return random.choice(good) if good else None
 
     def is_outage_agreed(self) -> bool:
         """Whether the lease could not be renewed because nobody reaches the store."""
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/requests.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+from collections.abc import Iterator
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
@@ -18,6 +19,7 @@
     NotTaken,
     Taken,
     Unsettled,
+    Way,
     accept_after_look,
     accept_job,
     cancel_job,
@@ -35,6 +37,7 @@
 
 ACCEPT_BUDGET_S = 2.2
 PEER_INTAKE_S = 1.2
+PEERS_ASKED = 2
 QUERY_BUDGET_S = 0.8
 MAX_FINAL = 20_000
 
@@ -51,7 +54,7 @@
         body = {"record": base64.b64encode(record.encode()).decode()}
         started = trio.current_time()
         outcome = await self._intake(
-            partial(self._accept_here, record), Operation.ACCEPT_JOB, body, budget_s
+            partial(self.accept_here, record), Operation.ACCEPT_JOB, body, budget_s
         )
         elapsed = trio.current_time() - started
         self._host.statistics.count("accepts", type(outcome).__name__)
@@ -71,15 +74,23 @@
         )
         return outcome
 
-    async def _accept_here(self, record: JobRecord, doubt: Doubt) -> IntakeOutcome:
-        if self._host.store.is_answering:
-            return await accept_job(self._host.store, record, doubt)
-        return await accept_after_look(self._host.store, record, doubt)
+    async def accept_here(self, record: JobRecord, doubt: Doubt) -> IntakeOutcome:
+        """Take a job in at the store, as this host reaches it."""
+        store = self._host.store
+        if store.is_answering:
+            return await accept_job(store, record, doubt)
+        return await accept_after_look(store, record, doubt, store.patience_s)
+
+    async def cancel_here(self, job_id: str, tenant: str, doubt: Doubt) -> IntakeOutcome:
+        """Cancel a job at the store, as this host reaches it."""
+        store = self._host.store
+        look_s = float("inf") if store.is_answering else store.patience_s
+        return await cancel_job(store, job_id, tenant, doubt, look_s)
 
     async def cancel(self, job_id: str, tenant: str, budget_s: float) -> IntakeOutcome:
         """Cancel a job."""
         outcome = await self._intake(
-            partial(cancel_job, self._host.store, job_id, tenant),
+            partial(self.cancel_here, job_id, tenant),
             Operation.CANCEL_JOB,
             {"job": job_id, "tenant": tenant},
             budget_s,
@@ -89,19 +100,29 @@
         return outcome
 
     async def _intake(
-        self, local: Any, operation: int, body: dict[str, Any], budget_s: float
+        self, local: Way, operation: int, body: dict[str, Any], budget_s: float
     ) -> IntakeOutcome:
         """Try the store, and peers that reach it if this host does not."""
-        peers = [
-            partial(self._intake_by, address, operation, body)
-            for address in self._host.news.store_peers()
-        ]
-        ways = [local, *peers, local] if self._host.store.is_answering else [*peers, local]
-        outcome = await insist(ways, min(budget_s, ACCEPT_BUDGET_S))
+        ways = self._list_ways(local, operation, body)
+        store = self._host.store
+        budget_s = min(budget_s, ACCEPT_BUDGET_S)
+        outcome = await insist(ways, budget_s, lambda: store.patience_s)
         if isinstance(outcome, Taken):
             self._tell_owner(outcome.record)
         return outcome
 
+    def _list_ways(self, local: Way, operation: int, body: dict[str, Any]) -> Iterator[Way]:
+        """Return the ways in turn, each chosen by what is known when its turn comes."""
+        if self._host.store.is_answering:
+            yield local
+        asked: set[str] = set()
+        for _ in range(PEERS_ASKED):
+            address = self._host.news.find_store_peer(asked)
+            if address is not None:
+                asked.add(address)
+                yield partial(self._intake_by, address, operation, body)
+        yield local
+
     async def _intake_by(
         self, address: str, operation: int, body: dict[str, Any], doubt: Doubt
     ) -> IntakeOutcome:
--- a/packages/heronthread-dispatch/tests/test_loop.py
+++ b/packages/heronthread-dispatch/tests/test_loop.py
@@ -31,9 +31,7 @@
 def test_lateness_is_in_the_figures() -> None:
     statistics = Statistics()
     LoopWatch(statistics).note(0.0, 0.04)
-    assert 'heronthread_lateness_ms{tenant="",queue="",quantile="0.99"} 40' in statistics.render(
-        {}
-    )
+    assert 'heronthread_lateness_ms{tenant="",queue="",quantile="0.99"} 40' in statistics.render({})
     assert Measure.LATENESS.value == "lateness"
 
 
--- a/packages/heronthread-dispatch/tests/test_observed.py
+++ b/packages/heronthread-dispatch/tests/test_observed.py
@@ -1,7 +1,7 @@
 """Whether a store answers a host, and since when."""
 
 import trio
-from heronthread_dispatch.observed import ObservedStore
+from heronthread_dispatch.observed import LEAST_PATIENCE_S, MOST_PATIENCE_S, ObservedStore
 from heronthread_emulator import EmulatedSite
 
 Clock = trio.testing.MockClock
@@ -42,3 +42,34 @@
         site.store.is_down = False
         await store.read("a")
         assert store.answering_since == first
+
+
+async def test_a_store_that_leaves_a_call_unanswered_counts_as_silent_before_the_call_fails(
+    autojump_clock: Clock,
+) -> None:
+    async with EmulatedSite.open(hosts=1) as site, trio.open_nursery() as nursery:
+        view = site.store_view()
+        store = ObservedStore(view)
+        await store.read("a")
+        view.is_silent = True
+        nursery.start_soon(store.read, "a")
+        await trio.sleep(LEAST_PATIENCE_S * 0.9)
+        assert store.is_answering
+        await trio.sleep(LEAST_PATIENCE_S * 0.2)
+        assert not store.is_answering
+        view.is_silent = False
+        await store.read("a")
+        assert store.is_answering, "another call was answered meanwhile"
+
+
+async def test_a_store_that_is_slow_is_given_more_time(autojump_clock: Clock) -> None:
+    async with EmulatedSite.open(hosts=1) as site, trio.open_nursery() as nursery:
+        view = site.store_view()
+        store = ObservedStore(view)
+        site.store.latency_s = 0.3
+        for _ in range(12):
+            await store.read("a")
+        assert LEAST_PATIENCE_S < store.patience_s <= MOST_PATIENCE_S
+        nursery.start_soon(store.read, "a")
+        await trio.sleep(LEAST_PATIENCE_S * 1.1)
+        assert store.is_answering
--- a/packages/heronthread-emulator/src/heronthread_emulator/plants.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/plants.py
@@ -10,7 +10,6 @@
 from heronthread_dispatch.executor_link import EndedRun, EndKind
 from heronthread_dispatch.fleet import ExecutorState
 from heronthread_dispatch.intake import NotTaken, Unsettled
-from heronthread_dispatch.model import TaskKey
 from heronthread_dispatch.owned import OwnedCell
 from heronthread_dispatch.progress import JobState
 from heronthread_dispatch.requests import Requests
@@ -24,10 +23,10 @@
 def _start_before_the_barrier() -> Any:
     """A new owner starts tasks before every executor was heard."""
 
-    def never(self: OwnedCell, task: TaskKey) -> bool:
-        return False
+    def find_none(self: OwnedCell) -> None:
+        return None
 
-    return patch.object(OwnedCell, "may_run_elsewhere", never)
+    return patch.object(OwnedCell, "find_doubt", find_none)
 
 
 def _forget_ends_unrecorded() -> Any:
--- a/packages/heronthread-emulator/src/heronthread_emulator/store.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/store.py
@@ -215,7 +215,7 @@
         """Do a transaction."""
         failure = await self._reach()
         if failure is not None:
-            return failure
+            return Unknown(failure.reason) if self.is_silent else failure
         if self.lose_answers > 0:
             self.lose_answers -= 1
             if self.late_s:
