--- a/packages/heronthread-dispatch/src/heronthread_dispatch/policy.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/policy.py
@@ -16,7 +16,8 @@
     `reserve` keeps what is free for a waiting gang; `wait_for_data` waits a while for room near
     a step's data; `compare_members` measures a gang's members against each other instead of
     their caller's estimate; `look_early` reads a gang's progress more often while its run is
-    young.
+    young; `keep_off_failing` starts work last where a run has just failed, and there not at all
+    what has one attempt left.
     """
 
     headroom: bool = True
@@ -25,6 +26,7 @@
     wait_for_data: bool = True
     compare_members: bool = True
     look_early: bool = True
+    keep_off_failing: bool = True
 
 
 DEFAULT_POLICY = Policy()
