--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -48,6 +48,8 @@
 from .tenure import Presence, Strength, Tenure
 
 CONTEND_S = 0.05
+OWNED_S = 0.5
+"""Between looks while another host owns the cell; that it is free is news that wakes at once."""
 SUCCESSION_S = 0.5
 LEAST_TERM_S = 10.0
 """Between two handovers to stronger hosts, so that a host that can't own what it is given does
@@ -99,6 +101,7 @@
         self.statistics = Statistics()
         self.loop = LoopWatch(self.statistics)
         self._owner_gone_at = 0.0
+        self._owner_gone = trio.Event()
         self._handed_over_at = float("-inf")
         self._owner_item: Item | None = None
         self.news = NewsExchange(self)
@@ -174,6 +177,8 @@
         presence = Presence.decode(item.value) if item is not None else None
         if presence is None and self.owner_presence is not None:
             self._owner_gone_at = trio.current_time()
+            self._owner_gone.set()
+            self._owner_gone = trio.Event()
         if presence != self.owner_presence:
             log_event("owner.seen", owner=presence.host if presence else None)
         self.owner_presence = presence
@@ -183,7 +188,11 @@
 
     async def _contend(self) -> None:
         while True:
-            await trio.sleep(CONTEND_S)
+            owner = self.owner_presence
+            is_others = owner is not None and owner.host != self.settings.name
+            pause = OWNED_S if is_others else CONTEND_S
+            with trio.move_on_after(pause):
+                await self._owner_gone.wait()
             if not self._may_contend():
                 continue
             held = self._owner_item
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/loop.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/loop.py
@@ -10,9 +10,9 @@
 from .events import log_event
 from .statistics import Statistics
 
-PERIOD_S = 0.2
+PERIOD_S = 0.4
 WINDOW_S = 3.0
-LEAST_READINGS = 8
+LEAST_READINGS = 5
 BEHIND_S = 0.03
 """Mean lateness from which a host is too weak for what it does: orders and their answers wait
 for several turns each, so that a start is later by some tenths of a second."""
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -1,5 +1,8 @@
 import json
+import os
 import re
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -40,3 +43,16 @@
 def test_every_field_is_on_its_page() -> None:
     page = (ROOT / "docs" / "platform-settings.md").read_text()
     assert [name for name in ProcessSettings.model_fields if f"`{name}`" not in page] == []
+
+
+def test_the_program_imports_no_more_than_it_uses() -> None:
+    """A start is paid for by a small host: the first stack and its client are not in it."""
+    code = (
+        "import sys, heronthread_platform.entry;"
+        "print([n for n in ('httpx', 'heronthread_scheduling') if n in sys.modules])"
+    )
+    environment = {**os.environ, "PYTHONPATH": str(ROOT / "platform")}
+    found = subprocess.run(
+        [sys.executable, "-c", code], env=environment, capture_output=True, text=True, check=True
+    )
+    assert found.stdout.strip() == "[]"
