Wait for a report where a refused run may have been done, instead of starting it again

Change: a start that was refused as old, or refused after an earlier send went unanswered, leaves the attempt in place until a report asked for later names its end or does not name it at all. Ruled out: the indexed planner (it started what was open), the store (no takeover near).

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
@@ -80,7 +80,7 @@
     async def _start(self, start: Start, attempt: Attempt, checkpoint: str) -> None:
         state = start.executor
         payload = start.job.spec.payload
-        for _ in range(START_TRIES):
+        for number in range(START_TRIES):
             if attempt.phase is not Phase.STARTING or start.task.attempt is not attempt:
                 return
             if not self.cell.parts.may_order():
@@ -99,7 +99,7 @@
             )
             outcome = await self.cell.parts.link.start(state.executor, order)
             if not isinstance(outcome, Unanswered):
-                self._settle_start(start, attempt, outcome)
+                self._settle_start(start, attempt, outcome, is_first=number == 0)
                 return
             state.wake.set()
             await trio.sleep(RETRY_S)
@@ -108,7 +108,9 @@
             self.cell.request_stop(attempt, "the start was not answered")
             self.cell.stop_gang(attempt, "a member's start was not answered")
 
-    def _settle_start(self, start: Start, attempt: Attempt, outcome: OrderOutcome) -> None:
+    def _settle_start(
+        self, start: Start, attempt: Attempt, outcome: OrderOutcome, is_first: bool
+    ) -> None:
         now = trio.current_time()
         state = start.executor
         if isinstance(outcome, Obeyed):
@@ -121,24 +123,42 @@
                 attempt.moved_at = now
             return
         reason = _reason(outcome)
+        may_have_run = _may_have_run(outcome, is_first)
         log_event(
-            "start.refused", job=attempt.task.job, run=attempt.run, executor=state.id, reason=reason
+            "start.refused",
+            job=attempt.task.job,
+            run=attempt.run,
+            executor=state.id,
+            reason=reason,
+            may_have_run=may_have_run,
         )
+        if isinstance(outcome, Refused) and outcome.reason is Refusal.FENCED:
+            self._depose()
+            return
+        self._note_refusal(attempt, state, outcome, now)
+        if start.task.attempt is not attempt:
+            return
+        if may_have_run:
+            # It may have ended done already: the next report names its end, or it is nowhere.
+            attempt.settled_at = now
+            state.wake.set()
+            return
+        self.cell.close(attempt, f"refused: {reason}")
+        self.cell.stop_gang(attempt, f"a member was refused: {reason}")
+
+    def _note_refusal(
+        self, attempt: Attempt, state: ExecutorState, outcome: OrderOutcome, now: float
+    ) -> None:
+        """Take in what a refusal says of its executor."""
         if isinstance(outcome, Unhealthy):
             state.note_bad(now)
         elif isinstance(outcome, OtherLife):
             state.dead = True
             state.wake.set()
-        elif outcome.reason is Refusal.FENCED:
-            self._depose()
-            return
-        elif outcome.reason is Refusal.NOT_APPROVED:
+        elif isinstance(outcome, Refused) and outcome.reason is Refusal.NOT_APPROVED:
             self.cell.approvals.drop(attempt.task._replace(member=0), state.id)
         else:
             state.rest_until = max(state.rest_until, now + NO_ROOM_REST_S)
-        if start.task.attempt is attempt:
-            self.cell.close(attempt, f"refused: {reason}")
-            self.cell.stop_gang(attempt, f"a member was refused: {reason}")
 
     async def run_stops(self) -> None:
         """Start a task for each stop that is wanted, until cancelled."""
@@ -194,6 +214,14 @@
     return newest.task.checkpoint
 
 
+def _may_have_run(outcome: OrderOutcome, is_first: bool) -> bool:
+    """Whether a refused run may have been there: its order was sent before, or it was over."""
+    if isinstance(outcome, OtherLife):
+        return False
+    is_over = isinstance(outcome, Refused) and outcome.reason is Refusal.OLD_RUN
+    return is_over or not is_first
+
+
 def _reason(outcome: OrderOutcome) -> str:
     if isinstance(outcome, Refused):
         return outcome.reason.value
--- a/packages/heronthread-dispatch/tests/test_owner.py
+++ b/packages/heronthread-dispatch/tests/test_owner.py
@@ -450,3 +450,19 @@
     from heronthread_emulator import run_soak
 
     assert run_soak(seed).violations == []
+
+
+async def test_short_run_whose_answers_are_lost_is_not_started_again(
+    autojump_clock: Clock,
+) -> None:
+    """Its start and the first look go unanswered, and it is over before the start is repeated."""
+    async with EmulatedSite.open(hosts=1, executors=2) as site:
+        owner = await site.wait_for_owner()
+        await trio.sleep(1.0)
+        for place in site.executors.by_id.values():
+            place.lose_answers = 2
+        await site.hosts[owner].requests.accept(site.make_job("a", work_s=0.2), 2.0)
+        await trio.sleep(6.0)
+        assert await _status(site, "a") is JobStatus.SUCCEEDED
+        assert len(site.executors.starts()) == 1
+        _check(site)
