--- a/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
@@ -13,8 +13,6 @@
 LAPSE_MARGIN_S = 0.3
 REST_S = 0.7
 LONGEST_REST_S = 6.0
-FAILING_FOR_S = 5.0
-"""How long an executor is in doubt after a run failed and none was done there."""
 
 
 @dataclass(slots=True, eq=False)
@@ -25,7 +23,6 @@
     `lapse_by` is when everything there has certainly ended unless it is held again.
     `noted` is the highest end taken in, `seen` the highest that is recorded, `told_seen`
     the highest that the executor has been told. `recorded`: the store names it as in use;
-    `failing_until`: in doubt since a run failed here and none was done after it;
     `is_inherited`: an earlier owner may have used it; `only_tasks` are those that it may
     have left there, None for any.
     """
@@ -48,7 +45,6 @@
     rest_until: float = 0.0
     bad_streak: int = 0
     failed_streak: int = 0
-    failing_until: float = 0.0
     slow_until: float = 0.0
     healthy_at: float = float("-inf")
     wake: trio.Event = field(default_factory=trio.Event)
@@ -115,15 +111,9 @@
         self.bad_streak += 1
         self.rest_until = now + min(LONGEST_REST_S, REST_S * 2 ** (self.bad_streak - 1))
 
-    def note_failed(self, now: float) -> None:
-        """A run has failed here, by its own fault or by this executor's."""
-        self.failed_streak += 1
-        self.failing_until = now + FAILING_FOR_S
-
     def note_good(self) -> None:
         """It has finished work."""
         self.bad_streak = 0
-        self.failing_until = 0.0
         self.failed_streak = 0
         self.rest_until = 0.0
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/gangs.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/gangs.py
@@ -10,8 +10,6 @@
 
 SPREAD_PATIENCE_S = 1.5
 RESERVATIONS = 2
-FAILING_PATIENCE_S = 1.5
-"""Then work with one attempt left takes any executor: what could start must within 3 s."""
 SLOW_COST = 1e3
 SPREAD_COST = 1e6
 """Added to what is left free in a rack, for each slow executor and for a gang over several
@@ -19,37 +17,23 @@
 
 
 class Gangs:
-    """Places the gangs of one plan; at `failing` executors a run has just failed."""
+    """Places the gangs of one plan."""
 
-    def __init__(self, now: float, policy: Policy, failing: set[str]) -> None:
+    def __init__(self, now: float, policy: Policy) -> None:
         self._now = now
         self._policy = policy
-        self._failing = failing
         self._too_large: dict[tuple[object, ...], int] = {}
         self._reserved = 0
 
     def prefer(self, room: Room) -> tuple[bool, int, int, int]:
         """Sort sound executors first, and of those the fullest."""
         return (
-            self._is_doubtful(room),
+            room.state.slow_until > self._now,
             room.now.accelerators,
             room.now.cpu,
             room.number,
         )
 
-    def _is_doubtful(self, room: Room) -> bool:
-        """Whether runs are slow here, or one has failed and none was done since."""
-        is_failing = self._policy.keep_off_failing and room.state.failing_until > self._now
-        return is_failing or room.state.slow_until > self._now
-
-    def find_failing(self, candidate: Candidate) -> set[str]:
-        """Return the executors that work with one attempt left keeps off for a while."""
-        if not self._policy.keep_off_failing or not candidate.is_last_attempt:
-            return set()
-        if candidate.waited_s(self._now) >= FAILING_PATIENCE_S:
-            return set()
-        return self._failing
-
     def place(
         self, candidate: Candidate, usable: Scope, keeps_out: bool
     ) -> list[tuple[TaskState, Room]]:
@@ -191,13 +175,12 @@
 
     def _avoided_by_any(self, candidate: Candidate) -> set[str]:
         """Return the executors that some task of a candidate is to avoid for now."""
-        avoided = {
+        return {
             executor
             for task in candidate.tasks
             for executor, until in task.avoid.items()
             if until > self._now
         }
-        return avoided | self.find_failing(candidate)
 
 
 def _count_here(room: Room, need: Resources) -> int:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
@@ -311,7 +311,7 @@
     ) -> None:
         now = trio.current_time()
         task.avoid[state.id] = now + AVOID_S
-        state.note_failed(now)
+        state.failed_streak += 1
         if state.failed_streak >= BAD_AFTER_FAILURES:
             state.note_bad(now)
         step = job.step_of(end.task)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/plan.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/plan.py
@@ -50,14 +50,6 @@
         """The key of the step's first task, which names the step."""
         return self.job.key_of(self.step, self.step.tasks[0])
 
-    @property
-    def is_last_attempt(self) -> bool:
-        """Whether a further failure of some task here ends the job."""
-        step, most = self.step, self.queue.max_attempts
-        if not step.has_failures:
-            return False
-        return any(step.count_failures(task) >= most - 1 for task in self.tasks)
-
     def waited_s(self, now: float) -> float:
         """Return the time since the step's turn came."""
         return 0.0 if self.step.ready_at is None else now - self.step.ready_at
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -49,7 +49,6 @@
         policy: Policy = DEFAULT_POLICY,
         stop_s: float = USUAL_STOP_S,
     ) -> None:
-        executors = list(executors)
         self.policy = policy
         self.jobs = list(jobs)
         self.desired = desired
@@ -62,8 +61,7 @@
         self.guaranteed = find_guaranteed(self.jobs, desired, wall_now)
         self._full: set[tuple[object, ...]] = set()
         self._usable_scopes: dict[tuple[str, str, bool], Scope] = {}
-        failing = {state.id for state in executors if state.failing_until > now}
-        self._gangs = Gangs(now, policy, failing)
+        self._gangs = Gangs(now, policy)
         self._headroom = Headroom(self.rooms, urgent_peaks or {})
         self._left_alone: frozenset[str] | None = None
         self._urgent_missing: dict[str, int] = {}
@@ -316,8 +314,6 @@
         """Give each task the first room that takes it."""
         spec = candidate.step.spec
         counts = _count_by_executor(candidate.step)
-        avoided = self._gangs.find_failing(candidate)
-        rooms = [room for room in rooms if room.state.id not in avoided]
 
         def is_used_up(room: Room) -> bool:
             if spec.spread_limit and counts.get(room.state.id, 0) >= spec.spread_limit:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/policy.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/policy.py
@@ -16,8 +16,7 @@
     `reserve` keeps what is free for a waiting gang; `wait_for_data` waits a while for room near
     a step's data; `compare_members` measures a gang's members against each other instead of
     their caller's estimate; `look_early` reads a gang's progress more often while its run is
-    young; `keep_off_failing` starts work last where a run has just failed, and there not at all
-    what has one attempt left.
+    young.
     """
 
     headroom: bool = True
@@ -26,7 +25,6 @@
     wait_for_data: bool = True
     compare_members: bool = True
     look_early: bool = True
-    keep_off_failing: bool = True
 
 
 DEFAULT_POLICY = Policy()
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
@@ -154,11 +154,6 @@
         """Whether every task is done."""
         return self.done_count == len(self.tasks)
 
-    @property
-    def has_failures(self) -> bool:
-        """Whether any run of its tasks has failed."""
-        return any(task.failed_runs for task in self.tasks)
-
     def count_failures(self, task: TaskState) -> int:
         """Return how many runs failed: of the whole gang, or of a task on its own."""
         if not self.spec.gang:
