Refuse without a pause after the last way

Change: the pause of 0.03 s (0.1) comes before a way only. Figures, emulated: refusal 0.105 s to under 0.02 s (test).

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/intake.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/intake.py
@@ -21,7 +21,8 @@
 from .owned import job_key
 from .record import JobRecord
 
-RETRY_S = 0.1
+RETRY_S = 0.03
+"""Between two ways; a refusal at once, by three ways, still comes within a tenth of a second."""
 COME_BACK_S = 1.0
 """Hosts look for a lost store every 0.15 s, and an owner is replaced within 3 s: it pays to ask
 again after a second, the least that `Retry-After` can say."""
@@ -196,7 +197,10 @@
     tries = _Tries()
     with trio.move_on_after(budget_s) as budget:
         async with trio.open_nursery() as nursery:
+            has_ended = False
             for way in ways:
+                if has_ended:
+                    await trio.sleep(RETRY_S)
                 others = tries.running
                 tries.running += 1
                 nursery.start_soon(tries.run, way)
@@ -204,8 +208,7 @@
                     await tries.wait_ended(others)
                 if tries.settled is not None:
                     break
-                if not hedge.cancelled_caught:
-                    await trio.sleep(RETRY_S)
+                has_ended = not hedge.cancelled_caught
             await tries.wait_ended(0)
             nursery.cancel_scope.cancel()
     return tries.conclude(budget.cancelled_caught)
--- a/packages/heronthread-dispatch/tests/test_intake.py
+++ b/packages/heronthread-dispatch/tests/test_intake.py
@@ -140,3 +140,23 @@
     began = trio.current_time()
     assert await insist(ways, 2.0, lambda: 0.2) is settled
     assert trio.current_time() - began < 0.4
+
+
+async def test_a_refusal_is_told_at_once(autojump_clock: Clock) -> None:
+    """No pause follows the last way; a store that resets or is busy refuses in milliseconds."""
+    async with EmulatedSite.open(hosts=3) as site:
+        await site.wait_for_owner()
+        site.store.is_down = True
+        await trio.sleep(2.0)
+        outcome, took_s = await _accept_timed(site, "h0", "a")
+        assert isinstance(outcome, NotTaken)
+        assert took_s < 0.02
+
+        began = trio.current_time()
+        refused = NotTaken("busy")
+
+        async def refuse(_: Doubt) -> IntakeOutcome:
+            return refused
+
+        assert await insist([refuse, refuse, refuse], 2.0) is refused
+        assert trio.current_time() - began < 0.1
