Rank equal hosts with the coordination library's rendezvous hashing

Cause: the order of hosts was weighed with a digest of its own, beside `heronthread_coordination.rank`, and took a strength apart that can be compared as a whole. Change: stronger hosts are counted by comparison, equals ranked by the library. Which of equals comes first differs from before; that it changes with each loss, and the bound, stay (tests unchanged).

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/succession.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/succession.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-import hashlib
+from heronthread_coordination import rank as rank_by_name
 
 from .tenure import Presence
 
@@ -21,17 +21,12 @@
 def rank(own: Presence, members: dict[str, Presence], gone_at: float) -> int:
     """Return a host's place in the order in which hosts try to own the cell.
 
-    Equals are ordered by a digest that changes with each loss of an owner, so that a host that
-    fails again and again is not the first each time.
+    The order of equals changes with each loss of an owner, so that a host that fails again and
+    again is not the first each time.
     """
-
-    def weigh(presence: Presence) -> tuple[float, float, bytes]:
-        digest = hashlib.blake2b(f"{presence.host}/{gone_at:.0f}".encode()).digest()
-        return (-presence.strength.cores, -presence.strength.link_mbps, digest)
-
-    mine = weigh(own)
-    before = sum(1 for member in members.values() if weigh(member) < mine)
-    return min(before, LARGEST_RANK)
+    stronger = sum(member.strength > own.strength for member in members.values())
+    equals = [name for name, member in members.items() if member.strength == own.strength]
+    return min(stronger + rank_by_name(own.host, f"{gone_at:.0f}", equals), LARGEST_RANK)
 
 
 def find_stronger(own: Presence, members: dict[str, Presence]) -> Presence | None:
