--- a/benchmarks/capacity_page.py
+++ b/benchmarks/capacity_page.py
@@ -241,11 +241,11 @@
     return "\n".join([head, *(figure.row for figure in figures)])
 
 
-def replace_table(text: str, table: str) -> str:
-    """Return the page's text with its derived part replaced."""
-    before, _, rest = text.partition(BEGIN)
-    _, _, after = rest.partition(END)
-    return f"{before}{BEGIN}\n{table}\n{END}{after}"
+def replace_table(text: str, table: str, begin: str = BEGIN, end: str = END) -> str:
+    """Return the page's text with the part between two marks replaced."""
+    before, _, rest = text.partition(begin)
+    _, _, after = rest.partition(end)
+    return f"{before}{begin}\n{table}\n{end}{after}"
 
 
 def main() -> None:
--- a/benchmarks/sweep_page.py
+++ b/benchmarks/sweep_page.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from .capacity_page import PAGE
+from .capacity_page import PAGE, replace_table
 
 SWEEP_FILE = Path("docs/capacity/sweep.json")
 BEGIN = "<!-- sweep: begin -->"
@@ -80,10 +80,8 @@
 
 
 def replace_sweep_table(text: str, table: str) -> str:
-    """Return the page with the table between its marks."""
-    before, rest = text.split(BEGIN)
-    after = rest.split(END)[1]
-    return f"{before}{BEGIN}\n{table}\n{END}{after}"
+    """Return the page with the sweep's table replaced."""
+    return replace_table(text, table, BEGIN, END)
 
 
 def main() -> None:
