--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import base64
 import json
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -36,12 +35,13 @@
     PeerReply,
     call_peer,
     decode_news,
+    decode_record,
     encode_news,
     encode_packed,
+    encode_record,
     make_reply,
 )
 from .policy import DEFAULT_POLICY, Policy
-from .record import JobRecord
 from .requests import Requests
 from .statistics import Statistics
 from .succession import RANK_DELAY_S, find_stronger, rank
@@ -321,7 +321,7 @@
             return (OK, {"count": count}) if count is not None else (NOT_HERE, {})
         if operation == Operation.NOTE_JOB:
             if self.owner is not None and self.tenure.is_valid:
-                self.owner.note_job(JobRecord.decode(base64.b64decode(body["record"])))
+                self.owner.note_job(decode_record(body))
             return OK, {}
         if operation in (Operation.CELL_OVERVIEW, Operation.JOB_STORY):
             return await self._handle_question(operation, body)
@@ -351,14 +351,13 @@
         self, operation: int, body: dict[str, Any]
     ) -> tuple[int, dict[str, Any]]:
         if operation == Operation.ACCEPT_JOB:
-            record = JobRecord.decode(base64.b64decode(body["record"]))
-            outcome = await self.requests.accept_here(record, Doubt())
+            outcome = await self.requests.accept_here(decode_record(body), Doubt())
         elif operation == Operation.CANCEL_JOB:
             outcome = await self.requests.cancel_here(body["job"], body["tenant"], Doubt())
         else:
             return NOT_HERE, {}
         if isinstance(outcome, Taken):
-            return OK, {"record": base64.b64encode(outcome.record.encode()).decode()}
+            return OK, encode_record(outcome.record)
         if isinstance(outcome, NoSuchJob):
             return 410, {}
         status = NOT_TAKEN if isinstance(outcome, NotTaken) else UNSETTLED
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/peering.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/peering.py
@@ -10,6 +10,8 @@
 from heronthread_daemon.peer import Peers, PeerUnreachable
 from heronthread_daemon.wire.ttypes import Forward, ForwardReply, Frame, Operation
 
+from .record import JobRecord
+
 CALL_S = 0.8
 
 OK = 200
@@ -77,6 +79,16 @@
     return asdict(news)
 
 
+def encode_record(record: JobRecord) -> dict[str, Any]:
+    """Return a body that carries a job."""
+    return {"record": encode_packed(record.encode())}
+
+
+def decode_record(body: dict[str, Any]) -> JobRecord:
+    """Read the job that a body carries; raises one of `MALFORMED` if it carries none."""
+    return JobRecord.decode(base64.b64decode(body["record"]))
+
+
 def encode_packed(packed: bytes) -> str:
     """Return bytes as a field of a body."""
     return base64.b64encode(packed).decode()
@@ -114,7 +126,9 @@
     "call_peer",
     "decode_news",
     "decode_packed",
+    "decode_record",
     "encode_news",
     "encode_packed",
+    "encode_record",
     "make_reply",
 ]
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/requests.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/requests.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import base64
 from collections.abc import Iterator
 from functools import partial
 from typing import TYPE_CHECKING, Any
@@ -28,7 +27,16 @@
 from .keystore import Item, Missing
 from .owned import job_key
 from .owner import JobView
-from .peering import CALL_S, NOT_TAKEN, OK, Operation, PeerReply, call_peer
+from .peering import (
+    CALL_S,
+    NOT_TAKEN,
+    OK,
+    Operation,
+    PeerReply,
+    call_peer,
+    decode_record,
+    encode_record,
+)
 from .record import JobRecord, JobStatus, ProgressRecord
 from .recorder import progress_key
 
@@ -51,7 +59,7 @@
 
     async def accept(self, record: JobRecord, budget_s: float) -> IntakeOutcome:
         """Take a job in."""
-        body = {"record": base64.b64encode(record.encode()).decode()}
+        body = encode_record(record)
         started = trio.current_time()
         outcome = await self._intake(
             partial(self.accept_here, record), Operation.ACCEPT_JOB, body, budget_s
@@ -132,7 +140,7 @@
         if isinstance(reply, PeerUnreachable):
             return NotTaken(reply.reason) if reply.refused else Unsettled(reply.reason)
         if reply.status == OK:
-            return Taken(JobRecord.decode(base64.b64decode(reply.body["record"])))
+            return Taken(decode_record(reply.body))
         if reply.status == 410:
             return NoSuchJob()
         reason = reply.body.get("reason", "")
@@ -143,7 +151,7 @@
         if self._host.owner is not None:
             self._host.owner.note_job(record)
         elif self._host.owner_presence is not None:
-            body = {"record": base64.b64encode(record.encode()).decode()}
+            body = encode_record(record)
             address = self._host.owner_presence.address
             self._host.spawn(call_peer, self._host.parts.peers, address, Operation.NOTE_JOB, body)
 
