Derive what was kept, and choose peers in one place

Cause: an owner kept a flag for what its silent executors tell; a search kept a closure over what it already held; two choices of a peer filtered the same news; the oldest open call was searched for although calls are kept in their order; a pause between handovers was named as a term. Change: each derived or shared; nothing decides otherwise.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/clearing.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/clearing.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from .losses import Loss, Losses
@@ -206,7 +205,7 @@
     most: int
     unsettled: list[Room]
     choices: Choices
-    evaluate: Callable[[Clearing, Room], Way | None]
+    losses: Losses
     to_evaluate: list[Room]
     soon: dict[str, Resources] = field(default_factory=dict)
     here: dict[str, int] = field(default_factory=dict)
@@ -246,9 +245,12 @@
         limit = self.terms.spread_limit
         for room in self.to_evaluate:
             is_used_up = limit and self.here.get(room.state.id, 0) >= limit
-            self.choices.replace(room, None if is_used_up else self.evaluate(self, room))
+            self.choices.replace(room, None if is_used_up else self._find_way(room))
         self.to_evaluate = []
 
+    def _find_way(self, room: Room) -> Way | None:
+        return find_way(room, self.terms, self.losses, self.room_soon(room), self.doomed)
+
     def _apply(self, way: Way, room: Room) -> None:
         """Note what a choice changes, here and where its gangs' members are."""
         changed = {room.state.id: room}
@@ -272,12 +274,8 @@
     """Return a search that has chosen nothing yet."""
     racks = [find_rack_ways(part, terms, losses) for part in scope.parts]
     unsettled = [room for ways in racks for room in ways.unsettled]
-
-    def evaluate(clearing: Clearing, room: Room) -> Way | None:
-        return find_way(room, terms, losses, clearing.room_soon(room), clearing.doomed)
-
     most = sum(ways.most for ways in racks)
-    return Clearing(scope, terms, most, unsettled, Choices(racks), evaluate, unsettled)
+    return Clearing(scope, terms, most, unsettled, Choices(racks), losses, unsettled)
 
 
 def find_clearing(scope: Scope, terms: Terms, losses: Losses) -> Clearing:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -51,7 +51,7 @@
 OWNED_S = 0.5
 """Between looks while another host owns the cell; that it is free is news that wakes at once."""
 SUCCESSION_S = 0.5
-LEAST_TERM_S = 10.0
+HANDOVER_PAUSE_S = 10.0
 """Between two handovers to stronger hosts, so that a host that can't own what it is given does
 not get it over and over."""
 CELL_PREFIX = "cell/0/"
@@ -256,7 +256,7 @@
         while True:
             await trio.sleep(SUCCESSION_S)
             stronger = find_stronger(self.tenure.presence, self.members)
-            recent = trio.current_time() - self._handed_over_at < LEAST_TERM_S
+            recent = trio.current_time() - self._handed_over_at < HANDOVER_PAUSE_S
             if stronger is None or recent or not owner.is_settled:
                 continue
             if owner.cell.active and not self.loop.is_behind:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/news.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/news.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -83,15 +84,14 @@
 
     def find_store_peer(self, asked: set[str]) -> str | None:
         """Return some peer, not yet asked, that said of late that it reaches the store."""
-        now = trio.current_time()
-        good = [
-            heard.news.address
-            for heard in self.heard.values()
-            if heard.news.store_ok
-            and now - heard.at <= 2 * FRESH_S
-            and heard.news.address not in asked
-        ]
-        return random.choice(good) if good else None
+        return self._find_peer(lambda news: news.store_ok and news.address not in asked)
+
+    def _find_peer(self, is_meant: Callable[[News], bool]) -> str | None:
+        """Return the address of some peer whose news of late are meant."""
+        since = trio.current_time() - 2 * FRESH_S
+        heard = [heard.news for heard in self.heard.values() if heard.at >= since]
+        found = [news.address for news in heard if is_meant(news)]
+        return random.choice(found) if found else None
 
     def is_outage_agreed(self) -> bool:
         """Whether the lease could not be renewed because nobody reaches the store."""
@@ -176,13 +176,7 @@
     def _newer_peer(self) -> str | None:
         """Return some peer that said of late that it has a newer version than this host."""
         version = self._host.configuration.state.version
-        since = trio.current_time() - 2 * FRESH_S
-        newer = [
-            heard.news.address
-            for heard in self.heard.values()
-            if heard.news.version > version and heard.at >= since
-        ]
-        return random.choice(newer) if newer else None
+        return self._find_peer(lambda news: news.version > version)
 
     async def _fetch_from(self, address: str) -> bool:
         """Fetch a peer's version; whether it, or a newer one, is in force then."""
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/observed.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/observed.py
@@ -61,7 +61,7 @@
         return min(MOST_PATIENCE_S, max(LEAST_PATIENCE_S, PATIENCE_FACTOR * self._usual_s))
 
     def _is_overdue(self) -> bool:
-        oldest = min(self._open.values(), default=float("inf"))
+        oldest = next(iter(self._open.values()), float("inf"))
         if trio.current_time() - oldest < self.patience_s:
             return False
         return self._answered_at <= oldest
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -64,12 +64,11 @@
         self._nursery: trio.Nursery | None = None
         self._orders: Orders | None = None
         self._urgent = RecentPeaks(URGENT_WINDOW_S)
-        self._has_passed_barrier = False
 
     @property
     def is_settled(self) -> bool:
         """Whether it decides, and no run of an earlier owner is in doubt."""
-        return self.is_ready and self._has_passed_barrier
+        return self.is_ready and not self.cell.silent()
 
     def depose(self) -> None:
         """End this term: somebody else owns the cell, or nobody can tell."""
@@ -193,7 +192,6 @@
             await trio.sleep(0.02)
             self._drop_gone(started)
             self.cell.wake_planner()
-        self._has_passed_barrier = True
         log_event(
             "owner.ready",
             term=self.cell.term.number,
