Ask a step for its attempts, and a task what it avoids, in one place

Cause: "the attempts of a step's tasks" was written out five times, "done as a whole" twice and the check of an avoided executor in planner and gangs; looking for broken gangs built a list for every step of every job 2.5 times a second where a count is kept; a reading of speed worked out the gang's usual rate before the cheap checks that mostly end it, for every run of every report. Change: `StepState.attempts`, `JobState.is_done`, `TaskState.avoids`, `count_fits` for sound room, and the cheap checks first. Nothing decides otherwise. Measured: the package's tests and 1,200 generated states against the plain planner pass unchanged.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/gangs.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/gangs.py
@@ -178,8 +178,8 @@
         return {
             executor
             for task in candidate.tasks
-            for executor, until in task.avoid.items()
-            if until > self._now
+            for executor in task.avoid
+            if task.avoids(executor, self._now)
         }
 
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/housekeeping.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/housekeeping.py
@@ -8,6 +8,7 @@
 from .fleet import ExecutorState
 from .owned import OwnedCell
 from .progress import Attempt, JobState, Phase, StepState
+from .room import count_fits
 from .speed import SLOW_FOR_S, is_whole, remaining_s, restarted_s, should_move, usual_ratio
 
 HOUSEKEEPING_S = 0.4
@@ -41,14 +42,13 @@
     def _check_gangs(self, job: JobState, now: float) -> None:
         """Stop what is left of a gang run whose other members are nowhere any more."""
         for step in job.steps:
-            present = [t.attempt for t in step.tasks if t.attempt is not None]
-            is_partial = step.spec.gang and 0 < len(present) < len(step.tasks)
+            is_partial = step.spec.gang and 0 < step.held_count < len(step.tasks)
             if not is_partial or step.is_done:
                 step.partial_since = None
             elif step.partial_since is None:
                 step.partial_since = now
             elif now - step.partial_since > PARTIAL_S:
-                for attempt in present:
+                for attempt in step.attempts():
                     self.cell.request_stop(attempt, "members of its gang are missing")
 
     def _move_from(self, state: ExecutorState, now: float) -> None:
@@ -128,10 +128,7 @@
                 continue
             if step.spec.label and step.spec.label not in state.executor.labels:
                 continue
-            free = state.free
-            while found < members and step.spec.need.fits_in(free):
-                free = free.minus(step.spec.need)
-                found += 1
+            found += max(0, count_fits(step.spec.need, state.free))
         return found >= members
 
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/losses.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/losses.py
@@ -197,7 +197,7 @@
         step = job.step_of(attempt.task)
         if not step.spec.gang:
             return [attempt]
-        return [task.attempt for task in step.tasks if task.attempt is not None]
+        return step.attempts()
 
     def _find_loss(self, attempt: Attempt) -> Loss | None:
         """Return what is lost when an attempt is stopped now; None if it may not be."""
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -326,7 +326,7 @@
             while first < len(rooms) and is_used_up(rooms[first]):
                 first += 1
             for room in rooms[first:]:
-                if is_used_up(room) or self._avoids(task, room):
+                if is_used_up(room) or task.avoids(room.state.id, self.now):
                     continue
                 room.take(spec.need)
                 counts[room.state.id] = counts.get(room.state.id, 0) + 1
@@ -334,10 +334,6 @@
                 break
         return placed
 
-    def _avoids(self, task: TaskState, room: Room) -> bool:
-        until = task.avoid.get(room.state.id)
-        return until is not None and until > self.now
-
     def _may_go_remote(self, candidate: Candidate, usable: Scope) -> bool:
         if usable.find_part(candidate.step.spec.data_rack) is None:
             return True
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
@@ -84,6 +84,11 @@
         self._attempt: Attempt | None = None
         self._step: StepState | None = None
 
+    def avoids(self, executor: str, now: float) -> bool:
+        """Whether it is not to be started at an executor for now."""
+        until = self.avoid.get(executor)
+        return until is not None and until > now
+
     def join(self, step: StepState) -> None:
         """Belong to a step from now on."""
         self._step = step
@@ -160,6 +165,12 @@
             return len(task.failed_runs)
         return len(set().union(*(t.failed_runs for t in self.tasks)))
 
+    def attempts(self) -> list[Attempt]:
+        """Return the attempts of its tasks that may be anywhere, in the tasks' order."""
+        if not self.held_count:
+            return []
+        return [task.attempt for task in self.tasks if task.attempt is not None]
+
     def open_tasks(self) -> list[TaskState]:
         """Return the tasks that wait to be started; not to be changed by the caller."""
         if self.open_count == len(self.tasks):
@@ -188,12 +199,17 @@
     ended_at: float | None = None
     chain_s: float = 0.0
 
+    @property
+    def is_done(self) -> bool:
+        """Whether every task of every step is done."""
+        return all(step.is_done for step in self.steps)
+
     @property
     def status(self) -> JobStatus:
         """What is true in memory, recorded or not."""
         if self.failed:
             return JobStatus.FAILED
-        if all(step.is_done for step in self.steps):
+        if self.is_done:
             return JobStatus.SUCCEEDED
         if self.cancelled:
             return JobStatus.CANCELLED
@@ -211,9 +227,7 @@
     @property
     def is_active(self) -> bool:
         """Whether tasks of it may be started."""
-        if self.cancelled or self.failed:
-            return False
-        return not all(step.is_done for step in self.steps)
+        return not (self.cancelled or self.failed or self.is_done)
 
     def task(self, key: TaskKey) -> TaskState | None:
         """Return one of its tasks, if it has it."""
@@ -234,13 +248,7 @@
 
     def attempts(self) -> list[Attempt]:
         """Return all attempts that may be anywhere."""
-        return [
-            task.attempt
-            for step in self.steps
-            if step.held_count
-            for task in step.tasks
-            if task.attempt is not None
-        ]
+        return [attempt for step in self.steps for attempt in step.attempts()]
 
     @property
     def has_attempts(self) -> bool:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/speed.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/speed.py
@@ -40,11 +40,13 @@
     if attempt.measured_at is None:
         attempt.measured_at, attempt.measured_percent = now, percent
         return
-    step = job.step_of(attempt.task)
     elapsed = now - attempt.measured_at
+    if attempt.phase is not Phase.RUNNING or elapsed < MEASURE_S:
+        return
+    step = job.step_of(attempt.task)
     gained = percent - attempt.measured_percent
     expected_rate = max(attempt.best_rate, _usual_rate(step, policy) / far_factor)
-    if attempt.phase is not Phase.RUNNING or not _is_telling(elapsed, gained, expected_rate):
+    if not _is_telling(elapsed, gained, expected_rate):
         return
     attempt.measured_at, attempt.measured_percent = now, percent
     if step.spec.gang and not is_whole(step, attempt):
@@ -59,7 +61,7 @@
 
 def _is_spread(step: StepState) -> bool:
     """Whether a step's attempts are at several executors, which can be told apart by them."""
-    return len({task.attempt.executor for task in step.tasks if task.attempt is not None}) > 1
+    return len({attempt.executor for attempt in step.attempts()}) > 1
 
 
 def _usual_rate(step: StepState, policy: Policy) -> float:
@@ -72,8 +74,6 @@
 
 def _is_telling(elapsed: float, gained: float, expected_rate: float) -> bool:
     """Whether a reading is far enough from the last one; `percent` may come in whole numbers."""
-    if elapsed < MEASURE_S:
-        return False
     would_show = elapsed * expected_rate >= CLEAR_LOSS
     return gained >= CLEAR_GAIN or would_show or elapsed >= LONGEST_MEASURE_S
 
@@ -112,7 +112,7 @@
     if step.spec.gang and not (policy.compare_members and _is_spread(step)):
         return 1.0
     if step.spec.gang:
-        ratios = [t.attempt.ratio for t in step.tasks if t.attempt and t.attempt.ratio is not None]
+        ratios = [a.ratio for a in step.attempts() if a.ratio is not None]
         return min(ratios) if len(ratios) >= least_members else None
     if len(step.ratios) < LEAST_COMPARED:
         return None
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
@@ -193,8 +193,7 @@
             return far
         if not (step.spec.gang and step.spec.same_rack):
             return 1.0
-        members = [t.attempt.executor for t in step.tasks if t.attempt is not None]
-        states = [self.cell.executors.get(member) for member in members]
+        states = [self.cell.executors.get(member.executor) for member in step.attempts()]
         racks = {state.executor.rack for state in states if state is not None}
         return far if len(racks) > 1 else 1.0
 
