--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -24,20 +24,28 @@
 
 
 PORTS = itertools.count(20_000 + os.getpid() % 8_000)
+CLAIMS: list[socket.socket] = []
+"""Held until this run ends; another run on the machine passes over their ports."""
 
 
 def free_port() -> int:
     """Return a port below those that the system gives to outgoing connections.
 
-    One of theirs may be taken between this look and the start of the process that binds it.
+    One of theirs may be taken between this look and the start of the process that binds it, and
+    so may a port that another run of these tests looks at: the same number is kept bound for
+    datagrams, which no process of the tests receives.
     """
     for port in PORTS:
-        with socket.socket() as probe:
-            try:
+        claim = socket.socket(type=socket.SOCK_DGRAM)
+        try:
+            claim.bind(("127.0.0.1", port))
+            with socket.socket() as probe:
                 probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return port
+        except OSError:
+            claim.close()
+            continue
+        CLAIMS.append(claim)
+        return port
     raise AssertionError("no port is free")
 
 
