Log each send of an order that is not obeyed at once, and name runs by fields

Cause: the users' record of runs that were twice at once held no line on the runs: run.stale printed its task as a tuple, start.refused named no step, single sends were not logged, and 404 answers to counts filled what came through as warnings.

Change: order.sent (send, outcome, took_s, age_s), call.repeated where a kept connection ended before an answer, attempt.closed with phase, sends, unanswered and age, all runs named by job, step, index, occurrence, run, executor. Refusals that concern no job are logged once in 5 s.

Ruled out: a line for each send; those obeyed at once are counted in 'orders' instead.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/http_client.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/http_client.py
@@ -10,6 +10,8 @@
 import h11
 import trio
 
+from .events import log_event
+
 RECEIVE_BYTES = 65536
 MAX_IDLE_S = 10.0
 
@@ -80,6 +82,7 @@
                         return reply
                     if fresh or not _closed_before_use(connection):
                         return reply
+                    log_event("call.repeated", address=address, method=method, reason=reply.reason)
                     connection.stream.socket.close()
                     connection = None
             except OSError as error:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
@@ -7,7 +7,7 @@
 import trio
 from heronthread_coordination import Measure
 
-from .events import log_event
+from .events import describe_run, log_event
 from .executor_link import (
     Obeyed,
     OrderOutcome,
@@ -97,10 +97,13 @@
                 until,
                 self.cell.approvals.find_ticket(attempt.task._replace(member=0), state.id) or "",
             )
+            attempt.sends += 1
             outcome = await self.cell.parts.link.start(state.executor, order)
+            self._log_send("start", attempt, attempt.sends, now, outcome)
             if not isinstance(outcome, Unanswered):
                 self._settle_start(start, attempt, outcome, is_first=number == 0)
                 return
+            attempt.unanswered += 1
             state.wake.set()
             await trio.sleep(RETRY_S)
         if attempt.phase is Phase.STARTING and start.task.attempt is attempt:
@@ -126,11 +129,10 @@
         may_have_run = _may_have_run(outcome, is_first)
         log_event(
             "start.refused",
-            job=attempt.task.job,
-            run=attempt.run,
-            executor=state.id,
+            **describe_run(attempt.task, attempt.run, state.id),
             reason=reason,
             may_have_run=may_have_run,
+            sends=attempt.sends,
         )
         if isinstance(outcome, Refused) and outcome.reason is Refusal.FENCED:
             self._depose()
@@ -169,11 +171,7 @@
             for attempt, reason in wanted:
                 log_event(
                     "stop.decided",
-                    job=attempt.task.job,
-                    step=attempt.task.step,
-                    index=attempt.task.member,
-                    run=attempt.run,
-                    executor=attempt.executor,
+                    **describe_run(attempt.task, attempt.run, attempt.executor),
                     percent=attempt.percent,
                     reason=reason,
                     term=self.cell.term.number,
@@ -181,17 +179,38 @@
                 self._nursery.start_soon(self._stop, attempt)
 
     async def _stop(self, attempt: Attempt) -> None:
+        sends = 0
         while True:
             state = self.cell.executors.get(attempt.executor)
             if state is None or state.attempts.get(attempt.task) is not attempt:
                 return
             if self.cell.parts.may_order():
                 order = StopOrder(attempt.task, attempt.run, self.cell.term.number)
+                now, sends = trio.current_time(), sends + 1
                 outcome = await self.cell.parts.link.stop(state.executor, order)
+                self._log_send("stop", attempt, sends, now, outcome)
                 if self._settle_stop(attempt, state, outcome):
                     return
             await trio.sleep(STOP_RETRY_S)
 
+    def _log_send(
+        self, order: str, attempt: Attempt, number: int, sent: float, outcome: OrderOutcome
+    ) -> None:
+        """Count one send of an order, and log it unless it was obeyed at once."""
+        self.cell.parts.statistics.count("orders", f"{order} {_reason(outcome)}")
+        if number == 1 and isinstance(outcome, Obeyed):
+            return
+        log_event(
+            "order.sent",
+            **describe_run(attempt.task, attempt.run, attempt.executor),
+            order=order,
+            send=number,
+            outcome=_reason(outcome),
+            took_s=round(trio.current_time() - sent, 3),
+            age_s=round(trio.current_time() - attempt.ordered_at, 3),
+            term=self.cell.term.number,
+        )
+
     def _settle_stop(self, attempt: Attempt, state: ExecutorState, outcome: OrderOutcome) -> bool:
         if isinstance(outcome, Obeyed):
             attempt.settled_at = trio.current_time()
@@ -223,6 +242,10 @@
 
 
 def _reason(outcome: OrderOutcome) -> str:
+    if isinstance(outcome, Obeyed):
+        return "obeyed"
+    if isinstance(outcome, Unanswered):
+        return "not sent" if outcome.unsent else "no answer"
     if isinstance(outcome, Refused):
         return outcome.reason.value
     return "unhealthy" if isinstance(outcome, Unhealthy) else "other life"
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
@@ -10,7 +10,7 @@
 from heronthread_coordination import Measure
 
 from .approval import Approvals, Approver, NoApprover
-from .events import log_event
+from .events import describe_run, log_event
 from .executor_link import EndedRun, EndKind, ExecutorLink
 from .fleet import ExecutorState
 from .keystore import KeyStore
@@ -222,9 +222,13 @@
             task.attempt = None
         log_event(
             "attempt.closed",
-            **_describe_run(attempt.task, attempt.run, attempt.executor),
+            **describe_run(attempt.task, attempt.run, attempt.executor),
             percent=attempt.percent,
             best_rate=round(attempt.best_rate, 2),
+            phase=attempt.phase.value,
+            sends=attempt.sends,
+            unanswered=attempt.unanswered,
+            age_s=round(trio.current_time() - attempt.ordered_at, 3),
             why=why,
         )
         self.wake_planner()
@@ -267,7 +271,8 @@
         job = self.jobs.get(end.task.job)
         task = self.find_task(end.task)
         if job is None or task is None:
-            log_event("end.unknown", task=str(end.task), executor=state.id, how=end.kind.value)
+            run = describe_run(end.task, end.run, state.id)
+            log_event("end.unknown", **run, why=end.kind.value)
             return
         task.last_run = max(task.last_run, end.run)
         attempt = task.attempt
@@ -288,7 +293,7 @@
 
     def _log_end_only(self, state: ExecutorState, end: EndedRun) -> None:
         """Log an end of a run that this owner has no attempt of, as after a takeover."""
-        run = _describe_run(end.task, end.run, state.id)
+        run = describe_run(end.task, end.run, state.id)
         log_event("attempt.ended", **run, why=end.kind.value)
 
     def _note_done(
@@ -324,15 +329,3 @@
             log_event("job.failed", job=job.spec.id, step=end.task.step, index=end.task.member)
             self._end_attempts(job, "job failed")
         self._settle(job)
-
-
-def _describe_run(task: TaskKey, run: int, executor: str) -> dict[str, object]:
-    """Return the fields of a log line that name one run of a task."""
-    return {
-        "job": task.job,
-        "step": task.step,
-        "index": task.member,
-        "occurrence": task.occurrence,
-        "run": run,
-        "executor": executor,
-    }
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
@@ -25,7 +25,8 @@
     """One run of a task that is, or may be, at an executor.
 
     Times are on trio's clock. `settled_at` is when an answer proved the last order carried
-    out; a report asked for later must name the run. `moved_at` is when `percent` last rose.
+    out; a report asked for later must name the run. Of its start, `sends` went out and
+    `unanswered` had no answer. `moved_at` is when `percent` last rose.
     `rate` is the last measured speed (percent a second) and `best_rate` the highest one;
     `ratio` is the time that it takes over the time that was estimated. `is_long`: it was
     behind its step while its executor did well with others, so it is the task itself.
@@ -38,6 +39,8 @@
     ordered_at: float
     phase: Phase = Phase.STARTING
     settled_at: float = UNSETTLED
+    sends: int = 0
+    unanswered: int = 0
     seen: bool = False
     percent: float = 0.0
     moved_at: float = 0.0
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from .events import log_event
+from .events import describe_run, log_event
 from .executor_link import (
     HoldOrder,
     OtherLife,
@@ -160,14 +160,14 @@
         task = self.cell.find_task(run.task)
         job = self.cell.jobs.get(run.task.job)
         if task is None or job is None:
-            log_event("run.unknown", task=str(run.task), executor=self.state.id)
+            log_event("run.unknown", **describe_run(run.task, run.run, self.state.id))
             return
         attempt = task.attempt
         if attempt is None or attempt.executor != self.state.id or attempt.run != run.run:
             if attempt is None:
                 self._adopt(run, received)
             elif attempt.run > run.run or attempt.executor != self.state.id:
-                log_event("run.stale", task=str(run.task), run=run.run, executor=self.state.id)
+                log_event("run.stale", **describe_run(run.task, run.run, self.state.id))
             return
         self.cell.note_checkpoint(task, run.run, run.checkpoint)
         attempt.seen = True
@@ -215,7 +215,7 @@
         self.cell.note_checkpoint(task, run.run, run.checkpoint)
         self.cell.place(task, attempt, self.state)
         job.begun = True
-        log_event("run.adopted", job=run.task.job, task=str(run.task), run=run.run)
+        log_event("run.adopted", **describe_run(run.task, run.run, self.state.id))
         if task.done or not job.is_active:
             self.cell.request_stop(attempt, "not wanted any more")
 
--- a/packages/heronthread-dispatch/tests/test_events.py
+++ b/packages/heronthread-dispatch/tests/test_events.py
@@ -2,7 +2,9 @@
 import time
 
 import trio
-from heronthread_dispatch.events import MAX_WAITING_LINES, LineWriter
+from heronthread_dispatch.events import MAX_WAITING_LINES, LineWriter, RepeatedEvents, describe_run
+from heronthread_dispatch.model import TaskKey
+from heronthread_emulator import captured_events
 
 
 async def test_blocked_output_delays_nothing_and_loses_are_counted() -> None:
@@ -34,3 +36,28 @@
     assert os.read(reader, 1000) == b'{"message_type":"x","host":"h1"}\n'
     os.close(reader)
     os.close(writer)
+
+
+async def test_equal_events_are_logged_once_in_a_while_and_counted(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """A record filled with equal refusals had no room left for the runs concerned."""
+    repeated = RepeatedEvents(period_s=5.0)
+    with captured_events() as messages:
+        for _ in range(10):
+            repeated.log("call.refused", ("GET", 404), path="/a")
+            await trio.sleep(1.0)
+        repeated.log("call.refused", ("GET", 503), path="/b")
+    assert [(m["path"], m["skipped"]) for m in messages] == [("/a", 0), ("/a", 4), ("/b", 0)]
+
+
+def test_a_run_is_named_by_fields_that_a_search_finds() -> None:
+    fields = describe_run(TaskKey("ab", 1, 2, 3), 4, "e0")
+    assert fields == {
+        "job": "ab",
+        "step": 1,
+        "index": 2,
+        "occurrence": 3,
+        "run": 4,
+        "executor": "e0",
+    }
--- a/packages/heronthread-emulator/src/heronthread_emulator/__init__.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/__init__.py
@@ -3,6 +3,7 @@
 from .checker import Told, Violation, check_promises
 from .executors import EmulatedExecutor, EmulatedExecutors
 from .experiment import Difference, Pair, compare_policies, sum_up, switch_off
+from .records import captured_events
 from .site import EmulatedSite, make_queue, make_state
 from .soak import SoakResult, run_soak
 from .store import EmulatedStore, StoreView
@@ -16,6 +17,7 @@
     "SoakResult",
     "Told",
     "Violation",
+    "captured_events",
     "check_promises",
     "run_soak",
     "EmulatedExecutor",
--- a/packages/heronthread-emulator/src/heronthread_emulator/executors.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/executors.py
@@ -81,8 +81,9 @@
     """One life of an executor.
 
     Faults: `is_cut` answers nothing and does nothing; `lose_answers` orders are done and
-    not answered, `late_s` later if that is set; `fails_all`; `stands_still`; `slowness`
-    times as long; `is_sick` turns starts away; `is_gone` is another life.
+    not answered, `late_s` later if that is set; of starts alone `lose_starts` are, and after
+    those `shed_starts` are turned away; `fails_all`; `stands_still`; `slowness` times as
+    long; `is_sick` turns starts away; `is_gone` is another life.
     """
 
     executor: Executor
@@ -101,6 +102,8 @@
     stands_still: bool = False
     slowness: float = 1.0
     lose_answers: int = 0
+    lose_starts: int = 0
+    shed_starts: int = 0
     late_s: float = 0.0
     clock_offset_s: float = 1000.0
     news: trio.Event = field(default_factory=trio.Event)
@@ -217,6 +220,14 @@
             place.running.pop(run.task)
             self._log("gone", place, run.task, run.run)
 
+    def plant_run(self, name: str, task: TaskKey, run: int, work_s: float = 30.0) -> None:
+        """Have a run begin that nobody ordered, as one that was thought to be nowhere."""
+        place = self.by_id[name]
+        place.running[task] = Run(
+            task, run, DEFAULT_WORK.need, work_s, arrived_at=trio.current_time()
+        )
+        self._log("start", place, task, run, token=place.token)
+
     def starts(self, task: TaskKey | None = None) -> list[Event]:
         """Return all starts, or those of one task."""
         return [e for e in self.events if e.what == "start" and task in (None, e.task)]
@@ -225,6 +236,14 @@
 
     async def start(self, executor: Executor, order: StartOrder) -> OrderOutcome:
         """Start a run."""
+        place = self.by_id.get(executor.id)
+        if place is not None and place.lose_starts > 0:
+            place.lose_starts -= 1
+            place.lose_answers += 1
+        elif place is not None and place.shed_starts > 0 and not place.is_cut:
+            place.shed_starts -= 1
+            await trio.sleep(LATENCY_S)
+            return Unhealthy()
         return await self._order(executor, lambda e: self._start(e, order))
 
     async def stop(self, executor: Executor, order: StopOrder) -> OrderOutcome:
