--- /dev/null
+++ b/packages/heronthread-dispatch/tests/test_orders.py
@@ -0,0 +1,79 @@
+"""What becomes of orders that get no answer, or several.
+
+The incident behind the first test: tasks ran twice at once, thirteen times on two sites.
+
+- Sequence: two sends of a start got no answer; a third was turned away by its executor, which
+  was unhealthy; the next report did not name the run; the task was started on a second executor;
+  1.7 s later the first executor carried out the second send after all.
+- Cause: the refusal of one send was taken as settling the others, and a report that does not name
+  a run as proof that it never will. A call without an answer may be done seconds later; only an
+  end that is listed, an answered stop, or the end of the holding time rules that out.
+- Settled by: `start.refused` with `may_have_run` true, then `attempt.closed` with why "not there"
+  0.07 s later, `start.decided` of the next run, and `run.stale` of the first one 2.4 s after that.
+"""
+
+import trio
+from heronthread_dispatch.model import TaskKey
+from heronthread_dispatch.record import JobStatus
+from heronthread_emulator import EmulatedSite, check_promises
+
+Clock = trio.testing.MockClock
+TASK = TaskKey("a", 0, 0)
+
+
+async def _status(site: EmulatedSite, job: str) -> JobStatus | None:
+    view = await site.hosts["h0"].requests.find_job(job)
+    return getattr(view, "status", None)
+
+
+async def _start_with_late_sends(site: EmulatedSite, *, sends: int, shed: int) -> None:
+    """Hand a job in at whose first executor `sends` starts are 5.2 s late and `shed` turned away.
+
+    After those, the starts and stops that come to it are turned away until `shed` is used up.
+    """
+    await site.wait_for_owner()
+    places = list(site.executors.by_id.values())
+    for place in places:
+        place.lose_starts, place.shed, place.late_s = sends, shed, 5.2
+    await site.hosts["h0"].requests.accept(site.make_job("a", work_s=4.0), 2.0)
+    await trio.sleep(0.5)
+    for place in places:
+        if place.lose_starts == sends:
+            place.lose_starts = place.shed = 0
+
+
+async def test_start_carried_out_after_a_refused_send_runs_once(autojump_clock: Clock) -> None:
+    async with EmulatedSite.open(hosts=1, executors=2) as site:
+        await _start_with_late_sends(site, sends=2, shed=1)
+        await trio.sleep(30.0)
+        assert check_promises(site.executors, {}) == []
+        assert await _status(site, "a") is JobStatus.SUCCEEDED
+
+
+async def test_start_carried_out_after_a_refusal_that_comes_during_its_stop(
+    autojump_clock: Clock,
+) -> None:
+    """The job is cancelled while sends are open; the refusal must not end the stop."""
+    async with EmulatedSite.open(hosts=1, executors=2) as site:
+        for place in site.executors.by_id.values():
+            place.shed_s = 0.5
+        await _start_with_late_sends(site, sends=1, shed=5)
+        await trio.sleep(0.7)
+        await site.hosts["h0"].requests.cancel("a", "first", 2.0)
+        await trio.sleep(10.0)
+        assert [event.what for event in site.executors.events if event.task == TASK] == []
+
+
+async def test_run_that_nobody_wants_is_stopped(autojump_clock: Clock) -> None:
+    """A run that stands beside the task's own is stopped as soon as a report names it."""
+    async with EmulatedSite.open(hosts=1, executors=2) as site:
+        await site.wait_for_owner()
+        await site.hosts["h0"].requests.accept(site.make_job("a", work_s=20.0), 2.0)
+        await site.hosts["h0"].requests.accept(site.make_job("b", count=2, work_s=20.0), 2.0)
+        await trio.sleep(1.0)
+        taken = site.executors.starts(TASK)[0].executor
+        other = next(name for name in site.executors.by_id if name != taken)
+        site.executors.plant_run(other, TASK, 0)
+        await trio.sleep(3.0)
+        ends = [e for e in site.executors.events if e.task == TASK and e.what != "start"]
+        assert [(end.what, end.executor) for end in ends] == [("stopped", other)]
--- a/packages/heronthread-emulator/src/heronthread_emulator/executors.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/executors.py
@@ -81,9 +81,10 @@
     """One life of an executor.
 
     Faults: `is_cut` answers nothing and does nothing; `lose_answers` orders are done and
-    not answered, `late_s` later if that is set; of starts alone `lose_starts` are, and after
-    those `shed_starts` are turned away; `fails_all`; `stands_still`; `slowness` times as
-    long; `is_sick` turns starts away; `is_gone` is another life.
+    not answered, `late_s` later if that is set; of starts alone `lose_starts` are. After
+    those `shed` starts and stops are turned away, each after `shed_s`. `fails_all`;
+    `stands_still`; `slowness` times as long; `is_sick` turns starts away; `is_gone` is
+    another life.
     """
 
     executor: Executor
@@ -103,7 +104,8 @@
     slowness: float = 1.0
     lose_answers: int = 0
     lose_starts: int = 0
-    shed_starts: int = 0
+    shed: int = 0
+    shed_s: float = LATENCY_S
     late_s: float = 0.0
     clock_offset_s: float = 1000.0
     news: trio.Event = field(default_factory=trio.Event)
@@ -237,17 +239,18 @@
     async def start(self, executor: Executor, order: StartOrder) -> OrderOutcome:
         """Start a run."""
         place = self.by_id.get(executor.id)
-        if place is not None and place.lose_starts > 0:
+        is_lost = place is not None and place.lose_starts > 0
+        if place is not None and is_lost:
             place.lose_starts -= 1
-            place.lose_answers += 1
-        elif place is not None and place.shed_starts > 0 and not place.is_cut:
-            place.shed_starts -= 1
-            await trio.sleep(LATENCY_S)
+        elif place is not None and await self._is_shed(place):
             return Unhealthy()
-        return await self._order(executor, lambda e: self._start(e, order))
+        return await self._order(executor, lambda e: self._start(e, order), is_lost)
 
     async def stop(self, executor: Executor, order: StopOrder) -> OrderOutcome:
         """Stop a run."""
+        place = self.by_id.get(executor.id)
+        if place is not None and not place.lose_starts and await self._is_shed(place):
+            return Unhealthy()
         return await self._order(executor, lambda e: self._stop(e, order))
 
     async def hold(self, executor: Executor, order: HoldOrder) -> HoldOutcome:
@@ -268,7 +271,14 @@
         )
         return Report(place.clock_ms(), running, tuple(place.ended[:500]))
 
-    async def _order(self, executor: Executor, act: object) -> OrderOutcome:
+    async def _is_shed(self, place: EmulatedExecutor) -> bool:
+        if place.shed <= 0 or place.is_cut or place.is_gone:
+            return False
+        place.shed -= 1
+        await trio.sleep(place.shed_s)
+        return True
+
+    async def _order(self, executor: Executor, act: object, is_lost: bool = False) -> OrderOutcome:
         await trio.sleep(LATENCY_S)
         place = self.by_id.get(executor.id)
         if place is None or place.is_cut:
@@ -276,8 +286,8 @@
             return Unanswered("silent")
         if place.is_gone:
             return OtherLife()
-        if place.lose_answers > 0:
-            place.lose_answers -= 1
+        if is_lost or place.lose_answers > 0:
+            place.lose_answers -= not is_lost
             if place.late_s:
                 assert self._nursery is not None
                 self._nursery.start_soon(self._act_late, place, act, place.late_s)
