Settle a start only by an end, an answered stop, or the end of the holding time

Cause: an unanswered start may be carried out seconds later, after newer calls. The owner took the refusal of a later send as settling the earlier ones, and the next report, which did not name the run yet, as proof that it is nowhere. The same refusal also settled a run whose stop nobody had answered. The class: evidence about one call, or one moment, read as evidence about every call still open.

Change: an attempt counts its unanswered sends. While there are any, a refusal (no room, unhealthy, not approved, late) has the run stopped, and an answered stop settles it; 'old run' settles it, as every send is refused then. With none, it is closed at once, also where no send reached an executor. A run that stands beside its task's attempt, or whose job is not known, is stopped. A report that may be cut short closes nothing.

Ruled out: waiting for the start's own holding time (6 s to 10 s instead of an answered stop); treating 'late' as settling (deadlines of two sends may differ by a clock reading).

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/executor_link.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/executor_link.py
@@ -93,11 +93,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Report:
-    """What an executor runs and what ended there, at `clock_ms` on its own clock."""
+    """What an executor runs and what ended there, at `clock_ms` on its own clock.
+
+    Unless `is_complete`, more ended there than one report names.
+    """
 
     clock_ms: int
     running: tuple[RunningRun, ...]
     ended: tuple[EndedRun, ...]
+    is_complete: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
@@ -24,11 +24,13 @@
     `noted` is the highest end taken in, `seen` the highest that is recorded, `told_seen`
     the highest that the executor has been told. `recorded`: the store names it as in use;
     `is_inherited`: an earlier owner may have used it; `only_tasks` are those that it may
-    have left there, None for any.
+    have left there, None for any. `strays` are runs that are there beside their tasks' own
+    attempts, or of no job that is known, until each is stopped.
     """
 
     executor: Executor
     attempts: dict[TaskKey, Attempt] = field(default_factory=dict)
+    strays: dict[tuple[TaskKey, int], Attempt] = field(default_factory=dict)
     free: Resources = NOTHING
     clock: tuple[float, float, int] | None = None
     lapse_by: float = float("-inf")
@@ -71,16 +73,35 @@
         self.free = self.free.minus(attempt.need)
         self.wake.set()
 
+    def occupy_astray(self, attempt: Attempt) -> None:
+        """Take room for a run that is there without being its task's attempt."""
+        self.strays[attempt.task, attempt.run] = attempt
+        self.free = self.free.minus(attempt.need)
+        self.wake.set()
+
+    def holds(self, attempt: Attempt) -> bool:
+        """Whether an attempt is, or may be, here."""
+        stray = self.strays.get((attempt.task, attempt.run))
+        return attempt in (self.attempts.get(attempt.task), stray)
+
+    def list_held(self) -> list[Attempt]:
+        """Return all that is, or may be, here."""
+        return [*self.attempts.values(), *self.strays.values()]
+
     def release(self, attempt: Attempt) -> None:
         """Give an attempt's room back."""
         if self.attempts.get(attempt.task) is attempt:
             del self.attempts[attempt.task]
-            self.free = self.free.plus(attempt.need)
+        elif self.strays.get((attempt.task, attempt.run)) is attempt:
+            del self.strays[attempt.task, attempt.run]
+        else:
+            return
+        self.free = self.free.plus(attempt.need)
 
     def room_soon(self) -> Resources:
         """Return the room once everything that is being stopped has ended."""
         soon = self.free
-        for attempt in self.attempts.values():
+        for attempt in self.list_held():
             if attempt.phase is Phase.STOPPING:
                 soon = soon.plus(attempt.need)
         return soon
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/http_client.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/http_client.py
@@ -63,8 +63,13 @@
         body: bytes = b"",
         headers: tuple[tuple[str, str], ...] = (),
         timeout_s: float,
+        may_repeat: bool = True,
     ) -> Reply | NoReply:
-        """Make one call; a kept connection that turns out closed is replaced once."""
+        """Make one call; a kept connection that turns out closed is replaced.
+
+        One that ended before an answer came may have carried the call, so only a call that
+        `may_repeat` is sent again then.
+        """
         sent = False
         with trio.move_on_after(timeout_s):
             connection, fresh = None, False
@@ -80,7 +85,7 @@
                         self._give_back(address, connection)
                         connection = None
                         return reply
-                    if fresh or not _closed_before_use(connection):
+                    if fresh or not may_repeat or not _closed_before_use(connection):
                         return reply
                     log_event("call.repeated", address=address, method=method, reason=reply.reason)
                     connection.stream.socket.close()
@@ -96,7 +101,8 @@
         connections = self.idle.get(address)
         while connections:
             connection = connections.pop()
-            if trio.current_time() - connection.idle_since < MAX_IDLE_S:
+            is_young = trio.current_time() - connection.idle_since < MAX_IDLE_S
+            if is_young and not _has_ended(connection):
                 return connection
             connection.stream.socket.close()
         return None
@@ -162,6 +168,11 @@
                 return NoReply(f"{address}: closed", unsent=False)
 
 
+def _has_ended(connection: _Connection) -> bool:
+    """Whether the other side has closed or reset a kept connection, or said what nobody asked."""
+    return connection.stream.socket.is_readable()
+
+
 def _closed_before_use(connection: _Connection) -> bool:
     """Whether a kept connection ended before any byte of an answer came."""
     return connection.protocol.their_state in (h11.IDLE, h11.SEND_RESPONSE, h11.CLOSED)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
@@ -80,7 +80,7 @@
     async def _start(self, start: Start, attempt: Attempt, checkpoint: str) -> None:
         state = start.executor
         payload = start.job.spec.payload
-        for number in range(START_TRIES):
+        for _ in range(START_TRIES):
             if attempt.phase is not Phase.STARTING or start.task.attempt is not attempt:
                 return
             if not self.cell.parts.may_order():
@@ -101,19 +101,30 @@
             outcome = await self.cell.parts.link.start(state.executor, order)
             self._log_send("start", attempt, attempt.sends, now, outcome)
             if not isinstance(outcome, Unanswered):
-                self._settle_start(start, attempt, outcome, is_first=number == 0)
+                self._settle_start(start, attempt, outcome)
                 return
-            attempt.unanswered += 1
+            attempt.unanswered += not outcome.unsent
             state.wake.set()
             await trio.sleep(RETRY_S)
         if attempt.phase is Phase.STARTING and start.task.attempt is attempt:
             state.note_bad(trio.current_time())
-            self.cell.request_stop(attempt, "the start was not answered")
-            self.cell.stop_gang(attempt, "a member's start was not answered")
+            self._give_up(attempt, "the start was not answered")
+
+    def _give_up(self, attempt: Attempt, reason: str) -> None:
+        """End an attempt whose start came to nothing as far as anybody can tell.
+
+        A send without an answer may be carried out seconds later, after newer ones and beside the
+        task's next run. Only an answered stop, a listed end or the end of the holding time rules
+        that out; that another send was refused, or that a report does not name the run, does not.
+        """
+        state = self.cell.executors.get(attempt.executor)
+        if attempt.unanswered and state is not None and not state.dead:
+            self.cell.request_stop(attempt, reason)
+        else:
+            self.cell.close(attempt, reason)
+        self.cell.stop_gang(attempt, f"a member's start came to nothing: {reason}")
 
-    def _settle_start(
-        self, start: Start, attempt: Attempt, outcome: OrderOutcome, is_first: bool
-    ) -> None:
+    def _settle_start(self, start: Start, attempt: Attempt, outcome: OrderOutcome) -> None:
         now = trio.current_time()
         state = start.executor
         if isinstance(outcome, Obeyed):
@@ -126,13 +137,13 @@
                 attempt.moved_at = now
             return
         reason = _reason(outcome)
-        may_have_run = _may_have_run(outcome, is_first)
+        is_over = isinstance(outcome, Refused) and outcome.reason is Refusal.OLD_RUN
         log_event(
             "start.refused",
             **describe_run(attempt.task, attempt.run, state.id),
             reason=reason,
-            may_have_run=may_have_run,
             sends=attempt.sends,
+            unanswered=attempt.unanswered,
         )
         if isinstance(outcome, Refused) and outcome.reason is Refusal.FENCED:
             self._depose()
@@ -140,13 +151,12 @@
         self._note_refusal(attempt, state, outcome, now)
         if start.task.attempt is not attempt:
             return
-        if may_have_run:
-            # It may have ended done already: the next report names its end, or it is nowhere.
+        if is_over:
+            # No send of it has an effect any more. It may have ended done: the next report says so.
             attempt.settled_at = now
             state.wake.set()
-            return
-        self.cell.close(attempt, f"refused: {reason}")
-        self.cell.stop_gang(attempt, f"a member was refused: {reason}")
+        else:
+            self._give_up(attempt, f"refused: {reason}")
 
     def _note_refusal(
         self, attempt: Attempt, state: ExecutorState, outcome: OrderOutcome, now: float
@@ -182,7 +192,7 @@
         sends = 0
         while True:
             state = self.cell.executors.get(attempt.executor)
-            if state is None or state.attempts.get(attempt.task) is not attempt:
+            if state is None or not state.holds(attempt):
                 return
             if self.cell.parts.may_order():
                 order = StopOrder(attempt.task, attempt.run, self.cell.term.number)
@@ -214,6 +224,7 @@
     def _settle_stop(self, attempt: Attempt, state: ExecutorState, outcome: OrderOutcome) -> bool:
         if isinstance(outcome, Obeyed):
             attempt.settled_at = trio.current_time()
+            state.wake.set()
             return True
         if isinstance(outcome, OtherLife):
             state.dead = True
@@ -233,14 +244,6 @@
     return newest.task.checkpoint
 
 
-def _may_have_run(outcome: OrderOutcome, is_first: bool) -> bool:
-    """Whether a refused run may have been there: its order was sent before, or it was over."""
-    if isinstance(outcome, OtherLife):
-        return False
-    is_over = isinstance(outcome, Refused) and outcome.reason is Refusal.OLD_RUN
-    return is_over or not is_first
-
-
 def _reason(outcome: OrderOutcome) -> str:
     if isinstance(outcome, Obeyed):
         return "obeyed"
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
@@ -14,7 +14,7 @@
 from .executor_link import EndedRun, EndKind, ExecutorLink
 from .fleet import ExecutorState
 from .keystore import KeyStore
-from .model import DesiredState, Executor, TaskKey
+from .model import NOTHING, DesiredState, Executor, TaskKey
 from .policy import DEFAULT_POLICY, Policy
 from .progress import (
     UNSETTLED,
@@ -243,6 +243,22 @@
             self.to_stop.append((attempt, reason))
             self.stop_wanted.set()
 
+    def stop_astray(self, state: ExecutorState, task: TaskKey, run: int) -> None:
+        """Have a run stopped that an executor names and that is not its task's attempt.
+
+        Left alone it works beside the task's own run, or on after its job's end, until the
+        executor's holding time runs out, which every other run there puts off.
+        """
+        if (task, run) in state.strays:
+            return
+        job = self.jobs.get(task.job)
+        known = job is not None and job.task(task) is not None
+        need = job.step_of(task).spec.need if job is not None and known else NOTHING
+        attempt = Attempt(task, run, state.id, need, trio.current_time(), Phase.RUNNING)
+        state.occupy_astray(attempt)
+        log_event("run.stale" if known else "run.unknown", **describe_run(task, run, state.id))
+        self.request_stop(attempt, "not its task's attempt")
+
     def stop_gang(self, attempt: Attempt, reason: str) -> None:
         """Have the other members of an attempt's gang run stopped."""
         job = self.jobs.get(attempt.task.job)
@@ -270,6 +286,9 @@
         """Take in one end that an executor lists."""
         job = self.jobs.get(end.task.job)
         task = self.find_task(end.task)
+        stray = state.strays.get((end.task, end.run))
+        if stray is not None:
+            self.close(stray, end.kind.value)
         if job is None or task is None:
             run = describe_run(end.task, end.run, state.id)
             log_event("end.unknown", **run, why=end.kind.value)
@@ -279,7 +298,7 @@
         is_current = attempt is not None and attempt.run == end.run
         if is_current and attempt is not None:
             self.close(attempt, end.kind.value)
-        else:
+        elif stray is None:
             self._log_end_only(state, end)
         self.note_checkpoint(task, end.run, end.checkpoint)
         if end.kind is EndKind.DONE:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -256,7 +256,7 @@
 
     def _renew_entry(self, state: ExecutorState, executor: Executor, now: float) -> None:
         used = Resources()
-        for attempt in state.attempts.values():
+        for attempt in state.list_held():
             used = used.plus(attempt.need)
         state.executor = executor
         state.free = executor.capacity.minus(used)
@@ -401,7 +401,7 @@
     """
     tasks = None
     if state.leaves_at is not None and state.heard:
-        tasks = sorted([*task] for task in state.attempts)
+        tasks = sorted([*task] for task in {attempt.task for attempt in state.list_held()})
     elif not state.heard and state.only_tasks is not None:
         tasks = sorted([*task] for task in state.only_tasks)
     return [state.executor.address, state.executor.pool, tasks]
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
@@ -24,9 +24,11 @@
 class Attempt:
     """One run of a task that is, or may be, at an executor.
 
-    Times are on trio's clock. `settled_at` is when an answer proved the last order carried
-    out; a report asked for later must name the run. Of its start, `sends` went out and
-    `unanswered` had no answer. `moved_at` is when `percent` last rose.
+    Times are on trio's clock. `settled_at` is when an answer proved that no order for it can
+    have an effect any more that a report asked for later does not show: its start or a stop of
+    it was obeyed, or it was called old. Of its start, `sends` went out and `unanswered` had no
+    answer; each of those may be carried out seconds later until then. `moved_at` is when
+    `percent` last rose.
     `rate` is the last measured speed (percent a second) and `best_rate` the highest one;
     `ratio` is the time that it takes over the time that was estimated. `is_long`: it was
     behind its step while its executor did well with others, so it is the task itself.
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
@@ -58,7 +58,7 @@
         return (
             state.heard
             and state.listed
-            and not state.attempts
+            and not state.list_held()
             and state.told_seen == state.noted
             and state.seen == state.noted
         )
@@ -70,7 +70,7 @@
         state = self.state
         sent = trio.current_time()
         until = self._choose_deadline(sent)
-        waits = state.heard and state.attempts and state.seen == state.noted
+        waits = state.heard and state.list_held() and state.seen == state.noted
         wait_s = self._choose_wait(sent) if waits else 0.0
         order = HoldOrder(self.cell.term.number, state.seen, until, wait_s)
         outcome = await self.cell.parts.link.hold(state.executor, order)
@@ -110,7 +110,7 @@
         An order without an answer may be carried out, so it would move the time after
         which everything there has certainly ended.
         """
-        if self._silent or not self.state.attempts:
+        if self._silent or not self.state.list_held():
             return None
         return self.state.deadline_ms(now, self.cell.parts.timing.hold_s)
 
@@ -125,7 +125,7 @@
         await trio.sleep(min(LONGEST_PAUSE_S, PAUSE_S * 2 ** min(self._silent, 4)))
 
     def _close_all(self, why: str) -> None:
-        for attempt in list(self.state.attempts.values()):
+        for attempt in self.state.list_held():
             self.cell.close(attempt, why)
             self.cell.stop_gang(attempt, why)
 
@@ -139,7 +139,8 @@
             self.cell.note_end(state, end)
         for run in report.running:
             self._note_running(run, received)
-        self._close_vanished(listed, sent)
+        if report.is_complete:
+            self._close_vanished(listed, sent)
         if not state.heard:
             state.heard = True
             log_event("executor.heard", executor=state.id, runs=len(listed), ends=len(fresh))
@@ -160,14 +161,14 @@
         task = self.cell.find_task(run.task)
         job = self.cell.jobs.get(run.task.job)
         if task is None or job is None:
-            log_event("run.unknown", **describe_run(run.task, run.run, self.state.id))
+            self.cell.stop_astray(self.state, run.task, run.run)
             return
         attempt = task.attempt
         if attempt is None or attempt.executor != self.state.id or attempt.run != run.run:
             if attempt is None:
                 self._adopt(run, received)
-            elif attempt.run > run.run or attempt.executor != self.state.id:
-                log_event("run.stale", **describe_run(run.task, run.run, self.state.id))
+            else:
+                self.cell.stop_astray(self.state, run.task, run.run)
             return
         self.cell.note_checkpoint(task, run.run, run.checkpoint)
         attempt.seen = True
@@ -220,8 +221,8 @@
             self.cell.request_stop(attempt, "not wanted any more")
 
     def _close_vanished(self, listed: set[tuple[TaskKey, int]], sent: float) -> None:
-        """Close attempts that a report asked for after their order does not name."""
-        for attempt in list(self.state.attempts.values()):
+        """Close attempts that a report does not name, asked for after their orders were settled."""
+        for attempt in self.state.list_held():
             if attempt.settled_at == UNSETTLED or attempt.settled_at > sent:
                 continue
             if (attempt.task, attempt.run) not in listed:
--- a/packages/heronthread-dispatch/tests/test_orders.py
+++ b/packages/heronthread-dispatch/tests/test_orders.py
@@ -69,7 +69,9 @@
     async with EmulatedSite.open(hosts=1, executors=2) as site:
         await site.wait_for_owner()
         await site.hosts["h0"].requests.accept(site.make_job("a", work_s=20.0), 2.0)
-        await site.hosts["h0"].requests.accept(site.make_job("b", count=2, work_s=20.0), 2.0)
+        await site.hosts["h0"].requests.accept(
+            site.make_job("b", count=2, work_s=20.0, spread_limit=1), 2.0
+        )
         await trio.sleep(1.0)
         taken = site.executors.starts(TASK)[0].executor
         other = next(name for name in site.executors.by_id if name != taken)
