Drop the kept connections that may be silent, and repeat what may be repeated after any end

Cause: connections may go silent for good, all at once, while new ones work. Each kept connection to the address then cost one more call its whole time-out: 0.7 s for an order, 3.3 s for a watch. And a call that may be repeated was sent again after a reset of its kept connection, but not after a close.

Change: a call without an answer drops the connections that were not used since it began. A call is sent again if no byte of an answer came, however its connection ended.

Ruled out: keep-alive probes of the kernel, which a middle box may answer; watches shorter than 2.5 s, which the platform counts.

Measured: with three kept connections gone silent, calls that fail 3 -> 1 (its test; the old code kept them).

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/http_client.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/http_client.py
@@ -37,6 +37,7 @@
     stream: trio.SocketStream
     protocol: h11.Connection
     idle_since: float = 0.0
+    is_answering: bool = False
 
 
 @dataclass(slots=True)
@@ -70,7 +71,7 @@
         One that ended before an answer came may have carried the call, so only a call that
         `may_repeat` is sent again then.
         """
-        sent = False
+        sent, began = False, trio.current_time()
         with trio.move_on_after(timeout_s):
             connection, fresh = None, False
             try:
@@ -85,7 +86,7 @@
                         self._give_back(address, connection)
                         connection = None
                         return reply
-                    if fresh or not may_repeat or not _closed_before_use(connection):
+                    if fresh or not may_repeat or connection.is_answering:
                         return reply
                     log_event("call.repeated", address=address, method=method, reason=reply.reason)
                     connection.stream.socket.close()
@@ -95,8 +96,21 @@
             finally:
                 if connection is not None:
                     connection.stream.socket.close()
+        self._drop_idle_since(address, began)
         return NoReply(f"{address}: no answer in {timeout_s:g} s", unsent=not sent)
 
+    def _drop_idle_since(self, address: str, began: float) -> None:
+        """Close the kept connections that were not used since an unanswered call began.
+
+        Connections may go silent for good, all at once, while new ones work: each of those kept
+        would cost one more call its whole time-out.
+        """
+        kept = self.idle.get(address, [])
+        self.idle[address] = [each for each in kept if each.idle_since > began]
+        for each in kept:
+            if each.idle_since <= began:
+                each.stream.socket.close()
+
     def _take_idle(self, address: str) -> _Connection | None:
         connections = self.idle.get(address)
         while connections:
@@ -136,6 +150,7 @@
         if body or method == "POST":
             fields += [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
         protocol = connection.protocol
+        connection.is_answering = False
         request = h11.Request(method=method, target=target, headers=fields)
         try:
             data = protocol.send(request) or b""
@@ -155,9 +170,9 @@
         while True:
             event = connection.protocol.next_event()
             if event is h11.NEED_DATA:
-                connection.protocol.receive_data(
-                    await connection.stream.receive_some(RECEIVE_BYTES)
-                )
+                data = await connection.stream.receive_some(RECEIVE_BYTES)
+                connection.is_answering |= bool(data)
+                connection.protocol.receive_data(data)
             elif isinstance(event, h11.Response):
                 status = event.status_code
             elif isinstance(event, h11.Data):
@@ -171,8 +186,3 @@
 def _has_ended(connection: _Connection) -> bool:
     """Whether the other side has closed or reset a kept connection, or said what nobody asked."""
     return connection.stream.socket.is_readable()
-
-
-def _closed_before_use(connection: _Connection) -> bool:
-    """Whether a kept connection ended before any byte of an answer came."""
-    return connection.protocol.their_state in (h11.IDLE, h11.SEND_RESPONSE, h11.CLOSED)
--- /dev/null
+++ b/packages/heronthread-dispatch/tests/test_http_client.py
@@ -0,0 +1,109 @@
+"""How often a call is sent, as the other side sees it."""
+
+import socket
+import struct
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import pytest
+import trio
+from heronthread_dispatch.http_client import HttpClient, NoReply, Reply
+
+ANSWERS, CLOSES, RESETS, ANSWERS_AND_CLOSES = "answers", "closes", "resets", "answers and closes"
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+class Server:
+    """Counts calls; `behaviour` says of each by its number if it differs from `ANSWERS`."""
+
+    def __init__(self, behaviour: dict[int, str]) -> None:
+        self.behaviour = behaviour
+        self.calls = 0
+        self.connections = 0
+        self.silent_upto = 0
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        self.connections += 1
+        number = self.connections
+        while await stream.receive_some():
+            if number <= self.silent_upto:
+                await trio.sleep_forever()
+            self.calls += 1
+            await trio.sleep(0.01)
+            behaviour = self.behaviour.get(self.calls, ANSWERS)
+            if behaviour == RESETS:
+                linger = struct.pack("ii", 1, 0)
+                stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                return
+            if behaviour == CLOSES:
+                return
+            await stream.send_all(ANSWER)
+            if behaviour == ANSWERS_AND_CLOSES:
+                return
+
+
+@asynccontextmanager
+async def _served(
+    behaviour: dict[int, str],
+) -> AsyncIterator[tuple[Server, Callable[..., Awaitable[Reply | NoReply]]]]:
+    server = Server(behaviour)
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(trio.serve_listeners, server.serve, listeners)
+        address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        with HttpClient() as client:
+
+            async def call(may_repeat: bool = True, timeout_s: float = 5.0) -> Reply | NoReply:
+                return await client.call(
+                    address, "POST", "/x", body=b"{}", timeout_s=timeout_s, may_repeat=may_repeat
+                )
+
+            yield server, call
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("behaviour", [CLOSES, RESETS])
+async def test_call_that_may_not_be_repeated_is_sent_once(behaviour: str) -> None:
+    """Its kept connection ends after the call was read; whether it was done is not known."""
+    async with _served({2: behaviour}) as (server, call):
+        assert isinstance(await call(False), Reply)
+        outcome = await call(False)
+        assert isinstance(outcome, NoReply) and not outcome.unsent
+        assert server.calls == 2
+
+
+@pytest.mark.parametrize("behaviour", [CLOSES, RESETS])
+async def test_call_that_may_be_repeated_is_sent_again_on_a_new_connection(
+    behaviour: str,
+) -> None:
+    async with _served({2: behaviour}) as (server, call):
+        assert isinstance(await call(), Reply)
+        assert isinstance(await call(), Reply)
+        assert (server.calls, server.connections) == (3, 2)
+
+
+async def test_kept_connection_that_has_ended_is_replaced_before_anything_is_sent() -> None:
+    """So a server that closes idle connections costs no doubt."""
+    async with _served({1: ANSWERS_AND_CLOSES}) as (server, call):
+        assert isinstance(await call(False), Reply)
+        await trio.sleep(0.05)
+        assert isinstance(await call(False), Reply)
+        assert (server.calls, server.connections) == (2, 2)
+
+
+async def test_call_to_a_dead_port_was_not_sent() -> None:
+    with HttpClient() as client:
+        outcome = await client.call("127.0.0.1:1", "POST", "/x", timeout_s=5.0)
+    assert isinstance(outcome, NoReply) and outcome.unsent
+
+
+async def test_connections_that_went_silent_for_good_cost_one_call_its_time() -> None:
+    async with _served({}) as (server, call):
+        async with trio.open_nursery() as nursery:
+            for _ in range(3):
+                nursery.start_soon(call)
+        server.silent_upto = server.connections
+        assert isinstance(await call(timeout_s=0.2), NoReply)
+        for _ in range(3):
+            assert isinstance(await call(), Reply)
+        assert server.connections == 4
--- a/packages/heronthread-dispatch/tests/test_orders.py
+++ b/packages/heronthread-dispatch/tests/test_orders.py
@@ -79,3 +79,68 @@
         await trio.sleep(3.0)
         ends = [e for e in site.executors.events if e.task == TASK and e.what != "start"]
         assert [(end.what, end.executor) for end in ends] == [("stopped", other)]
+
+
+async def test_start_that_reached_no_executor_is_given_at_another_at_once(
+    autojump_clock: Clock,
+) -> None:
+    """Nothing was sent, so nothing is open: no holding time has to run out first."""
+    async with EmulatedSite.open(hosts=1, executors=2) as site:
+        await site.wait_for_owner()
+        for place in site.executors.by_id.values():
+            place.is_unreachable = True
+        began = trio.current_time()
+        await site.hosts["h0"].requests.accept(site.make_job("a", work_s=1.0), 2.0)
+        await trio.sleep(0.1)
+        for place in site.executors.by_id.values():
+            place.is_unreachable = False
+        while not site.executors.starts(TASK):
+            await trio.sleep(0.1)
+        assert trio.current_time() - began < 2.5
+        assert check_promises(site.executors, {}) == []
+
+
+async def test_start_whose_first_send_is_refused_is_given_again_at_once(
+    autojump_clock: Clock,
+) -> None:
+    """Both executors turn one start away and rest for 0.7 s; neither was left in doubt."""
+    async with EmulatedSite.open(hosts=1, executors=2) as site:
+        await site.wait_for_owner()
+        for place in site.executors.by_id.values():
+            place.shed = 1
+        await site.hosts["h0"].requests.accept(site.make_job("a", work_s=1.0), 2.0)
+        await trio.sleep(1.5)
+        assert len(site.executors.starts(TASK)) == 1
+
+
+async def test_run_of_a_job_that_is_not_known_is_stopped(autojump_clock: Clock) -> None:
+    """An executor that is held would keep it at work for as long as anything else runs there."""
+    gone = TaskKey("gone", 0, 0)
+    async with EmulatedSite.open(hosts=1, executors=1) as site:
+        await site.wait_for_owner()
+        await site.hosts["h0"].requests.accept(site.make_job("a", work_s=20.0), 2.0)
+        await trio.sleep(1.0)
+        site.executors.plant_run("e0", gone, 1)
+        await trio.sleep(3.0)
+        ends = [e.what for e in site.executors.events if e.task == gone]
+        assert ends == ["start", "stopped"]
+        site.executors.plant_run("e0", gone, 2, work_s=0.4)
+        await trio.sleep(3.0)
+        state = site.hosts["h0"].owner.cell.executors["e0"]
+        assert not state.strays
+        assert state.free.accelerators == 7
+
+
+async def test_report_that_may_be_cut_short_closes_nothing(autojump_clock: Clock) -> None:
+    """A run that is in neither list may be among the ends that did not fit."""
+    async with EmulatedSite.open(hosts=1, executors=1) as site:
+        await site.wait_for_owner()
+        await site.hosts["h0"].requests.accept(site.make_job("a", work_s=3.0), 2.0)
+        await trio.sleep(0.5)
+        site.executors.hides_ends = True
+        await trio.sleep(4.0)
+        assert len(site.executors.starts(TASK)) == 1
+        site.executors.hides_ends = False
+        await trio.sleep(2.0)
+        assert await _status(site, "a") is JobStatus.SUCCEEDED
+        assert len(site.executors.starts(TASK)) == 1
--- a/packages/heronthread-emulator/src/heronthread_emulator/executors.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/executors.py
@@ -33,6 +33,7 @@
 LATENCY_S = 0.002
 TICK_S = 0.02
 GANG_TIMEOUT_S = 3.0
+ENDS_AT_ONCE = 500
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,8 +84,8 @@
     Faults: `is_cut` answers nothing and does nothing; `lose_answers` orders are done and
     not answered, `late_s` later if that is set; of starts alone `lose_starts` are. After
     those `shed` starts and stops are turned away, each after `shed_s`. `fails_all`;
-    `stands_still`; `slowness` times as long; `is_sick` turns starts away; `is_gone` is
-    another life.
+    `stands_still`; `slowness` times as long; `is_sick` turns starts away; `is_unreachable`
+    takes no connection for a start; `is_gone` is another life.
     """
 
     executor: Executor
@@ -99,6 +100,7 @@
     is_cut: bool = False
     is_gone: bool = False
     is_sick: bool = False
+    is_unreachable: bool = False
     fails_all: bool = False
     stands_still: bool = False
     slowness: float = 1.0
@@ -127,7 +129,7 @@
 
     `lengths` names tasks that work longer (s) than their step says; `shown_percent` is
     reported for all runs if it is set, as of lasting ones that are at work. With an `approver`
-    every start needs its ticket.
+    every start needs its ticket. With `hides_ends` reports say that more ended than they name.
     """
 
     def __init__(self) -> None:
@@ -136,6 +138,7 @@
         self.lengths: dict[TaskKey, float] = {}
         self.shown_percent: float | None = None
         self.approver: EmulatedApprover | None = None
+        self.hides_ends = False
         self.events: list[Event] = []
         self.taken_note: set[tuple[str, int]] = set()
         self.lapses: list[tuple[str, float]] = []
@@ -239,6 +242,9 @@
     async def start(self, executor: Executor, order: StartOrder) -> OrderOutcome:
         """Start a run."""
         place = self.by_id.get(executor.id)
+        if place is not None and place.is_unreachable:
+            await trio.sleep(LATENCY_S)
+            return Unanswered("refused", unsent=True)
         is_lost = place is not None and place.lose_starts > 0
         if place is not None and is_lost:
             place.lose_starts -= 1
@@ -269,7 +275,9 @@
             RunningRun(r.task, r.run, "", self.shown_percent or 100 * r.worked_s / r.work_s)
             for r in place.running.values()
         )
-        return Report(place.clock_ms(), running, tuple(place.ended[:500]))
+        ended = () if self.hides_ends else tuple(place.ended[:ENDS_AT_ONCE])
+        is_complete = not self.hides_ends and len(ended) < ENDS_AT_ONCE
+        return Report(place.clock_ms(), running, ended, is_complete)
 
     async def _is_shed(self, place: EmulatedExecutor) -> bool:
         if place.shed <= 0 or place.is_cut or place.is_gone:
