Play late starts beside refusals in the emulated soak, with a defect that it must catch

Change: the fault late_starts_beside_refusals, and the planted defect settle-by-any-refusal, which undoes the mend.

--- a/packages/heronthread-emulator/src/heronthread_emulator/plants.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/plants.py
@@ -10,8 +10,9 @@
 from heronthread_dispatch.executor_link import EndedRun, EndKind
 from heronthread_dispatch.fleet import ExecutorState
 from heronthread_dispatch.intake import NotTaken, Unsettled
+from heronthread_dispatch.orders import Orders
 from heronthread_dispatch.owned import OwnedCell
-from heronthread_dispatch.progress import JobState
+from heronthread_dispatch.progress import Attempt, JobState
 from heronthread_dispatch.requests import Requests
 from heronthread_dispatch.watching import ExecutorWatch
 
@@ -100,6 +101,17 @@
     return patch.object(JobState, "status", property(status))
 
 
+def _settle_by_any_refusal() -> Any:
+    """A refused send of a start counts as settling the sends before it."""
+    original = Orders._settle_start
+
+    def settle(self: Orders, start: Any, attempt: Attempt, outcome: Any) -> None:
+        attempt.unanswered = 0
+        original(self, start, attempt, outcome)
+
+    return patch.object(Orders, "_settle_start", settle)
+
+
 PLANTS: dict[str, Plant] = {
     "start-before-the-barrier": _start_before_the_barrier,
     "forget-ends-unrecorded": _forget_ends_unrecorded,
@@ -108,6 +120,7 @@
     "forget-silent-executors": _forget_silent_executors,
     "count-no-failures": _count_no_failures,
     "show-success-early": _show_success_early,
+    "settle-by-any-refusal": _settle_by_any_refusal,
 }
 
 
--- a/packages/heronthread-emulator/src/heronthread_emulator/site.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/site.py
@@ -248,7 +248,7 @@
             place.is_cut = place.is_gone
             place.fails_all = place.stands_still = False
             place.slowness = 1.0
-            place.lose_answers = 0
+            place.lose_answers = place.lose_starts = place.shed = 0
 
     async def wait_for_owner(self, limit_s: float = 30.0) -> str:
         """Wait until a host decides; raises `trio.TooSlowError` after `limit_s`."""
--- a/packages/heronthread-emulator/src/heronthread_emulator/soak.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak.py
@@ -70,6 +70,7 @@
             self.executor_stands_still,
             self.executor_slow,
             self.late_orders,
+            self.late_starts_beside_refusals,
             self.change_configuration,
         ]
 
@@ -301,6 +302,13 @@
         place.lose_answers = self.random.randint(1, 4)
         place.late_s = self.random.uniform(0.0, 8.0)
 
+    async def late_starts_beside_refusals(self) -> None:
+        """Leave some starts unanswered and carry them out late; turn the calls after them away."""
+        for place in self.site.executors.by_id.values():
+            place.lose_starts = self.random.choice([0, 1, 2])
+            place.shed = self.random.choice([0, 1, 3])
+            place.late_s = self.random.uniform(1.0, 5.5)
+
     async def change_configuration(self) -> None:
         """Put a new version in force."""
         self._version += self.random.randint(1, 3)
--- a/packages/heronthread-emulator/tests/test_plants.py
+++ b/packages/heronthread-emulator/tests/test_plants.py
@@ -3,13 +3,14 @@
 from heronthread_emulator.plants import PLANTS, planted
 
 FIRST_SEED = {
-    "start-before-the-barrier": 1,
+    "start-before-the-barrier": 2,
     "forget-ends-unrecorded": 0,
-    "obey-lower-tokens": 8,
-    "refuse-what-may-run": 29,
+    "obey-lower-tokens": 10,
+    "refuse-what-may-run": 15,
     "forget-silent-executors": 2,
-    "count-no-failures": 16,
+    "count-no-failures": 6,
     "show-success-early": 0,
+    "settle-by-any-refusal": 3,
 }
 SEEDS_TRIED = 40
 
