Let the holding time run out at an executor that turns every stop away

Cause: with one send of a start open, only an answered stop settles it. Change: what is to be stopped, and whose stops nobody settled, is not held any longer; it is closed by a report asked for after the holding time, unless that names it. Ruled out: closing by the start's own deadline while other runs are held there: what an executor says to a start that is late by its own deadline alone is not spelled out. So a task waits there as long as other runs are held; listed as open.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
@@ -108,9 +108,10 @@
         """Return until when to hold; a silent executor is only looked at.
 
         An order without an answer may be carried out, so it would move the time after
-        which everything there has certainly ended.
+        which everything there has certainly ended. What is to be stopped and whose stops
+        nobody answers is not kept at work either.
         """
-        if self._silent or not self.state.list_held():
+        if self._silent or all(map(_is_stop_open, self.state.list_held())):
             return None
         return self.state.deadline_ms(now, self.cell.parts.timing.hold_s)
 
@@ -141,6 +142,7 @@
             self._note_running(run, received)
         if report.is_complete:
             self._close_vanished(listed, sent)
+            self._close_lapsed(listed, sent)
         if not state.heard:
             state.heard = True
             log_event("executor.heard", executor=state.id, runs=len(listed), ends=len(fresh))
@@ -220,6 +222,18 @@
         if task.done or not job.is_active:
             self.cell.request_stop(attempt, "not wanted any more")
 
+    def _close_lapsed(self, listed: set[tuple[TaskKey, int]], sent: float) -> None:
+        """Close what a report does not name that was asked for after the holding time was over.
+
+        An executor that answers holds and turns every stop away would else keep its tasks from
+        being started anywhere for as long as it does.
+        """
+        if sent <= self.state.lapse_by:
+            return
+        for attempt in self.state.list_held():
+            if _is_stop_open(attempt) and (attempt.task, attempt.run) not in listed:
+                self.cell.close(attempt, "the holding time has run out")
+
     def _close_vanished(self, listed: set[tuple[TaskKey, int]], sent: float) -> None:
         """Close attempts that a report does not name, asked for after their orders were settled."""
         for attempt in self.state.list_held():
@@ -230,3 +244,8 @@
                 self.cell.close(attempt, "not there")
                 if not was_stopping:
                     self.cell.stop_gang(attempt, "a member is not there")
+
+
+def _is_stop_open(attempt: Attempt) -> bool:
+    """Whether an attempt is to be stopped and nothing has settled yet that it is."""
+    return attempt.phase is Phase.STOPPING and attempt.settled_at == UNSETTLED
--- a/packages/heronthread-dispatch/tests/test_orders.py
+++ b/packages/heronthread-dispatch/tests/test_orders.py
@@ -144,3 +144,14 @@
         await trio.sleep(2.0)
         assert await _status(site, "a") is JobStatus.SUCCEEDED
         assert len(site.executors.starts(TASK)) == 1
+
+
+async def test_executor_that_turns_every_stop_away_keeps_its_task_for_a_holding_time(
+    autojump_clock: Clock,
+) -> None:
+    """One send is open, all later calls but holds are turned away: nothing settles it sooner."""
+    async with EmulatedSite.open(hosts=1, executors=2) as site:
+        await _start_with_late_sends(site, sends=1, shed=10_000)
+        await trio.sleep(9.5)
+        assert check_promises(site.executors, {}) == []
+        assert len(site.executors.starts(TASK)) == 2
