End a lease whose member key may still be written

Cause: the write of a host's member key got no answer, another lease was granted and the key written again; the first write, done late, bound the key to the first lease, and it went with that. The host was no member any more while its lease held. Change: a lease is ended when its member key is not known to be written; a late write then fails. Ruled out: a condition on the key's revision alone, which a restart at the same name meets too. Measured: its test fails before (h1 missing from about 3 s on), passes now.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/tenure.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/tenure.py
@@ -107,6 +107,8 @@
         put = Put(self._member_key, self.presence.encode(), granted.lease)
         outcome = await self._store.commit(Transaction(puts=(put,)))
         if not isinstance(outcome, Committed):
+            # Done late, the write would bind the member key to this lease instead of the next.
+            await self._store.revoke(granted.lease)
             return False
         self.lost = trio.Event()
         self.lease = granted.lease
--- a/packages/heronthread-dispatch/tests/test_succession.py
+++ b/packages/heronthread-dispatch/tests/test_succession.py
@@ -109,3 +109,16 @@
         await trio.sleep(6.0)
         terms = site.hosts["h0"].owner
         assert terms is not None and terms.cell.term.number <= 4
+
+
+async def test_late_write_of_a_member_key_does_not_take_it_away_again(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Done after the next lease was granted, it would bind the key to the lease given up."""
+    async with EmulatedSite.open(hosts=1) as site:
+        await site.wait_for_owner()
+        host = site.start_host("h1")
+        site.views["h1"].lose_answers, site.views["h1"].late_s = 2, 2.0
+        await trio.sleep(12.0)
+        assert host.tenure.is_valid
+        assert "h1" in site.hosts["h0"].members
