Keep a job that was cancelled before it came from being taken in later

Cause: a taking-in had no answer and its write was still open; its cancelling found no such job and was answered so; the write was done 3 s late, and the job ran after its cancelling was acknowledged. Change: a cancel that finds nothing leaves a mark in the job's place under a lease of 30 s, on the condition that the place is empty; a taking-in that finds the mark is refused. Beside it: a host that owns the cell without its lease takes in no job that it took for a caller itself, as it takes none that peers tell of. Ruled out: remembering open writes at the host alone, since the cancel comes to any host.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/intake.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/intake.py
@@ -12,6 +12,8 @@
     Committed,
     Item,
     KeyStore,
+    LeaseHeld,
+    LeaseOver,
     Mismatch,
     Missing,
     Put,
@@ -19,8 +21,11 @@
     Transaction,
 )
 from .owned import job_key
-from .record import JobRecord
+from .record import CancelledUntaken, JobRecord, decode_job
 
+FORBID_S = 30.0
+"""For how long a job that was cancelled before it came is kept from being taken in: some times
+the seconds by which the users' store may carry a write out late."""
 RETRY_S = 0.03
 """Between two ways; a refusal at once, by three ways, still comes within a tenth of a second."""
 COME_BACK_S = 1.0
@@ -79,10 +84,18 @@
         return Taken(record)
     if isinstance(outcome, Mismatch):
         item = outcome.items.get(put.key)
-        return Taken(JobRecord.decode(item.value) if item else record)
+        return _read_taken(item) if item else Taken(record)
     return _describe(outcome)
 
 
+def _read_taken(item: Item) -> Taken | NotTaken:
+    """Return what stands in a job's place already."""
+    record = decode_job(item.value)
+    if isinstance(record, CancelledUntaken):
+        return NotTaken("it was cancelled before it was taken in")
+    return Taken(record)
+
+
 async def accept_after_look(
     store: KeyStore, record: JobRecord, doubt: Doubt, look_s: float
 ) -> IntakeOutcome:
@@ -94,7 +107,7 @@
     if isinstance(item, Unavailable):
         return NotTaken(item.reason)
     if isinstance(item, Item):
-        return Taken(JobRecord.decode(item.value))
+        return _read_taken(item)
     return await accept_job(store, record, doubt)
 
 
@@ -114,8 +127,13 @@
         if isinstance(item, Unavailable):
             return NotTaken(item.reason)
         if isinstance(item, Missing):
+            forbidden = await _forbid(store, key, tenant, doubt)
+            if not isinstance(forbidden, Item):
+                return forbidden
+            item = forbidden
+        record = decode_job(item.value)
+        if isinstance(record, CancelledUntaken):
             return NoSuchJob()
-        record = JobRecord.decode(item.value)
         if record.spec.tenant != tenant:
             return NoSuchJob()
         if record.cancelled:
@@ -133,6 +151,29 @@
         item = found if isinstance(found, Item) else Missing()
 
 
+async def _forbid(store: KeyStore, key: str, tenant: str, doubt: Doubt) -> IntakeOutcome | Item:
+    """Keep a job that is not there from being taken in, or return it if it is there by now.
+
+    A write that takes it in may be open still, and be done seconds after its cancelling was
+    acknowledged.
+    """
+    granted = await store.grant(FORBID_S)
+    if not isinstance(granted, LeaseHeld):
+        return NotTaken(granted.reason)
+    put = Put(key, CancelledUntaken(tenant).encode(), granted.lease)
+    doubt.is_open = True
+    outcome = await store.commit(Transaction(((key, 0),), (put,)))
+    doubt.is_open = False
+    if isinstance(outcome, Committed):
+        return NoSuchJob()
+    await store.revoke(granted.lease)
+    if isinstance(outcome, Mismatch) and key in outcome.items:
+        return outcome.items[key]
+    if isinstance(outcome, Mismatch | LeaseOver):
+        return NotTaken("the job's place has changed meanwhile")
+    return _describe(outcome)
+
+
 def _describe(outcome: object) -> NotTaken | Unsettled:
     if isinstance(outcome, Unavailable):
         return NotTaken(outcome.reason)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -20,7 +20,7 @@
 from .peaks import RecentPeaks
 from .plan import Plan
 from .planner import Planner
-from .record import JobRecord, JobStatus, ProgressRecord
+from .record import JobRecord, JobStatus, ProgressRecord, decode_job
 from .recorder import PROGRESS_PREFIX, Deposed, progress_key
 from .retention import remove_old_jobs
 from .tenure import Term
@@ -316,8 +316,11 @@
             self._take_job(item)
 
     def _take_job(self, event: Item | Gone) -> None:
-        if isinstance(event, Item):
-            self.cell.note_job(JobRecord.decode(event.value), event.created)
+        if not isinstance(event, Item):
+            return
+        record = decode_job(event.value)
+        if isinstance(record, JobRecord):
+            self.cell.note_job(record, event.created)
 
     def note_job(self, record: JobRecord) -> None:
         """Take in a job or a cancel that a peer tells of."""
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
@@ -52,7 +52,11 @@
     @classmethod
     def decode(cls, data: bytes) -> JobRecord:
         """Read the stored form."""
-        value = json.loads(data)
+        return cls.read(json.loads(data))
+
+    @classmethod
+    def read(cls, value: dict[str, Any]) -> JobRecord:
+        """Take the values out of the stored form."""
         steps = tuple(_decode_step(step) for step in value["steps"])
         spec = JobSpec(
             value["id"],
@@ -66,6 +70,25 @@
         return cls(spec, value.get("cancelled", False))
 
 
+@dataclass(frozen=True, slots=True)
+class CancelledUntaken:
+    """In a job's place: it was cancelled before it was taken in, and is not to be any more."""
+
+    tenant: str
+
+    def encode(self) -> bytes:
+        """Return the stored form."""
+        return json.dumps({"cancelled_untaken": self.tenant}).encode()
+
+
+def decode_job(data: bytes) -> JobRecord | CancelledUntaken:
+    """Read what stands under a job's key."""
+    value = json.loads(data)
+    if "cancelled_untaken" in value:
+        return CancelledUntaken(value["cancelled_untaken"])
+    return JobRecord.read(value)
+
+
 def _encode_queue(queue: Queue) -> list[Any]:
     return [
         queue.name,
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/requests.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/requests.py
@@ -37,7 +37,13 @@
     decode_record,
     encode_record,
 )
-from .record import JobRecord, JobStatus, ProgressRecord
+from .record import (
+    CancelledUntaken,
+    JobRecord,
+    JobStatus,
+    ProgressRecord,
+    decode_job,
+)
 from .recorder import progress_key
 
 if TYPE_CHECKING:
@@ -149,7 +155,9 @@
     def _tell_owner(self, record: JobRecord) -> None:
         """Let the owner know at once; its watch tells it otherwise."""
         if self._host.owner is not None:
-            self._host.owner.note_job(record)
+            # Without its lease an owner takes in no new job: another one may have taken over.
+            if self._host.tenure.is_valid:
+                self._host.owner.note_job(record)
         elif self._host.owner_presence is not None:
             body = encode_record(record)
             address = self._host.owner_presence.address
@@ -197,7 +205,9 @@
             return item
         if isinstance(item, Missing):
             return NoSuchJob()
-        record = JobRecord.decode(item.value)
+        record = decode_job(item.value)
+        if isinstance(record, CancelledUntaken):
+            return NoSuchJob()
         progress = await self._host.store.read(progress_key(job_id))
         if isinstance(progress, Unavailable):
             return progress
--- a/packages/heronthread-dispatch/tests/test_intake.py
+++ b/packages/heronthread-dispatch/tests/test_intake.py
@@ -160,3 +160,23 @@
 
         assert await insist([refuse, refuse, refuse], 2.0) is refused
         assert trio.current_time() - began < 0.1
+
+
+async def test_job_cancelled_while_its_taking_in_is_open_never_runs(autojump_clock: Clock) -> None:
+    """Its write is done 3 s late, after its cancelling was answered."""
+    async with EmulatedSite.open(hosts=2, executors=2) as site:
+        await site.wait_for_owner()
+        record = site.make_job("a", work_s=20.0)
+        for view in site.views.values():
+            view.lose_answers, view.late_s = 4, 3.0
+        outcome = await site.hosts["h0"].requests.accept(record, 2.0)
+        assert isinstance(outcome, Unsettled)
+        for view in site.views.values():
+            view.lose_answers = 0
+        outcome = await site.hosts["h1"].requests.cancel("a", "first", 2.0)
+        assert isinstance(outcome, NoSuchJob)
+        outcome = await site.hosts["h1"].requests.accept(record, 2.0)
+        assert isinstance(outcome, NotTaken)
+        assert isinstance(await site.hosts["h0"].requests.find_job("a"), NoSuchJob)
+        await trio.sleep(12.0)
+        assert site.executors.starts() == []
