Give up a silent executor early only after the store itself was away

Cause: a new owner took an executor of an earlier one as gone 2.5 s after its term began if its entry was missing, though the store had not been away. Change: only entries that this host saw missing through an absence and a return of the store, and that were never listed in this term, count. A holding time is longer than asked for by 0.3 s at most, not by the trip of a long poll's clock reading (1.8 s at worst), which a new owner does not wait for. Ruled out: giving it up after any wait shorter than its holding time; no giving up at all, since the users' page says that what is missing after the store's return is gone. Conclusion: kept; in a takeover beside a sound store old tasks of a cut-off executor wait 7.5 s.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
@@ -11,6 +11,8 @@
 
 CLOCK_DRIFT = 0.03
 LAPSE_MARGIN_S = 0.3
+MOST_TRIP_S = 0.3
+"""By how much a holding time may be longer than asked for, of the 1.2 s that a new owner adds."""
 REST_S = 0.7
 LONGEST_REST_S = 6.0
 
@@ -22,7 +24,8 @@
     `clock` is (sent, received, its clock in ms) of the reading with the shortest trip.
     `lapse_by` is when everything there has certainly ended unless it is held again.
     `noted` is the highest end taken in, `seen` the highest that is recorded, `told_seen`
-    the highest that the executor has been told. `recorded`: the store names it as in use;
+    the highest that the executor has been told. `listed`: its entry is there, `was_listed`: it was
+    at any time of this term. `recorded`: the store names it as in use;
     `is_inherited`: an earlier owner may have used it; `only_tasks` are those that it may
     have left there, None for any. `strays` are runs that are there beside their tasks' own
     attempts, or of no job that is known, until each is stopped.
@@ -39,6 +42,7 @@
     told_seen: int = 0
     heard: bool = False
     listed: bool = True
+    was_listed: bool = False
     recorded: bool = False
     is_inherited: bool = False
     only_tasks: frozenset[TaskKey] | None = None
@@ -120,7 +124,9 @@
         if self.clock is None:
             return None
         sent, received, clock_ms = self.clock
-        elapsed = now - sent
+        # A reading may be as old as its trip; a long poll's is seconds, and would be added to
+        # the holding time, which a new owner counts from its own start.
+        elapsed = now - max(sent, received - MOST_TRIP_S)
         until_ms = clock_ms + int((elapsed + hold_s) * 1000)
         remaining = (until_ms - clock_ms) / 1000
         lapse = received + remaining * (1 + CLOCK_DRIFT) + LAPSE_MARGIN_S
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -229,7 +229,7 @@
             self.statistics,
             self.parts.approver,
             self.settings.policy,
-            lambda: self.store.answering_since,
+            lambda: self.store.returned_at,
         )
 
     async def _own(self, owner: Owner) -> None:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/observed.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/observed.py
@@ -39,6 +39,7 @@
         self._answered_at = float("-inf")
         self._failed_last = False
         self._answering_since = float("inf")
+        self._was_away = False
         self._usual_s = 0.0
         self._open: dict[int, float] = {}
         self._next_call = 0
@@ -71,6 +72,14 @@
         """Since when (trio's clock) it has answered all the time; infinite while it does not."""
         return self._answering_since if self.is_answering else float("inf")
 
+    @property
+    def returned_at(self) -> float:
+        """When (trio's clock) it answered again after an absence; infinite while it is away.
+
+        Infinite also where this process has not seen it away.
+        """
+        return self.answering_since if self._was_away else float("inf")
+
     async def _observe(self, call: str, outcome: Awaitable[Outcome]) -> Outcome:
         """Await a call that is answered at once where the store is well."""
         number, began = self._next_call, trio.current_time()
@@ -90,6 +99,7 @@
         self._failed_last = isinstance(outcome, Unavailable | Unknown)
         if self._failed_last:
             self.failures[call] += 1
+            self._was_away |= not self.is_answering
             return outcome
         now = trio.current_time()
         if not was_answering or self._answering_since == float("inf"):
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
@@ -80,7 +80,7 @@
     statistics: Statistics
     approver: Approver = field(default_factory=NoApprover)
     policy: Policy = DEFAULT_POLICY
-    store_answers_since: Callable[[], float] = trio.current_time
+    store_returned_at: Callable[[], float] = lambda: float("inf")
     random: random.Random = field(default_factory=random.Random)
 
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -203,13 +203,15 @@
         """Give up silent executors whose entries did not come back with the store.
 
         An entry that lapsed while the store was away is back within 2 s of its return; the
-        executor of one that is still missing then is gone, and what ran there with it.
+        executor of one that is still missing then is gone, and what ran there with it. Where
+        the store was not away, a missing entry says no such thing: an executor that is cut off
+        from everything works on until its holding time is over.
         """
-        since = max(started, self.parts.store_answers_since())
+        since = max(started, self.parts.store_returned_at())
         if trio.current_time() < since + ENTRY_BACK_S:
             return
         for state in self.cell.silent():
-            if not state.listed:
+            if not state.was_listed:
                 log_event("executor.gone", executor=state.id, entry_missing_s=ENTRY_BACK_S)
                 state.dead = True
 
@@ -260,7 +262,7 @@
             used = used.plus(attempt.need)
         state.executor = executor
         state.free = executor.capacity.minus(used)
-        state.listed = True
+        state.listed = state.was_listed = True
         if executor.leaves_in_s is not None and state.leaves_at is None:
             state.leaves_at = now + executor.leaves_in_s
             self._used_changed.set()
--- a/packages/heronthread-dispatch/tests/test_observed.py
+++ b/packages/heronthread-dispatch/tests/test_observed.py
@@ -73,3 +73,17 @@
         nursery.start_soon(store.read, "a")
         await trio.sleep(LEAST_PATIENCE_S * 1.1)
         assert store.is_answering
+
+
+async def test_a_store_returns_only_from_an_absence(autojump_clock: Clock) -> None:
+    async with EmulatedSite.open(hosts=1) as site:
+        store = ObservedStore(site.store_view())
+        await store.read("a")
+        assert store.returned_at == float("inf")
+        site.store.is_down = True
+        await trio.sleep(2.0)
+        await store.read("a")
+        assert store.returned_at == float("inf")
+        site.store.is_down = False
+        await store.read("a")
+        assert store.returned_at == trio.current_time()
--- a/packages/heronthread-dispatch/tests/test_owner.py
+++ b/packages/heronthread-dispatch/tests/test_owner.py
@@ -466,3 +466,22 @@
         assert await _status(site, "a") is JobStatus.SUCCEEDED
         assert len(site.executors.starts()) == 1
         _check(site)
+
+
+async def test_executor_whose_entry_lapsed_beside_a_sound_store_may_run_on(
+    autojump_clock: Clock,
+) -> None:
+    """Cut off from everything it works on until its holding time is over; only an entry that is
+    not back after the store's own absence says that it is gone."""
+    async with EmulatedSite.open(hosts=2) as site:
+        owner = await site.wait_for_owner()
+        other = next(host for name, host in site.hosts.items() if name != owner)
+        await other.requests.accept(site.make_job("a", work_s=20.0), 2.0)
+        await trio.sleep(0.5)
+        cut = site.executors.starts()[0].executor
+        site.executors.by_id[cut].is_cut = True
+        site.store.remove(f"executors/{cut}")
+        site.kill_host(owner)
+        await trio.sleep(12.0)
+        assert len(site.executors.starts(TaskKey("a", 0, 0))) == 2
+        _check(site)
