Let the test of what a start imports look at its own tree

Cause: the test gave its process the platform's folder only, so the packages were those that happened to be installed: in a second checkout it judged another tree's code, and it fails there once a module has moved. platform/main.py puts the tree's packages on the path, and now so does the test; what it forbids is the same.

Conclusion: as strict, and about the code that stands beside it.

--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -51,7 +51,8 @@
         "import sys, heronthread_platform.entry;"
         "print([n for n in ('httpx', 'heronthread_scheduling') if n in sys.modules])"
     )
-    environment = {**os.environ, "PYTHONPATH": str(ROOT / "platform")}
+    sources = [ROOT / "platform", *sorted(ROOT.glob("packages/*/src"))]
+    environment = {**os.environ, "PYTHONPATH": os.pathsep.join(map(str, sources))}
     found = subprocess.run(
         [sys.executable, "-c", code], env=environment, capture_output=True, text=True, check=True
     )
