Move the messages between hosts to dispatch, so that no arrow leads back to the daemon

Cause: dispatch, which users run, took its frames and connections from the daemon's package, and the daemon is the one to go.

No line of peer or wire changed.

Ruled out: a package of its own (one more to install, for two modules), the coordination library (the operations are the product's, not for others to embed).

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 VENV ?= .venv
 BIN := $(VENV)/bin
-PACKAGES := scheduling coordination daemon cli dispatch emulator
+PACKAGES := scheduling coordination dispatch daemon emulator cli
 STAMP := $(VENV)/.installed
 
 .PHONY: demo test lint format thrift bench-policy bench-capacity bench-configuration bench-planning histories soak
@@ -52,4 +52,4 @@
 
 # Needs the thrift compiler; its output is committed, so no other target does.
 thrift:
-	thrift --gen py:slots,no_default_ordering -out packages/heronthread-daemon/src/heronthread_daemon packages/heronthread-daemon/src/heronthread_daemon/wire.thrift
+	thrift --gen py:slots,no_default_ordering -out packages/heronthread-dispatch/src/heronthread_dispatch packages/heronthread-dispatch/src/heronthread_dispatch/wire.thrift
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -30,10 +30,10 @@
 from heronthread_coordination import MemoryStore
 from heronthread_daemon import Host, HostParts, Settings
 from heronthread_daemon.hostlist import StandinHostList
-from heronthread_daemon.peer import PeerUnreachable, encode
 from heronthread_daemon.settings import LimitsModel, TimesModel
-from heronthread_daemon.wire.ttypes import Frame
 from heronthread_daemon.worker_http import HttpWorkers
+from heronthread_dispatch.peer import PeerUnreachable, encode
+from heronthread_dispatch.wire.ttypes import Frame
 from heronthread_scheduling import DesiredState, Job
 
 from .cluster import Cluster
@@ -226,7 +226,7 @@
 
 def measure_heartbeat() -> list[Slope]:
     """Bytes of one heartbeat per cell it speaks of."""
-    from heronthread_daemon.wire.ttypes import CellView, Heartbeat
+    from heronthread_dispatch.wire.ttypes import CellView, Heartbeat
 
     points = []
     for count in (1, 6, 12, 23):
--- a/benchmarks/cluster.py
+++ b/benchmarks/cluster.py
@@ -13,11 +13,11 @@
 from heronthread_daemon import Host, HostParts, Settings
 from heronthread_daemon.api import make_app
 from heronthread_daemon.hostlist import StandinHostList
-from heronthread_daemon.peer import LENGTH_BYTES, PeerUnreachable, decode, encode
 from heronthread_daemon.settings import TimesModel
 from heronthread_daemon.standin import make_workers
-from heronthread_daemon.wire.ttypes import Frame
 from heronthread_daemon.worker import Exchange, ExchangeOutcome, Unreachable, WorkerReply
+from heronthread_dispatch.peer import LENGTH_BYTES, PeerUnreachable, decode, encode
+from heronthread_dispatch.wire.ttypes import Frame
 from heronthread_scheduling import DesiredState
 
 EPOCH = 1_900_000_000.0
--- a/packages/heronthread-cli/src/heronthread_cli/cell.py
+++ b/packages/heronthread-cli/src/heronthread_cli/cell.py
@@ -6,9 +6,9 @@
 from typing import Any
 
 import trio
-from heronthread_daemon.peer import PeerUnreachable, TcpPeers
-from heronthread_daemon.wire.ttypes import Operation
+from heronthread_dispatch.peer import PeerUnreachable, TcpPeers
 from heronthread_dispatch.peering import OK, PeerReply, call_peer
+from heronthread_dispatch.wire.ttypes import Operation
 
 from .exits import BadInput, HostUnreachable
 from .output import print_line, show_rows
--- a/packages/heronthread-cli/tests/test_cell.py
+++ b/packages/heronthread-cli/tests/test_cell.py
@@ -5,7 +5,7 @@
 import trio
 from heronthread_cli.cell import Cell
 from heronthread_cli.exits import BadInput, HostUnreachable
-from heronthread_daemon.peer import serve_peers
+from heronthread_dispatch.peer import serve_peers
 from heronthread_emulator import EmulatedSite
 
 
--- a/packages/heronthread-daemon/src/heronthread_daemon/api.py
+++ b/packages/heronthread-daemon/src/heronthread_daemon/api.py
@@ -16,6 +16,7 @@
     Superseded,
     Unavailable,
 )
+from heronthread_dispatch.wire.ttypes import Operation
 from heronthread_scheduling import Refused, check_job, problems_of
 from heronthread_scheduling.check import load_desired
 from pydantic import BaseModel, ValidationError
@@ -28,7 +29,6 @@
 from .job_record import SubmitModel
 from .problem_details import make_problem, refuse_document
 from .routing import HISTOGRAMS, REFUSAL, VIEW, JobQuery, ListQuery, Routed, SettleOrder
-from .wire.ttypes import Operation
 
 JSON = "application/json"
 DEFAULT_WAIT_S = 0.0
--- a/packages/heronthread-daemon/src/heronthread_daemon/host.py
+++ b/packages/heronthread-daemon/src/heronthread_daemon/host.py
@@ -29,17 +29,25 @@
     rank,
 )
 from heronthread_coordination.configuration import ApplyOutcome
+from heronthread_dispatch.peer import CALL_TIMEOUT_S, Peers, PeerUnreachable
+from heronthread_dispatch.wire.ttypes import (
+    CellView,
+    Changes,
+    ChangesRequest,
+    Forward,
+    ForwardReply,
+    Frame,
+    Heartbeat,
+)
 from heronthread_scheduling import CellSpec, DesiredState, Refused, build_cells, load_desired
 from heronthread_scheduling.cell import customer_cell, find_customer
 
 from .hostlist import HostList
 from .owner import CellOwner
 from .ownership import run_cell
-from .peer import CALL_TIMEOUT_S, Peers, PeerUnreachable
 from .routing import NOT_OWNER, UNAVAILABLE, Routed, serve_operation
 from .sections import join_state, split_state
 from .settings import Settings
-from .wire.ttypes import CellView, Changes, ChangesRequest, Forward, ForwardReply, Frame, Heartbeat
 from .worker import Workers
 
 STORE_WATCH_S = 20.0
--- a/packages/heronthread-daemon/src/heronthread_daemon/routing.py
+++ b/packages/heronthread-daemon/src/heronthread_daemon/routing.py
@@ -5,11 +5,11 @@
 from dataclasses import dataclass
 
 import trio
+from heronthread_dispatch.wire.ttypes import Operation
 from pydantic import BaseModel, TypeAdapter
 
 from .job_record import JobState, JobView, OwnedJob, SubmitModel
 from .owner import CellOwner, Refusal
-from .wire.ttypes import Operation
 
 MAX_LISTED = 1000
 
--- a/packages/heronthread-daemon/src/heronthread_daemon/server.py
+++ b/packages/heronthread-daemon/src/heronthread_daemon/server.py
@@ -12,13 +12,13 @@
 import eliot
 import httpx
 import trio
+from heronthread_dispatch.peer import TcpPeers, serve_peers
 from hypercorn.config import Config
 from hypercorn.trio import serve
 
 from .api import make_app
 from .host import Host, HostParts
 from .hostlist import HttpHostList
-from .peer import TcpPeers, serve_peers
 from .settings import Settings
 from .statistics import report_statistics
 from .store_http import HttpStore
--- a/packages/heronthread-daemon/src/heronthread_daemon/statistics.py
+++ b/packages/heronthread-daemon/src/heronthread_daemon/statistics.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import trio
+from heronthread_dispatch.peer import split_address
 from statsd import StatsClient
 
 from .host import Host
-from .peer import split_address
 
 PERIOD_S = 10.0
 PREFIX = "heronthread"
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -8,8 +8,6 @@
 from typing import Any
 
 import trio
-from heronthread_daemon.peer import Peers
-from heronthread_daemon.wire.ttypes import Frame
 
 from .approval import Approver, NoApprover
 from .configuring import ConfigurationFormat, ConfigurationInForce
@@ -24,6 +22,7 @@
 from .overview import describe_cell, describe_job
 from .owned import DirectoryFormat, OwnerParts, Timing
 from .owner import JobView, Owner
+from .peer import Peers
 from .peering import (
     BAD_REQUEST,
     MALFORMED,
@@ -46,6 +45,7 @@
 from .statistics import Statistics
 from .succession import RANK_DELAY_S, find_stronger, rank
 from .tenure import Presence, Strength, Tenure
+from .wire.ttypes import Frame
 
 CONTEND_S = 0.05
 OWNED_S = 0.5
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/peering.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/peering.py
@@ -7,10 +7,9 @@
 from dataclasses import asdict, dataclass
 from typing import Any
 
-from heronthread_daemon.peer import Peers, PeerUnreachable
-from heronthread_daemon.wire.ttypes import Forward, ForwardReply, Frame, Operation
-
+from .peer import Peers, PeerUnreachable
 from .record import JobRecord
+from .wire.ttypes import Forward, ForwardReply, Frame, Operation
 
 CALL_S = 0.8
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/requests.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/requests.py
@@ -8,7 +8,6 @@
 
 import trio
 from heronthread_coordination import Measure, Unavailable
-from heronthread_daemon.peer import PeerUnreachable
 
 from .events import log_event
 from .intake import (
@@ -27,6 +26,7 @@
 from .keystore import Item, Missing
 from .owned import job_key
 from .owner import JobView
+from .peer import PeerUnreachable
 from .peering import (
     CALL_S,
     NOT_TAKEN,
--- a/packages/heronthread-dispatch/tests/test_host.py
+++ b/packages/heronthread-dispatch/tests/test_host.py
@@ -4,7 +4,7 @@
 import random
 
 import trio
-from heronthread_daemon.wire.ttypes import Forward, Frame, Operation
+from heronthread_dispatch.wire.ttypes import Forward, Frame, Operation
 from heronthread_emulator import EmulatedSite
 
 Clock = trio.testing.MockClock
--- a/packages/heronthread-daemon/tests/test_peer.py
+++ b/packages/heronthread-dispatch/tests/test_peer.py
@@ -7,7 +7,7 @@
 
 import pytest
 import trio
-from heronthread_daemon.peer import (
+from heronthread_dispatch.peer import (
     MAX_FRAME_BYTES,
     MalformedFrame,
     PeerUnreachable,
@@ -16,7 +16,7 @@
     serve_peers,
     split_address,
 )
-from heronthread_daemon.wire.ttypes import Forward, ForwardReply, Frame
+from heronthread_dispatch.wire.ttypes import Forward, ForwardReply, Frame
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
--- a/packages/heronthread-emulator/src/heronthread_emulator/site.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/site.py
@@ -8,8 +8,6 @@
 from contextlib import asynccontextmanager
 
 import trio
-from heronthread_daemon.peer import PeerUnreachable
-from heronthread_daemon.wire.ttypes import Frame
 from heronthread_dispatch.configuring import ConfigurationFormat
 from heronthread_dispatch.host import Host, HostParts, HostSettings
 from heronthread_dispatch.intake import IntakeOutcome
@@ -25,9 +23,11 @@
     Tenant,
 )
 from heronthread_dispatch.owned import DirectoryFormat, Timing
+from heronthread_dispatch.peer import PeerUnreachable
 from heronthread_dispatch.policy import DEFAULT_POLICY, Policy
 from heronthread_dispatch.record import JobRecord
 from heronthread_dispatch.tenure import Strength
+from heronthread_dispatch.wire.ttypes import Frame
 
 from .approver import EmulatedApprover
 from .executors import EmulatedExecutor, EmulatedExecutors, WorkSpec
