Put what a cell's decisions work on below them, so that starting needs no scheduler

Cause: scheduler called starting and starting named the scheduler's types.

Change: PoolState and the state of a cell are a module of their own; CellScheduler adds what a pass needs. No decision changed.

--- a/packages/heronthread-scheduling/src/heronthread_scheduling/scheduler.py
+++ b/packages/heronthread-scheduling/src/heronthread_scheduling/scheduler.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable
 
 from . import starting
-from .capacity import PoolCapacity
+from .cell_state import CellState, PoolState
 from .decision import (
     Accepted,
     Cause,
@@ -16,35 +16,19 @@
     Start,
     SubmitOutcome,
 )
-from .guarantee import Block, Blocks, Guarantee
+from .guarantee import Block, Guarantee
 from .job import Gang, Job, Shape
 from .placement import BestFit, FirstFit, LeastLoss, PlacementPolicy
 from .policy import DEFAULT, EstimateName, OrderName, PlacementName, Policy
-from .queue import ArrivalOrder, BucketKey, CompletionOrder, Entry, Order, Pass, WaitingQueue
-from .reservation import Hold, find_hold
-from .topology import Level, Pool, Topology
+from .queue import ArrivalOrder, BucketKey, CompletionOrder, Entry, Order, Pass
+from .reservation import find_hold
+from .topology import Pool, Topology
 
 REFERENCE_SHAPES = 4
 SHARE_FLOOR = 0.05
 
 
-class PoolState:
-    """Capacity, guarantee blocks and reservation of one pool."""
-
-    def __init__(self, topology: Topology, pool: Pool, guarantees: Iterable[Guarantee]) -> None:
-        self.capacity = PoolCapacity(topology, pool)
-        own = [guarantee for guarantee in guarantees if guarantee.shape.pool is pool]
-        self.blocks = Blocks(self.capacity, own)
-        self.guaranteed = sorted({g.shape for g in own}, key=lambda s: (-s.total, s))
-        self.placement: PlacementPolicy = FirstFit()
-        self.hold: Hold | None = None
-        racks = topology.workers_in[Level.RACK]
-        sizes = [sum(self.capacity.total[worker] for worker in rack) for rack in racks]
-        self.largest_rack = max(sizes, default=0)
-        self.total = sum(self.capacity.total)
-
-
-class CellScheduler:
+class CellScheduler(CellState):
     """Waiting jobs, running gangs and guarantees of one cell.
 
     Commands (`submit`, `finish`, `lose_worker`, ...) change state; `decide` returns what
@@ -60,18 +44,8 @@
         quotas: dict[str, int] | None = None,
         shares: dict[str, float] | None = None,
     ) -> None:
-        self.topology = topology
-        self.policy = policy
-        self.quotas = quotas or {}
-        self.shares = shares or {}
-        listed = list(guarantees)
-        self.pools = {pool: PoolState(topology, pool, listed) for pool in Pool}
-        self.queue = WaitingQueue()
-        self.gangs: dict[str, Gang] = {}
-        self.gangs_by_worker: list[set[str]] = [set() for _ in topology.workers]
+        super().__init__(topology, guarantees, policy, quotas or {}, shares or {})
         self.reasons: dict[str, Reason] = {}
-        self.customer_use: dict[str, int] = {}
-        self.team_use: dict[str, int] = {}
         self._arrivals: dict[str, float] = {}
         self._ready: list[Gang] = []
         self._failed: dict[object, Reason] = {}
@@ -193,20 +167,6 @@
         """Return the guarantee blocks that no live workers back at present."""
         return [block for state in self.pools.values() for block in state.blocks.unbacked()]
 
-    def gangs_on(self, worker: int, pool: Pool) -> list[Gang]:
-        """Return the gangs of `pool` with members on a worker, by job id."""
-        ids = sorted(self.gangs_by_worker[worker])
-        found = [self.gangs[gang_id] for gang_id in ids]
-        return [gang for gang in found if gang.job.shape.pool is pool]
-
-    def estimate(self, job: Job) -> float:
-        """Return the length that backfill assumes for a job, in seconds."""
-        return job.p95_s if self.policy.estimate is EstimateName.P95 else job.expected_s
-
-    def is_large(self, job: Job) -> bool:
-        """Tell whether a gang is large enough to have workers held for it."""
-        return job.shape.members > 1 and job.shape.total >= self._large_units(job.shape.pool)
-
     def explain(self, job_id: str) -> Reason | None:
         """Return why a job waits or where it runs; None if it is not known here."""
         return self.reasons.get(job_id)
@@ -347,7 +307,7 @@
             now=now,
             starvation_s=self.policy.starvation_s,
             critical_s=max(critical, 1.0),
-            large_units=self._large_units(Pool.ACCELERATORS),
+            large_units=self.large_units(Pool.ACCELERATORS),
             large_first=self.policy.large_first,
             share=self._share,
         )
@@ -358,9 +318,6 @@
         used = self.customer_use.get(customer, 0) / total
         return SHARE_FLOOR + used / self.shares.get(customer, 1.0)
 
-    def _large_units(self, pool: Pool) -> int:
-        return max(2, int(self.policy.large_fraction * self.pools[pool].largest_rack))
-
     def _refusal(self, job: Job) -> Reason | None:
         limits = self.policy.limits
         if self.queue.per_customer.get(job.customer, 0) >= limits.per_customer:
--- a/packages/heronthread-scheduling/src/heronthread_scheduling/starting.py
+++ b/packages/heronthread-scheduling/src/heronthread_scheduling/starting.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from typing import TYPE_CHECKING
 
+from .cell_state import CellState, PoolState
 from .decision import Cause, Decision, Reason, Reclaim, Start
 from .guarantee import Block, Claimable
 from .job import Gang, Job, Places
@@ -12,11 +12,8 @@
 from .queue import Entry
 from .reclaim import choose_victims
 
-if TYPE_CHECKING:
-    from .scheduler import CellScheduler, PoolState
 
-
-def failure_key(cell: CellScheduler, job: Job) -> object:
+def failure_key(cell: CellState, job: Job) -> object:
     """Jobs with equal keys fail alike in one pass; guarantees make customers differ."""
     state = cell.pools[job.shape.pool]
     owner = job.customer if job.customer in state.blocks.by_customer else ""
@@ -26,7 +23,7 @@
     return (job.shape, job.reclaimable, owner, team, urgent, backfills, cell.is_large(job))
 
 
-def try_start(cell: CellScheduler, entry: Entry, now: float) -> list[Decision] | Reason:
+def try_start(cell: CellState, entry: Entry, now: float) -> list[Decision] | Reason:
     """Start a job if anything allows it; else return why it must wait."""
     job = entry.job
     state = cell.pools[job.shape.pool]
@@ -46,7 +43,7 @@
     return claimed if claimed is not None else _why_waiting(state, job)
 
 
-def start_entitled(cell: CellScheduler, job: Job, now: float) -> list[Decision]:
+def start_entitled(cell: CellState, job: Job, now: float) -> list[Decision]:
     """Start a job of a guaranteed size in its guarantee, taking it back if need be.
 
     These go before all others in a pass, so that nothing is placed on a guarantee and
@@ -61,12 +58,12 @@
     return found or []
 
 
-def _over_quota(cell: CellScheduler, job: Job) -> bool:
+def _over_quota(cell: CellState, job: Job) -> bool:
     quota = cell.quotas.get(job.team)
     return quota is not None and cell.team_use.get(job.team, 0) + job.shape.total > quota
 
 
-def occupy(cell: CellScheduler, gang: Gang) -> None:
+def occupy(cell: CellState, gang: Gang) -> None:
     """Record that a gang holds its places."""
     job = gang.job
     state = cell.pools[job.shape.pool]
@@ -80,7 +77,7 @@
     cell.team_use[job.team] = cell.team_use.get(job.team, 0) + job.shape.total
 
 
-def release(cell: CellScheduler, gang: Gang) -> None:
+def release(cell: CellState, gang: Gang) -> None:
     """Undo `occupy`."""
     job = gang.job
     state = cell.pools[job.shape.pool]
@@ -101,7 +98,7 @@
 
 
 def _start(
-    cell: CellScheduler, job: Job, places: Places, now: float, block: Block | None, reason: Reason
+    cell: CellState, job: Job, places: Places, now: float, block: Block | None, reason: Reason
 ) -> list[Decision]:
     cell.queue.remove(job.id)
     gang = Gang(job, places, now, block.id if block else None)
@@ -110,7 +107,7 @@
 
 
 def _start_in_guarantee(
-    cell: CellScheduler, state: PoolState, job: Job, now: float
+    cell: CellState, state: PoolState, job: Job, now: float
 ) -> list[Decision] | None:
     room = state.blocks.find_room(job)
     if room is None:
@@ -123,7 +120,7 @@
 
 
 def _start_in_free_place(
-    cell: CellScheduler, state: PoolState, job: Job, now: float
+    cell: CellState, state: PoolState, job: Job, now: float
 ) -> list[Decision] | None:
     capacity = state.capacity
     if state.hold is not None and state.hold.job_id == job.id:
@@ -140,11 +137,11 @@
     return _backfill(cell, state, job, now)
 
 
-def _may_backfill(state: PoolState, job: Job, now: float, cell: CellScheduler) -> bool:
+def _may_backfill(state: PoolState, job: Job, now: float, cell: CellState) -> bool:
     return state.hold is not None and now + cell.estimate(job) <= state.hold.at
 
 
-def _backfill(cell: CellScheduler, state: PoolState, job: Job, now: float) -> list[Decision] | None:
+def _backfill(cell: CellState, state: PoolState, job: Job, now: float) -> list[Decision] | None:
     """Use held workers for a job that ends before they are needed."""
     hold = state.hold
     if hold is None or not _may_backfill(state, job, now, cell):
@@ -170,7 +167,7 @@
 
 
 def _claim_guarantee(
-    cell: CellScheduler, state: PoolState, job: Job, now: float
+    cell: CellState, state: PoolState, job: Job, now: float
 ) -> list[Decision] | None:
     """Take back the customer's own guarantee where that loses least work."""
 
@@ -199,9 +196,7 @@
     return _claim(cell, state, job, option.places, victims, now, block, reason)
 
 
-def _claim_urgent(
-    cell: CellScheduler, state: PoolState, job: Job, now: float
-) -> list[Decision] | None:
+def _claim_urgent(cell: CellState, state: PoolState, job: Job, now: float) -> list[Decision] | None:
     """Take back gangs that no guarantee protects, for urgent work."""
     capacity = state.capacity
     room = [0] * len(capacity.total)
@@ -229,7 +224,7 @@
     return _claim(cell, state, job, places, victims, now, None, reason)
 
 
-def _compact(cell: CellScheduler, state: PoolState, job: Job, now: float) -> list[Decision] | None:
+def _compact(cell: CellState, state: PoolState, job: Job, now: float) -> list[Decision] | None:
     """Move small checkpointable gangs away when that costs less than the wait it saves."""
     hold = state.hold
     if hold is None or not cell.policy.compaction or hold.at <= now:
@@ -265,7 +260,7 @@
     return _claim(cell, state, job, places, victims, now, None, reason)
 
 
-def _is_movable(cell: CellScheduler, gang: Gang, now: float) -> bool:
+def _is_movable(cell: CellState, gang: Gang, now: float) -> bool:
     small = not cell.is_large(gang.job)
     return gang.job.checkpointable and small and _is_victim(gang, now, spare_urgent=True)
 
@@ -280,7 +275,7 @@
 
 
 def _claim(
-    cell: CellScheduler,
+    cell: CellState,
     state: PoolState,
     job: Job,
     places: Places,
@@ -305,7 +300,7 @@
 
 
 def _victims(
-    cell: CellScheduler,
+    cell: CellState,
     state: PoolState,
     places: Places,
     now: float,
@@ -319,7 +314,7 @@
     return choose_victims(_shortage(cell, state, places), gangs, now, prefer_immediate=urgent)
 
 
-def _shortage(cell: CellScheduler, state: PoolState, places: Places) -> Places:
+def _shortage(cell: CellState, state: PoolState, places: Places) -> Places:
     """Units missing on each worker, counting those that leaving gangs will free."""
     capacity = state.capacity
     missing: Places = {}
@@ -329,12 +324,12 @@
     return missing
 
 
-def _leaving_units(cell: CellScheduler, state: PoolState, worker: int) -> int:
+def _leaving_units(cell: CellState, state: PoolState, worker: int) -> int:
     gangs = cell.gangs_on(worker, state.capacity.pool)
     return sum(gang.places[worker] for gang in gangs if gang.leaving)
 
 
-def _gangs_at(cell: CellScheduler, state: PoolState, places: Places) -> list[Gang]:
+def _gangs_at(cell: CellState, state: PoolState, places: Places) -> list[Gang]:
     found: dict[str, Gang] = {}
     for worker in places:
         for gang in cell.gangs_on(worker, state.capacity.pool):
