Put what the tasks of a host share below them, so that none needs the host

Cause: host made its news and requests, and both named the host's type.

Change: settings, adapters, lease, members and owner are HostState, a module below news, requests and host; requests is given the news it asks for peers. No behaviour changed.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -3,26 +3,20 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
 from typing import Any
 
 import trio
 
-from .approval import Approver, NoApprover
-from .configuring import ConfigurationFormat, ConfigurationInForce
 from .events import log_event
-from .executor_link import ExecutorLink
 from .follow import Follower
+from .host_state import HostParts, HostSettings, HostState
 from .intake import Doubt, NoSuchJob, NotTaken, Taken
-from .keystore import Gone, Item, KeyStore, Listing
+from .keystore import Gone, Item, Listing
 from .loop import LoopWatch
 from .news import NewsExchange
-from .observed import ObservedStore
 from .overview import describe_cell, describe_job
-from .owned import DirectoryFormat, OwnerParts, Timing
+from .owned import OwnerParts
 from .owner import JobView, Owner
-from .peer import Peers
 from .peering import (
     BAD_REQUEST,
     MALFORMED,
@@ -40,11 +34,9 @@
     encode_record,
     make_reply,
 )
-from .policy import DEFAULT_POLICY, Policy
 from .requests import Requests
-from .statistics import Statistics
 from .succession import RANK_DELAY_S, find_stronger, rank
-from .tenure import Presence, Strength, Tenure
+from .tenure import Presence
 from .wire.ttypes import Frame
 
 CONTEND_S = 0.05
@@ -59,54 +51,19 @@
 HOST_PREFIX = "cell/0/host/"
 
 
-@dataclass(frozen=True, slots=True)
-class HostSettings:
-    """What a host is told of itself; `seeds` are peer addresses that may be dead."""
-
-    name: str
-    peer_address: str
-    seeds: tuple[str, ...] = ()
-    strength: Strength = Strength()
-    timing: Timing = Timing()
-    policy: Policy = DEFAULT_POLICY
-
-
-@dataclass(frozen=True, slots=True)
-class HostParts:
-    """A host's adapters and its clock (seconds since the epoch)."""
-
-    store: KeyStore
-    link: ExecutorLink
-    peers: Peers
-    configuration: ConfigurationFormat
-    directory: DirectoryFormat
-    wall_clock: Callable[[], float]
-    approver: Approver = field(default_factory=NoApprover)
-
-
-class Host:
+class Host(HostState):
     """The tasks of one host; `run` lasts until it is cancelled."""
 
     def __init__(self, settings: HostSettings, parts: HostParts) -> None:
-        self.settings = settings
-        self.parts = parts
-        self.store = ObservedStore(parts.store)
-        self.configuration = ConfigurationInForce(parts.configuration)
-        presence = Presence(settings.name, settings.peer_address, settings.strength)
-        self.tenure = Tenure(self.store, presence)
-        self.members: dict[str, Presence] = {}
-        self.owner: Owner | None = None
-        self.owner_presence: Presence | None = None
+        super().__init__(settings, parts)
         self.is_draining = False
-        self.statistics = Statistics()
         self.loop = LoopWatch(self.statistics)
         self._owner_gone_at = 0.0
         self._owner_gone = trio.Event()
         self._handed_over_at = float("-inf")
         self._owner_item: Item | None = None
         self.news = NewsExchange(self)
-        self.requests = Requests(self)
-        self._nursery: trio.Nursery | None = None
+        self.requests = Requests(self, self.news)
 
     @property
     def is_ready(self) -> bool:
@@ -129,11 +86,6 @@
             nursery.start_soon(self.news.run, nursery)
             nursery.start_soon(self.news.watch_changes)
 
-    def spawn(self, function: Callable[..., Awaitable[object]], *arguments: Any) -> None:
-        """Run something beside the other tasks of this host."""
-        assert self._nursery is not None, "the host runs"
-        self._nursery.start_soon(function, *arguments)
-
     async def stop(self) -> None:
         """Begin a planned stop: hand the cell over; requests are still answered."""
         self.is_draining = True
--- /dev/null
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host_state.py
@@ -0,0 +1,68 @@
+"""What the tasks of one host share: its adapters, and what it knows of its cell."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import trio
+
+from .approval import Approver, NoApprover
+from .configuring import ConfigurationFormat, ConfigurationInForce
+from .executor_link import ExecutorLink
+from .keystore import KeyStore
+from .observed import ObservedStore
+from .owned import DirectoryFormat, Timing
+from .owner import Owner
+from .peer import Peers
+from .policy import DEFAULT_POLICY, Policy
+from .statistics import Statistics
+from .tenure import Presence, Strength, Tenure
+
+
+@dataclass(frozen=True, slots=True)
+class HostSettings:
+    """What a host is told of itself; `seeds` are peer addresses that may be dead."""
+
+    name: str
+    peer_address: str
+    seeds: tuple[str, ...] = ()
+    strength: Strength = Strength()
+    timing: Timing = Timing()
+    policy: Policy = DEFAULT_POLICY
+
+
+@dataclass(frozen=True, slots=True)
+class HostParts:
+    """A host's adapters and its clock (seconds since the epoch)."""
+
+    store: KeyStore
+    link: ExecutorLink
+    peers: Peers
+    configuration: ConfigurationFormat
+    directory: DirectoryFormat
+    wall_clock: Callable[[], float]
+    approver: Approver = field(default_factory=NoApprover)
+
+
+class HostState:
+    """One host's adapters, its lease, the members it knows, and the owner here or elsewhere."""
+
+    def __init__(self, settings: HostSettings, parts: HostParts) -> None:
+        self.settings = settings
+        self.parts = parts
+        self.store = ObservedStore(parts.store)
+        self.configuration = ConfigurationInForce(parts.configuration)
+        presence = Presence(settings.name, settings.peer_address, settings.strength)
+        self.tenure = Tenure(self.store, presence)
+        self.members: dict[str, Presence] = {}
+        self.owner: Owner | None = None
+        self.owner_presence: Presence | None = None
+        self.statistics = Statistics()
+        self._nursery: trio.Nursery | None = None
+
+    def spawn(self, function: Callable[..., Awaitable[object]], *arguments: Any) -> None:
+        """Run something beside the other tasks of this host."""
+        assert self._nursery is not None, "the host runs"
+        self._nursery.start_soon(function, *arguments)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/news.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/news.py
@@ -5,11 +5,11 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
 import trio
 
 from .events import log_event
+from .host_state import HostState
 from .peering import (
     OK,
     News,
@@ -21,9 +21,6 @@
     encode_news,
 )
 
-if TYPE_CHECKING:
-    from .host import Host
-
 NEWS_S = 1.0
 OUTAGE_NEWS_S = 0.4
 FRESH_S = 1.8
@@ -49,7 +46,7 @@
 class NewsExchange:
     """One host's news to its peers, and theirs to it."""
 
-    def __init__(self, host: Host) -> None:
+    def __init__(self, host: HostState) -> None:
         self._host = host
         self.heard: dict[str, HeardNews] = {}
         self.wanted = trio.Event()
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/requests.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/requests.py
@@ -4,12 +4,13 @@
 
 from collections.abc import Iterator
 from functools import partial
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import trio
 from heronthread_coordination import Measure, Unavailable
 
 from .events import log_event
+from .host_state import HostState
 from .intake import (
     Doubt,
     IntakeOutcome,
@@ -24,6 +25,7 @@
     insist,
 )
 from .keystore import Item, Missing
+from .news import NewsExchange
 from .owned import job_key
 from .owner import JobView
 from .peer import PeerUnreachable
@@ -40,9 +42,6 @@
 from .record import JobRecord, JobStatus, ProgressRecord
 from .recorder import progress_key
 
-if TYPE_CHECKING:
-    from .host import Host
-
 ACCEPT_BUDGET_S = 2.2
 PEER_INTAKE_S = 1.2
 PEERS_ASKED = 2
@@ -53,8 +52,9 @@
 class Requests:
     """What one host does for callers, with its peers' help where it lacks the store."""
 
-    def __init__(self, host: Host) -> None:
+    def __init__(self, host: HostState, news: NewsExchange) -> None:
         self._host = host
+        self._news = news
         self._final: dict[str, JobView] = {}
 
     async def accept(self, record: JobRecord, budget_s: float) -> IntakeOutcome:
@@ -125,7 +125,7 @@
             yield local
         asked: set[str] = set()
         for _ in range(PEERS_ASKED):
-            address = self._host.news.find_store_peer(asked)
+            address = self._news.find_store_peer(asked)
             if address is not None:
                 asked.add(address)
                 yield partial(self._intake_by, address, operation, body)
