Put what an owner's modules share below them, and keep the product free of circles

Cause: owner called launch, outcome, reports, takeover and release, which all named the owner's type; ownership named the host's, which runs it. Such a circle is read only as a whole.

--- a/packages/heronthread-daemon/src/heronthread_daemon/host.py
+++ b/packages/heronthread-daemon/src/heronthread_daemon/host.py
@@ -2,34 +2,25 @@
 
 from __future__ import annotations
 
-import random
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
 
 import trio
-from eliot import log_message
 from heronthread_coordination import (
     Backoff,
-    BudgetedStore,
-    CellLease,
     Configuration,
     ConfigurationLog,
     CustomerLimits,
     Delta,
-    Drain,
-    Histograms,
     Member,
-    Membership,
     RetryBudget,
     Standing,
-    Store,
     Superseded,
     Unavailable,
     rank,
 )
 from heronthread_coordination.configuration import ApplyOutcome
-from heronthread_dispatch.peer import CALL_TIMEOUT_S, Peers, PeerUnreachable
+from heronthread_dispatch.peer import CALL_TIMEOUT_S, PeerUnreachable
 from heronthread_dispatch.wire.ttypes import (
     CellView,
     Changes,
@@ -39,16 +30,14 @@
     Frame,
     Heartbeat,
 )
-from heronthread_scheduling import CellSpec, DesiredState, Refused, build_cells, load_desired
+from heronthread_scheduling import Refused, build_cells, load_desired
 from heronthread_scheduling.cell import customer_cell, find_customer
 
-from .hostlist import HostList
-from .owner import CellOwner
+from .host_state import HostParts, HostState, PeerNews
 from .ownership import run_cell
 from .routing import NOT_OWNER, UNAVAILABLE, Routed, serve_operation
 from .sections import join_state, split_state
 from .settings import Settings
-from .worker import Workers
 
 STORE_WATCH_S = 20.0
 FLUSH_S = 5.0
@@ -58,64 +47,20 @@
 OLD_VIEWS = 2
 
 
-@dataclass(frozen=True, slots=True)
-class HostParts:
-    """What a host is given: its adapters and its clock (seconds since the epoch)."""
-
-    store: Store
-    workers: Workers
-    host_list: HostList
-    peers: Peers
-    clock: Callable[[], float]
-    random: random.Random = field(default_factory=random.Random)
-
-
-@dataclass(frozen=True, slots=True)
-class PeerNews:
-    """What a peer last said of the store and its generation, and when (trio's clock)."""
-
-    store_ok: bool
-    generation: int
-    at: float
-
-
-class Host:
+class Host(HostState):
     """The tasks of one entry host; `run` ends when a planned stop is complete."""
 
     def __init__(self, settings: Settings, parts: HostParts) -> None:
-        self.settings = settings
-        self.parts = parts
+        super().__init__(settings, parts)
         limits = settings.limits
-        self.store = BudgetedStore(
-            parts.store,
-            reads_per_s=limits.store_reads_per_s,
-            writes_per_s=limits.store_writes_per_s,
-        )
         self.configuration = Configuration()
         self.configuration_log = ConfigurationLog(self.store)
-        self.state: DesiredState | None = None
-        self.cells: dict[str, CellSpec] = {}
         self._taken_generation = 0
-        self.membership = Membership()
-        self.drain = Drain()
         self.limits = CustomerLimits(limits.requests_per_customer, limits.requests_total)
         self.retries = RetryBudget()
         self.backoff = Backoff()
-        self.histograms = Histograms()
-        self.leases: dict[str, CellLease] = {}
-        self.owners: dict[str, CellOwner] = {}
-        self.views: dict[str, CellView] = {}
-        self._viewed_at: dict[str, float] = {}
-        self.leaving_workers: set[str] = set()
-        self.news: dict[str, PeerNews] = {}
-        self._urgent_news = trio.Event()
         self._nursery: trio.Nursery | None = None
 
-    @property
-    def name(self) -> str:
-        """The host's name."""
-        return self.settings.host
-
     @property
     def store_ok(self) -> bool:
         """Whether the store answered this host's last call."""
@@ -217,10 +162,6 @@
 
     # Peers
 
-    def tell_peers(self) -> None:
-        """Send heartbeats at once instead of at the next period."""
-        self._urgent_news.set()
-
     async def _follow_hosts(self) -> None:
         while True:
             listing = await self.parts.host_list.fetch()
@@ -244,8 +185,8 @@
     async def _send_heartbeats(self) -> None:
         while True:
             with trio.move_on_after(self.settings.times.heartbeat_s):
-                await self._urgent_news.wait()
-            self._urgent_news = trio.Event()
+                await self.urgent_news.wait()
+            self.urgent_news = trio.Event()
             async with trio.open_nursery() as nursery:
                 for member in self._choose_peers():
                     nursery.start_soon(self._exchange_news, member)
@@ -289,7 +230,7 @@
     def _views_to_tell(self) -> list[CellView]:
         """The owners that changed of late, and a few others so that nobody stays behind."""
         now = trio.current_time()
-        recent = [c for c, at in self._viewed_at.items() if now - at <= RECENT_S]
+        recent = [c for c, at in self.viewed_at.items() if now - at <= RECENT_S]
         others = [cell for cell in self.views if cell not in recent]
         chosen = self.parts.random.sample(others, min(OLD_VIEWS, len(others)))
         return [self.views[cell] for cell in [*recent, *chosen]]
@@ -302,17 +243,6 @@
         for view in heartbeat.cells:
             self.note_owner(view.cell, view.epoch, view.host, view.address)
 
-    def note_owner(self, cell: str, epoch: int, host: str, address: str) -> None:
-        """Take in who owns a cell, unless a higher epoch is known."""
-        known = self.views.get(cell)
-        if known is None or epoch > known.epoch:
-            self.views[cell] = CellView(cell=cell, epoch=epoch, host=host, address=address)
-            self._viewed_at[cell] = trio.current_time()
-            lease = self.leases.get(cell)
-            if lease is not None and host != self.name and epoch > lease.epoch:
-                lease.depose()
-            self.tell_peers()
-
     async def handle(self, frame: Frame) -> Frame:
         """Answer one frame of a peer."""
         if frame.heartbeat is not None:
@@ -414,7 +344,3 @@
             yield
         finally:
             self.limits.leave(customer)
-
-    def log(self, message_type: str, **fields: object) -> None:
-        """Log one message with this host's name and time."""
-        log_message(message_type=message_type, host=self.name, at=self.parts.clock(), **fields)
--- a/packages/heronthread-daemon/src/heronthread_daemon/launch.py
+++ b/packages/heronthread-daemon/src/heronthread_daemon/launch.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 import trio
 from heronthread_coordination import Deposed, Measure, Standing
 from heronthread_scheduling import Gang
@@ -12,12 +10,10 @@
 from .attempt import Attempt, Ending, place_members
 from .gang_start import START_BY_S, Broken, NotStarted, start_gang
 from .job_record import Claim, JobState, OwnedJob
-
-if TYPE_CHECKING:
-    from .owner import CellOwner
+from .owned_cell import OwnedCell
 
 
-def open_attempt(owner: CellOwner, gang: Gang) -> Attempt | None:
+def open_attempt(owner: OwnedCell, gang: Gang) -> Attempt | None:
     """Open an attempt at once, so that whatever comes next finds it to stop it."""
     owned = owner.jobs[gang.job.id]
     if owned.is_final:
@@ -33,7 +29,7 @@
     return attempt
 
 
-async def start_attempt(owner: CellOwner, attempt: Attempt) -> None:
+async def start_attempt(owner: OwnedCell, attempt: Attempt) -> None:
     """Claim the job if it must not run twice, then start the gang on its workers."""
     owned = owner.jobs[attempt.gang.job.id]
     decided = owner.parts.clock()
@@ -48,12 +44,12 @@
         owner.log("gang.start_failed", attempt=attempt.id, worker=started.worker, why=started.why)
         if attempt.ending is None:
             broken = isinstance(started, Broken)
-            owner.end_attempt(attempt, Ending.BROKEN if broken else Ending.NOT_STARTED)
+            outcome.end_attempt(owner, attempt, Ending.BROKEN if broken else Ending.NOT_STARTED)
         return
     _note_started(owner, owned, attempt, decided)
 
 
-async def record_claim(owner: CellOwner, owned: OwnedJob, attempt: Attempt) -> bool:
+async def record_claim(owner: OwnedCell, owned: OwnedJob, attempt: Attempt) -> bool:
     """Record the claim; False if it is not certain to stand in the ledger in time."""
     workers = {name: owner.links[name].incarnation for name in attempt.members_on}
     start_by = owner.parts.clock() + START_BY_S
@@ -65,7 +61,7 @@
     return False
 
 
-def may_go(owner: CellOwner, owned: OwnedJob, attempt: Attempt) -> bool:
+def may_go(owner: OwnedCell, owned: OwnedJob, attempt: Attempt) -> bool:
     """Ask the clock and the lease just before the first command that runs anything."""
     if not owner.leaving.isdisjoint(attempt.members_on):
         return False
@@ -76,14 +72,14 @@
     return standing is not Standing.NOT_OWNER and owner.parts.clock() < owned.claim.start_by
 
 
-def _give_up(owner: CellOwner, attempt: Attempt, why: str) -> None:
+def _give_up(owner: OwnedCell, attempt: Attempt, why: str) -> None:
     owner.log("gang.start_failed", attempt=attempt.id, worker="", why=why)
     if not attempt.is_concluded:
         attempt.ending = attempt.ending or Ending.NOT_STARTED
         outcome.conclude_attempt(owner, attempt)
 
 
-def _note_started(owner: CellOwner, owned: OwnedJob, attempt: Attempt, decided: float) -> None:
+def _note_started(owner: OwnedCell, owned: OwnedJob, attempt: Attempt, decided: float) -> None:
     if owned.is_final or attempt.ending is not None or attempt.is_concluded:
         return
     now = owner.parts.clock()
--- a/packages/heronthread-daemon/src/heronthread_daemon/outcome.py
+++ b/packages/heronthread-daemon/src/heronthread_daemon/outcome.py
@@ -2,20 +2,36 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 import trio
 from heronthread_coordination import Deposed, Measure
 
 from .attempt import Attempt, Ending
+from .gang_start import stop_gang
 from .job_record import JobState, OwnedJob
+from .owned_cell import OwnedCell
 from .worker import Command, Verb
 
-if TYPE_CHECKING:
-    from .owner import CellOwner
+
+def end_attempt(
+    owner: OwnedCell, attempt: Attempt, ending: Ending, *, checkpoint_s: float | None = None
+) -> None:
+    """Begin to stop an attempt everywhere; its job goes on when that is certain."""
+    if attempt.is_concluded:
+        return
+    attempt.ending = attempt.ending or ending
+    if not attempt.is_stopping:
+        attempt.is_stopping = True
+        owner.spawn(_stop_and_conclude, owner, attempt, checkpoint_s)
+
+
+async def _stop_and_conclude(
+    owner: OwnedCell, attempt: Attempt, checkpoint_s: float | None
+) -> None:
+    await stop_gang(attempt, owner.links, checkpoint_s=checkpoint_s)
+    conclude_attempt(owner, attempt)
 
 
-def conclude_attempt(owner: CellOwner, attempt: Attempt) -> None:
+def conclude_attempt(owner: OwnedCell, attempt: Attempt) -> None:
     """Decide what becomes of a job whose attempt has ended on every worker."""
     if attempt.is_concluded:
         return
@@ -41,14 +57,14 @@
     return attempt.ending is Ending.TAKEN_BACK and bool(owned.checkpoint)
 
 
-def conclude_done(owner: CellOwner, attempt: Attempt, answer: str) -> None:
+def conclude_done(owner: OwnedCell, attempt: Attempt, answer: str) -> None:
     """Take the whole answer of a gang as its job's outcome."""
     owned = owner.close_attempt(attempt)
     owned.answer = answer
     conclude(owner, owned, JobState.DONE, "", "")
 
 
-def conclude(owner: CellOwner, owned: OwnedJob, state: JobState, cause: str, reason: str) -> None:
+def conclude(owner: OwnedCell, owned: OwnedJob, state: JobState, cause: str, reason: str) -> None:
     """Give a job its final state, tell those who wait, and record it."""
     owner.scheduler.finish(owned.job.id)
     owner.scheduler.forget(owned.job.id)
@@ -62,7 +78,7 @@
     owner.wake()
 
 
-async def conclude_not_run(owner: CellOwner, owned: OwnedJob, cause: str, reason: str) -> None:
+async def conclude_not_run(owner: OwnedCell, owned: OwnedJob, cause: str, reason: str) -> None:
     """Say "not run" only once the ledger keeps every later owner from running it."""
     final = OwnedJob(owned.job, owned.model, owned.digest, owned.accepted_at)
     final.state, final.cause, final.reason = JobState.NOT_RUN, cause, reason
@@ -76,7 +92,7 @@
     owner.log_state(owned)
 
 
-async def record(owner: CellOwner, owned: OwnedJob, wait_s: float) -> None:
+async def record(owner: OwnedCell, owned: OwnedJob, wait_s: float) -> None:
     """Commit a job's present state, waiting at most `wait_s` for it."""
     state = owned.state
     entry = owned.to_record(owner.parts.clock())
@@ -88,14 +104,14 @@
             owned.changed = trio.Event()
 
 
-async def _record_and_acknowledge(owner: CellOwner, owned: OwnedJob) -> None:
+async def _record_and_acknowledge(owner: OwnedCell, owned: OwnedJob) -> None:
     """Let the workers forget a job's attempts only once the ledger has its outcome."""
     await record(owner, owned, float("inf"))
     if owned.durable:
         await _acknowledge(owner, owned)
 
 
-async def _acknowledge(owner: CellOwner, owned: OwnedJob) -> None:
+async def _acknowledge(owner: OwnedCell, owned: OwnedJob) -> None:
     attempts, owned.unacknowledged = owned.unacknowledged, []
     for attempt_id, workers in attempts:
         for name in workers:
--- a/packages/heronthread-daemon/src/heronthread_daemon/owner.py
+++ b/packages/heronthread-daemon/src/heronthread_daemon/owner.py
@@ -2,20 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from functools import partial
 
 import trio
-from eliot import log_message
-from heronthread_coordination import (
-    AnswerCollector,
-    CellLease,
-    Histograms,
-    Ledger,
-    Measure,
-    Standing,
-)
+from heronthread_coordination import Standing
 from heronthread_scheduling import (
     Cause,
     CellSpec,
@@ -31,17 +22,15 @@
 
 from . import launch, outcome, reports, takeover
 from .attempt import Attempt, Ending
-from .gang_start import stop_gang
 from .job_record import JobState, JobView, OwnedJob, SubmitModel
+from .owned_cell import OwnedCell
 from .release import release_events
-from .worker import Workers
-from .worker_link import LinkState, LinkTimes, WorkerLink
+from .worker_link import LinkState, WorkerLink
 
 PASS_DELAY_S = 0.01
 PASS_PERIOD_S = 1.0
 DURABLE_WAIT_S = 1.5
 RETRY_AFTER_S = 1.0
-STARTS_AT_ONCE = 256
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,44 +43,13 @@
     retry_after_s: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class OwnerParts:
-    """What an owner works with."""
-
-    workers: Workers
-    ledger: Ledger
-    lease: CellLease
-    histograms: Histograms
-    clock: Callable[[], float]
-    host: str
-    times: LinkTimes = field(default_factory=LinkTimes)
-
-
-class CellOwner:
+class CellOwner(OwnedCell):
     """One epoch of owning a cell.
 
     `run` takes over what the former owner left and then decides until cancelled. All
     times are seconds since the epoch, read from `parts.clock`.
     """
 
-    def __init__(self, state: DesiredState, spec: CellSpec, parts: OwnerParts) -> None:
-        self.state = state
-        self.spec = spec
-        self.parts = parts
-        self.cell = spec.name
-        self.epoch = parts.ledger.epoch
-        self.scheduler = spec.make_scheduler()
-        self.jobs: dict[str, OwnedJob] = {}
-        self.attempts: dict[str, Attempt] = {}
-        self.answers = AnswerCollector()
-        self.links: dict[str, WorkerLink] = {}
-        self.ready = trio.Event()
-        self.leaving: set[str] = set()
-        self.is_leaving = False
-        self._wake = trio.Event()
-        self.starts = trio.CapacityLimiter(STARTS_AT_ONCE)
-        self._nursery: trio.Nursery | None = None
-
     async def run(self) -> None:
         """Take over, then decide until cancelled or deposed."""
         async with trio.open_nursery() as nursery:
@@ -150,7 +108,7 @@
             text = "cancelled while waiting"
             await outcome.conclude_not_run(self, owned, Cause.CANCELLED.value, text)
         elif attempt is not None:
-            self.end_attempt(attempt, Ending.CANCELLED)
+            outcome.end_attempt(self, attempt, Ending.CANCELLED)
         return self.view(owned)
 
     async def settle(self, job_id: str, state: JobState, note: str) -> JobView | Refusal | None:
@@ -170,15 +128,6 @@
         self.is_leaving = True
         await self.parts.ledger.flush()
 
-    def note_leaving(self, workers: set[str]) -> None:
-        """Give nothing new to workers that are leaving."""
-        for name in sorted(workers - self.leaving):
-            if name in self.links:
-                self.leaving.add(name)
-                self.scheduler.close_worker(name)
-                self.log("worker.leaving", worker=name)
-        self.wake()
-
     def reconfigure(self, state: DesiredState, spec: CellSpec) -> None:
         """Take over a new generation, with what it declares about this cell.
 
@@ -235,10 +184,6 @@
 
     # The decide loop
 
-    def wake(self) -> None:
-        """Let the next pass begin soon."""
-        self._wake.set()
-
     async def _decide(self) -> None:
         while self.parts.ledger.deposed is None:
             with trio.move_on_after(PASS_PERIOD_S):
@@ -284,50 +229,10 @@
             self.return_to_queue(victim.job.id)
             return
         checkpoint_s = stop_within_s if victim.job.checkpointable else None
-        self.end_attempt(attempt, Ending.TAKEN_BACK, checkpoint_s=checkpoint_s)
-
-    # Ends of attempts
-
-    def end_attempt(
-        self, attempt: Attempt, ending: Ending, *, checkpoint_s: float | None = None
-    ) -> None:
-        """Begin to stop an attempt everywhere; its job goes on when that is certain."""
-        if attempt.is_concluded:
-            return
-        attempt.ending = attempt.ending or ending
-        if not attempt.is_stopping:
-            attempt.is_stopping = True
-            self.spawn(self._stop_and_conclude, attempt, checkpoint_s)
-
-    async def _stop_and_conclude(self, attempt: Attempt, checkpoint_s: float | None) -> None:
-        await stop_gang(attempt, self.links, checkpoint_s=checkpoint_s)
-        outcome.conclude_attempt(self, attempt)
-
-    def close_attempt(self, attempt: Attempt) -> OwnedJob:
-        """Expect nothing more of an attempt, and return its job."""
-        attempt.is_concluded = True
-        self.attempts.pop(attempt.id, None)
-        self.answers.close(attempt.id)
-        owned = self.jobs[attempt.gang.job.id]
-        owned.unacknowledged.append((attempt.id, tuple(attempt.members_on)))
-        return owned
-
-    def return_to_queue(self, job_id: str) -> None:
-        """Let a job whose gang was stopped wait again, with its first arrival."""
-        owned = self.jobs[job_id]
-        self.scheduler.finish(job_id)
-        owned.move(JobState.WAITING)
-        self.log_state(owned)
-        self.scheduler.requeue(owned.job, self.parts.clock())
-        self.wake()
+        outcome.end_attempt(self, attempt, Ending.TAKEN_BACK, checkpoint_s=checkpoint_s)
 
     # Small parts
 
-    def spawn(self, function: Callable[..., Awaitable[object]], *args: object) -> None:
-        """Start a task that ends with this owner."""
-        assert self._nursery is not None, "the owner is not running"
-        self._nursery.start_soon(function, *args)
-
     def _open_link(self, name: str) -> None:
         if name in self.links:
             return
@@ -365,32 +270,3 @@
 
     def _attempt_of(self, job_id: str) -> Attempt | None:
         return next((a for a in self.attempts.values() if a.gang.job.id == job_id), None)
-
-    def measure(self, owned: OwnedJob, measure: Measure, seconds: float) -> None:
-        """Record a duration of a job in the histograms."""
-        job = owned.job
-        self.parts.histograms.record(job.customer, job.job_class.name, measure, seconds)
-
-    def log_state(self, owned: OwnedJob, attempt: str = "") -> None:
-        """Log a job's present state."""
-        self.log(
-            "job.state",
-            job_id=owned.job.id,
-            customer=owned.job.customer,
-            job_class=owned.job.job_class.name,
-            repeatable=owned.job.repeatable,
-            state=owned.state.value,
-            cause=owned.cause,
-            attempt=attempt,
-        )
-
-    def log(self, message_type: str, **fields: object) -> None:
-        """Log one message with this owner's host, cell, epoch and time."""
-        log_message(
-            message_type=message_type,
-            host=self.parts.host,
-            cell=self.cell,
-            epoch=self.epoch,
-            at=self.parts.clock(),
-            **fields,
-        )
--- a/packages/heronthread-daemon/src/heronthread_daemon/ownership.py
+++ b/packages/heronthread-daemon/src/heronthread_daemon/ownership.py
@@ -2,24 +2,21 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 import trio
 from heronthread_coordination import CellLease, Ledger, Standing, Unavailable, rank
 
-from .owner import CellOwner, OwnerParts
+from .host_state import HostState
+from .owned_cell import OwnerParts
+from .owner import CellOwner
 from .worker_link import LinkTimes
 
-if TYPE_CHECKING:
-    from .host import Host
-
 CONTENDER_DELAY_S = 0.4
 STANDING_CHECK_S = 0.2
 LEDGER_RETRY_S = 0.5
 HEARD_WITHIN_S = 3.5
 
 
-async def run_cell(host: Host, cell: str) -> None:
+async def run_cell(host: HostState, cell: str) -> None:
     """Contend for a cell and, whenever it is ours, own it."""
     lease = CellLease(
         host.store,
@@ -45,7 +42,7 @@
         await lease.changed.wait()
 
 
-async def _watch_standing(host: Host, lease: CellLease) -> None:
+async def _watch_standing(host: HostState, lease: CellLease) -> None:
     """Tell the lease what the peers know of the store, and its place in the order."""
     while True:
         lease.is_store_down_for_all = _is_store_down_for_all(host, lease)
@@ -56,7 +53,7 @@
         await trio.sleep(STANDING_CHECK_S)
 
 
-def _is_store_down_for_all(host: Host, lease: CellLease) -> bool:
+def _is_store_down_for_all(host: HostState, lease: CellLease) -> bool:
     if not lease.store_failed:
         return False
     now = trio.current_time()
@@ -68,7 +65,7 @@
     return bool(fresh) and not any(news.store_ok for news in fresh)
 
 
-async def _own(host: Host, cell: str, lease: CellLease) -> None:
+async def _own(host: HostState, cell: str, lease: CellLease) -> None:
     epoch = lease.epoch
     assert host.state is not None
     times = host.settings.times
--- a/packages/heronthread-daemon/src/heronthread_daemon/release.py
+++ b/packages/heronthread-daemon/src/heronthread_daemon/release.py
@@ -2,23 +2,19 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 import trio
 from heronthread_coordination import Deposed, Record
 from heronthread_scheduling import Accepted, EventJob, EventModel, JobModel, NotRun, event_jobs
 from heronthread_scheduling.cell import event_id
 
 from .job_record import JobState, OwnedJob
-
-if TYPE_CHECKING:
-    from .owner import CellOwner
+from .owned_cell import OwnedCell
 
 CHECK_S = 1.0
 EVENT_PREFIX = "event:"
 
 
-async def release_events(owner: CellOwner) -> None:
+async def release_events(owner: OwnedCell) -> None:
     """Release the jobs of each event at its start, also of one that is overdue."""
     while True:
         now = owner.parts.clock()
@@ -28,19 +24,19 @@
         await trio.sleep(_next_event_in(owner, now))
 
 
-def _is_due(owner: CellOwner, event: EventModel, now: float) -> bool:
+def _is_due(owner: OwnedCell, event: EventModel, now: float) -> bool:
     """Tell whether an event has started, was not released, and is not too old to know."""
     start = event.start_time()
     released = EVENT_PREFIX + event_id(event) in owner.parts.ledger.records
     return start <= now and not released and start > now - owner.state.retention_s
 
 
-def _next_event_in(owner: CellOwner, now: float) -> float:
+def _next_event_in(owner: OwnedCell, now: float) -> float:
     starts = [e.start_time() - now for e in owner.state.events if e.start_time() > now]
     return max(0.001, min([CHECK_S, *starts]))
 
 
-async def _release(owner: CellOwner, event: EventModel) -> None:
+async def _release(owner: OwnedCell, event: EventModel) -> None:
     """Queue the event's jobs at once, then record them and the event in one group."""
     name = event_id(event)
     items = [item for item in event_jobs(owner.state, event.name) if item.cell == owner.cell]
@@ -61,7 +57,7 @@
             owned.durable = owned.durable or not owned.is_final
 
 
-def _accept(owner: CellOwner, item: EventJob, model: JobModel, now: float) -> Record:
+def _accept(owner: OwnedCell, item: EventJob, model: JobModel, now: float) -> Record:
     owned = OwnedJob(item.job, model, "", now)
     owner.jobs[item.job.id] = owned
     outcome = owner.scheduler.submit(item.job, now)
--- a/packages/heronthread-daemon/src/heronthread_daemon/reports.py
+++ b/packages/heronthread-daemon/src/heronthread_daemon/reports.py
@@ -2,20 +2,16 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 from heronthread_coordination import Drop, MemberAnswer
 
 from . import outcome
 from .attempt import Attempt, Ending
+from .owned_cell import OwnedCell
 from .worker import TaskReport, TaskState, WorkerReply
 from .worker_link import LinkState, WorkerLink
 
-if TYPE_CHECKING:
-    from .owner import CellOwner
-
 
-def take_reply(owner: CellOwner, link: WorkerLink, reply: WorkerReply) -> None:
+def take_reply(owner: OwnedCell, link: WorkerLink, reply: WorkerReply) -> None:
     """Take in a worker's reply, before it replaces the one known."""
     if link.reply is not None and link.reply.incarnation != reply.incarnation:
         _lose_members(owner, link.name)
@@ -25,7 +21,7 @@
         take_task(owner, task)
 
 
-def take_state(owner: CellOwner, link: WorkerLink) -> None:
+def take_state(owner: OwnedCell, link: WorkerLink) -> None:
     """React to a worker that answers again, falls silent or is lost."""
     if link.name not in owner.scheduler.topology.number:
         return
@@ -41,7 +37,7 @@
     owner.wake()
 
 
-def take_task(owner: CellOwner, task: TaskReport) -> None:
+def take_task(owner: OwnedCell, task: TaskReport) -> None:
     """Take in the report of one member; reports of attempts not open here do nothing."""
     attempt = owner.attempts.get(task.attempt)
     if attempt is None or attempt.is_concluded:
@@ -55,14 +51,14 @@
         if task.checkpoint and task.member == 0:
             owner.jobs[attempt.gang.job.id].checkpoint = task.checkpoint
         if attempt.ending is None and attempt.went:
-            owner.end_attempt(attempt, Ending.BROKEN)
+            outcome.end_attempt(owner, attempt, Ending.BROKEN)
     elif task.state is TaskState.FAILED:
         attempt.over.add(task.member)
         if attempt.ending is None:
-            owner.end_attempt(attempt, Ending.BROKEN)
+            outcome.end_attempt(owner, attempt, Ending.BROKEN)
 
 
-def _take_answer(owner: CellOwner, attempt: Attempt, task: TaskReport) -> None:
+def _take_answer(owner: OwnedCell, attempt: Attempt, task: TaskReport) -> None:
     if task.member in attempt.done:
         return
     answer = MemberAnswer(task.attempt, task.member, task.content, task.length, task.digest)
@@ -75,16 +71,16 @@
         outcome.conclude_done(owner, attempt, whole)
 
 
-def _stop_unconfirmed(owner: CellOwner, worker: str) -> None:
+def _stop_unconfirmed(owner: OwnedCell, worker: str) -> None:
     """Stop gangs that were just told to go and of which a silent worker may run no member."""
     for attempt in list(owner.attempts.values()):
         members = set(attempt.members_on.get(worker, ()))
         unconfirmed = members - attempt.seen_running - attempt.done - attempt.over
         if attempt.went and unconfirmed and attempt.ending is None:
-            owner.end_attempt(attempt, Ending.BROKEN)
+            outcome.end_attempt(owner, attempt, Ending.BROKEN)
 
 
-def _lose_members(owner: CellOwner, worker: str) -> None:
+def _lose_members(owner: OwnedCell, worker: str) -> None:
     """Count the members on a lost or restarted worker as gone; stop the rest at once."""
     for attempt in list(owner.attempts.values()):
         lost = set(attempt.members_on.get(worker, ())) - attempt.done - attempt.over
@@ -92,4 +88,4 @@
             continue
         attempt.gone |= lost
         if attempt.ending is None:
-            owner.end_attempt(attempt, Ending.BROKEN)
+            outcome.end_attempt(owner, attempt, Ending.BROKEN)
--- a/packages/heronthread-daemon/src/heronthread_daemon/takeover.py
+++ b/packages/heronthread-daemon/src/heronthread_daemon/takeover.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
 
 import trio
 from heronthread_scheduling import Gang
@@ -16,14 +15,12 @@
 from . import outcome
 from .attempt import Attempt, Ending
 from .job_record import Claim, JobState, OwnedJob, read_record
+from .owned_cell import OwnedCell
 from .release import EVENT_PREFIX
 from .reports import take_task
 from .worker import Command, Result, TaskReport, TaskState, Verb, WorkerReply
 from .worker_link import LinkState
 
-if TYPE_CHECKING:
-    from .owner import CellOwner
-
 RECONCILE_S = 1.5
 PRESENT = (TaskState.ARMED, TaskState.RUNNING, TaskState.DONE)
 
@@ -49,7 +46,7 @@
         return any(task.ever_ran for _, task in self.tasks.values())
 
 
-async def reconcile(owner: CellOwner) -> None:
+async def reconcile(owner: OwnedCell) -> None:
     """Load the ledger, ask every worker, adopt what matches and stop the rest."""
     _load_jobs(owner)
     with trio.move_on_after(RECONCILE_S):
@@ -76,11 +73,11 @@
         _replay(owner, item)
 
 
-def _is_settled(owner: CellOwner) -> bool:
+def _is_settled(owner: OwnedCell) -> bool:
     return all(link.settled.is_set() for link in owner.links.values())
 
 
-async def _settle_attempt(owner: CellOwner, item: Found, owned: OwnedJob) -> None:
+async def _settle_attempt(owner: OwnedCell, item: Found, owned: OwnedJob) -> None:
     """Wait for the silent workers, which may run the rest of a gang, before judging it."""
     owned.move(JobState.STARTING)
     for link in list(owner.links.values()):
@@ -96,14 +93,14 @@
     owner.wake()
 
 
-def _load_jobs(owner: CellOwner) -> None:
+def _load_jobs(owner: OwnedCell) -> None:
     for record in owner.parts.ledger.records:
         if record.key.startswith(EVENT_PREFIX):
             continue
         owner.jobs[record.key] = read_record(record, owner.state)
 
 
-def _collect(owner: CellOwner) -> dict[str, Found]:
+def _collect(owner: OwnedCell) -> dict[str, Found]:
     found: dict[str, Found] = {}
     for link in owner.links.values():
         for task in link.tasks.values():
@@ -120,7 +117,7 @@
     return item.is_whole and item.ever_ran and (owned.job.repeatable or claimed)
 
 
-def _adopt(owner: CellOwner, item: Found, owned: OwnedJob) -> Gang:
+def _adopt(owner: OwnedCell, item: Found, owned: OwnedJob) -> Gang:
     number = owner.scheduler.topology.number
     members_on: dict[str, tuple[int, ...]] = {}
     places: dict[int, int] = {}
@@ -140,14 +137,14 @@
     return gang
 
 
-async def _finish_go(owner: CellOwner, attempt: Attempt, worker: str) -> None:
+async def _finish_go(owner: OwnedCell, attempt: Attempt, worker: str) -> None:
     """Let go the members that the former owner had armed but not yet told to go."""
     reply = await owner.links[worker].command(Command(Verb.GO, attempt.id))
     if not isinstance(reply, WorkerReply) or reply.results != (Result.OK,):
-        owner.end_attempt(attempt, Ending.BROKEN)
+        outcome.end_attempt(owner, attempt, Ending.BROKEN)
 
 
-def _stop(owner: CellOwner, item: Found) -> None:
+def _stop(owner: OwnedCell, item: Found) -> None:
     """Stop what is left of an attempt that can't be adopted.
 
     What ran of a job that must not run twice stays on its worker as evidence.
@@ -160,13 +157,13 @@
         owner.spawn(owner.links[worker].command, *commands)
 
 
-def _requeue_rest(owner: CellOwner, kept: set[str]) -> None:
+def _requeue_rest(owner: OwnedCell, kept: set[str]) -> None:
     for job_id, owned in owner.jobs.items():
         if not owned.is_final and job_id not in kept:
             _requeue(owner, owned)
 
 
-def _requeue(owner: CellOwner, owned: OwnedJob) -> None:
+def _requeue(owner: OwnedCell, owned: OwnedJob) -> None:
     """Queue a job that does not run, or find out first whether it may have run."""
     if owned.job.repeatable or owned.claim is None:
         owned.move(JobState.WAITING)
@@ -176,7 +173,7 @@
         owner.spawn(_settle_claim, owner, owned, owned.claim)
 
 
-async def _settle_claim(owner: CellOwner, owned: OwnedJob, claim: Claim) -> None:
+async def _settle_claim(owner: OwnedCell, owned: OwnedJob, claim: Claim) -> None:
     """Find out whether a claimed job ever ran; if nobody can vouch for it, it is in doubt.
 
     The former owner sends no start after `start_by`, and a worker that has answered this
@@ -198,7 +195,7 @@
     outcome.conclude(owner, owned, JobState.IN_DOUBT, "claim-unsettled", text)
 
 
-def _vouches(owner: CellOwner, claim: Claim, worker: str) -> bool:
+def _vouches(owner: OwnedCell, claim: Claim, worker: str) -> bool:
     """Tell whether a worker is sure that it never ran any member of the claimed attempt."""
     link = owner.links.get(worker)
     if link is None or link.state is not LinkState.ALIVE or link.reply is None:
@@ -208,7 +205,7 @@
     return not any(t.ever_ran for t in link.tasks.values() if t.attempt == claim.attempt)
 
 
-def _replay(owner: CellOwner, item: Found) -> None:
+def _replay(owner: OwnedCell, item: Found) -> None:
     """Hand the reports of an adopted attempt to the owner as if they had just come."""
     if item.attempt not in owner.attempts:
         return
