--- a/packages/heronthread-dispatch/src/heronthread_dispatch/http_client.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/http_client.py
@@ -37,6 +37,7 @@
     stream: trio.SocketStream
     protocol: h11.Connection
     idle_since: float = 0.0
+    is_answering: bool = False
 
 
 @dataclass(slots=True)
@@ -63,9 +64,14 @@
         body: bytes = b"",
         headers: tuple[tuple[str, str], ...] = (),
         timeout_s: float,
+        may_repeat: bool = True,
     ) -> Reply | NoReply:
-        """Make one call; a kept connection that turns out closed is replaced once."""
-        sent = False
+        """Make one call; a kept connection that turns out closed is replaced.
+
+        One that ended before an answer came may have carried the call, so only a call that
+        `may_repeat` is sent again then.
+        """
+        sent, began = False, trio.current_time()
         with trio.move_on_after(timeout_s):
             connection, fresh = None, False
             try:
@@ -80,7 +86,7 @@
                         self._give_back(address, connection)
                         connection = None
                         return reply
-                    if fresh or not _closed_before_use(connection):
+                    if fresh or not may_repeat or connection.is_answering:
                         return reply
                     log_event("call.repeated", address=address, method=method, reason=reply.reason)
                     connection.stream.socket.close()
@@ -90,13 +96,27 @@
             finally:
                 if connection is not None:
                     connection.stream.socket.close()
+        self._drop_idle_since(address, began)
         return NoReply(f"{address}: no answer in {timeout_s:g} s", unsent=not sent)
 
+    def _drop_idle_since(self, address: str, began: float) -> None:
+        """Close the kept connections that were not used since an unanswered call began.
+
+        Connections may go silent for good, all at once, while new ones work: each of those kept
+        would cost one more call its whole time-out.
+        """
+        kept = self.idle.get(address, [])
+        self.idle[address] = [each for each in kept if each.idle_since > began]
+        for each in kept:
+            if each.idle_since <= began:
+                each.stream.socket.close()
+
     def _take_idle(self, address: str) -> _Connection | None:
         connections = self.idle.get(address)
         while connections:
             connection = connections.pop()
-            if trio.current_time() - connection.idle_since < MAX_IDLE_S:
+            is_young = trio.current_time() - connection.idle_since < MAX_IDLE_S
+            if is_young and not _has_ended(connection):
                 return connection
             connection.stream.socket.close()
         return None
@@ -130,6 +150,7 @@
         if body or method == "POST":
             fields += [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
         protocol = connection.protocol
+        connection.is_answering = False
         request = h11.Request(method=method, target=target, headers=fields)
         try:
             data = protocol.send(request) or b""
@@ -149,9 +170,9 @@
         while True:
             event = connection.protocol.next_event()
             if event is h11.NEED_DATA:
-                connection.protocol.receive_data(
-                    await connection.stream.receive_some(RECEIVE_BYTES)
-                )
+                data = await connection.stream.receive_some(RECEIVE_BYTES)
+                connection.is_answering |= bool(data)
+                connection.protocol.receive_data(data)
             elif isinstance(event, h11.Response):
                 status = event.status_code
             elif isinstance(event, h11.Data):
@@ -162,6 +183,6 @@
                 return NoReply(f"{address}: closed", unsent=False)
 
 
-def _closed_before_use(connection: _Connection) -> bool:
-    """Whether a kept connection ended before any byte of an answer came."""
-    return connection.protocol.their_state in (h11.IDLE, h11.SEND_RESPONSE, h11.CLOSED)
+def _has_ended(connection: _Connection) -> bool:
+    """Whether the other side has closed or reset a kept connection, or said what nobody asked."""
+    return connection.stream.socket.is_readable()
