--- a/packages/heronthread-emulator/src/heronthread_emulator/soak_run.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak_run.py
@@ -120,8 +120,7 @@
             if not is_host:
                 raise StandinFailed(f"{name} ended with {code}")
             outcome.violations.append(Violation("hosts end only when told", f"{name}: {code}"))
-            site.hosts.discard(int(name[1:]))
-            del site.processes.running[name]
+            site.forget_host(int(name[1:]))
 
 
 async def _settle(site: SoakSite) -> None:
@@ -149,7 +148,7 @@
         async with limit:
             outcome = await play_seed(settings, folder / f"seed-{settings.seed}")
         if outcome.is_good:
-            shutil.rmtree(outcome.folder)
+            await trio.to_thread.run_sync(shutil.rmtree, outcome.folder)
         outcomes.append(outcome)
         show(outcome)
 
--- a/packages/heronthread-emulator/src/heronthread_emulator/soak_site.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak_site.py
@@ -211,6 +211,11 @@
         self.frozen.discard(host)
         self.processes.kill(f"h{host}")
 
+    def forget_host(self, host: int) -> None:
+        """Count a host as gone whose process ended by itself."""
+        self.hosts.discard(host)
+        del self.processes.running[f"h{host}"]
+
     async def stop_host(self, host: int) -> None:
         """Stop a host as planned: SIGTERM, then SIGKILL after the grace it was told."""
         self.sight.note("host.stopping", to=f"h{host}")
