--- a/packages/heronthread-emulator/src/heronthread_emulator/soak_faults.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak_faults.py
@@ -67,9 +67,19 @@
         ]
         if only:
             wanted = only.split(",")
+            unknown = set(wanted) - set(self.names)
+            if unknown:
+                raise ValueError(f"{', '.join(sorted(unknown))}: no such fault")
             self._all = [fault for fault in self._all if fault.__name__ in wanted]
-            if not self._all:
-                raise ValueError(f"{only}: no such fault")
+
+    @property
+    def names(self) -> list[str]:
+        """Return the names of the faults that may be drawn."""
+        return list(dict.fromkeys(fault.__name__ for fault in self._all))
+
+    def draw(self) -> Fault:
+        """Return the next fault."""
+        return self.random.choice(self._all)
 
     async def play(self) -> None:
         """Begin faults until the time for them is over, then wait until they end."""
@@ -77,7 +87,7 @@
         async with trio.open_nursery() as nursery:
             while trio.current_time() < ends_at:
                 await trio.sleep(self.random.uniform(0.3, 2.5))
-                fault = self.random.choice(self._all)
+                fault = self.draw()
                 self.played += 1
                 if self.random.random() < OVERLAP_SHARE:
                     nursery.start_soon(self._play_one, fault)
--- /dev/null
+++ b/packages/heronthread-emulator/tests/test_executor_server.py
@@ -0,0 +1,153 @@
+"""Executors' process, spoken to by the product's adapter."""
+
+import io
+import json
+
+import pytest
+import trio
+from heronthread_dispatch.executor_link import (
+    HoldOrder,
+    Obeyed,
+    OtherLife,
+    Refusal,
+    Refused,
+    StartOrder,
+    StopOrder,
+    Unanswered,
+    Unhealthy,
+)
+from heronthread_dispatch.http_client import HttpClient
+from heronthread_dispatch.model import Resources, TaskKey
+from heronthread_emulator import spelling
+from heronthread_emulator.addresses import EXECUTORS_FACE, claim_network
+from heronthread_emulator.executor_server import ExecutorServer
+from heronthread_emulator.executors import WorkSpec
+from heronthread_emulator.http_server import serve_http
+from heronthread_emulator.sight import Sight
+from heronthread_emulator.standin import StandinSettings
+from heronthread_emulator.store_server import StoreServer
+from heronthread_platform.executors import DIRECTORY, PlatformExecutors
+
+TASK = TaskKey("00000000000000aa", 0, 0)
+LONG = spelling.write_job(WorkSpec(Resources(1, 1, 0), 60.0), 1, gang=False, schedule=None)["spec"]
+SHORT = spelling.write_job(WorkSpec(Resources(1, 1, 0), 0.1), 1, gang=False, schedule=None)["spec"]
+
+
+class Site:
+    def __init__(self, server, store, link, output):
+        self.server, self.store, self.link, self.output = server, store, link, output
+
+    @property
+    def life(self):
+        return self.server.places[0].life
+
+    def start(self, run=1, text=LONG, token=1):
+        until = self.life.clock_ms() + 6000
+        return self.link.start(self.life.executor, StartOrder(TASK, run, text, "", token, until))
+
+    def lines(self, kind):
+        found = [json.loads(line) for line in self.output.getvalue().splitlines()]
+        return [line for line in found if line["message_type"] == kind]
+
+
+@pytest.fixture
+async def site(nursery):
+    with claim_network() as network, HttpClient() as client:
+        settings = StandinSettings(network, 1, 1, 1, network.control(0))
+        store = StoreServer(settings, Sight("store", io.StringIO()), nursery)
+
+        async def answer(request):
+            return await store.answer(EXECUTORS_FACE, request)
+
+        await nursery.start(serve_http, network.store_link(EXECUTORS_FACE), answer)
+        output = io.StringIO()
+        server = ExecutorServer(settings, Sight("executors", output), nursery)
+        nursery.start_soon(server.executors.run)
+        await server.add({"executor": 0})
+        yield Site(server, store.store, PlatformExecutors(client), output)
+
+
+async def _until(check):
+    with trio.fail_after(15):
+        while not check():
+            await trio.sleep(0.02)
+
+
+async def test_task_runs_to_its_end(site):
+    assert await site.start(text=SHORT) == Obeyed()
+    await _until(lambda: site.lines("executor.done"))
+    (line,) = site.lines("executor.start")
+    assert (line["job"], line["run"], line["late"]) == (TASK.job, 1, False)
+    report = await site.link.hold(site.life.executor, HoldOrder(1, 0, None, 0.0))
+    assert [end.run for end in report.ended] == [1]
+
+
+async def test_order_for_another_life_does_nothing(site):
+    executor = site.life.executor
+    await site.server.crash({"executor": 0, "after_s": 0.0})
+    order = StopOrder(TASK, 1, 1)
+    assert await site.link.stop(executor, order) == OtherLife()
+    assert site.life.executor.id != executor.id
+
+
+async def test_lower_token_is_refused(site):
+    await site.start(token=5)
+    assert await site.start(run=2, token=4) == Refused(Refusal.FENCED)
+
+
+async def test_run_that_was_stopped_is_refused(site):
+    await site.link.stop(site.life.executor, StopOrder(TASK, 3, 1))
+    assert await site.start(run=3) == Refused(Refusal.OLD_RUN)
+    assert await site.start(run=4) == Obeyed()
+
+
+async def test_lower_run_that_comes_late_runs_beside_a_higher_one(site):
+    await site.start(run=2)
+    await site.start(run=1)
+    assert {run.run for run in site.life.running.values()} == {1, 2}
+
+
+async def test_unanswered_order_is_carried_out_late(site):
+    faults = {"unanswered_share": 1.0, "late_from_s": 0.9, "late_to_s": 1.0}
+    await site.server.set_faults({"executors": [0], "set": faults})
+    assert isinstance(await site.start(), Unanswered)
+    assert site.lines("executor.start") == []
+    await _until(lambda: site.lines("executor.start"))
+    assert site.lines("executor.start")[0]["late"]
+
+
+async def test_refused_and_reset_orders_do_nothing(site):
+    await site.server.set_faults({"executors": [0], "set": {"refused_share": 1.0}})
+    assert await site.start() == Unhealthy()
+    faults = {"refused_share": 0.0, "reset_share": 1.0}
+    await site.server.set_faults({"executors": [0], "set": faults})
+    assert isinstance(await site.start(), Unanswered)
+    await site.server.mend({})
+    assert site.lines("executor.start") == []
+
+
+async def test_silent_executor_runs_on(site):
+    await site.start()
+    await site.server.set_faults({"executors": [0], "set": {"silent": True}})
+    order = HoldOrder(1, 0, None, 0.0)
+    assert isinstance(await site.link.hold(site.life.executor, order), Unanswered)
+    assert site.life.running
+
+
+async def test_entry_says_what_becomes_of_its_executor(site):
+    key = spelling.EXECUTOR_PREFIX + site.life.executor.id
+    await _until(lambda: key in site.store.items)
+    found = DIRECTORY.parse(site.life.executor.id, site.store.items[key].value)
+    assert found == site.life.executor
+    values = {"executor": 0, "left_s": 0.3, "longer_s": 0.1}
+    await site.server.drain(values)
+    assert key not in site.store.items
+    assert site.lines("executor.draining")
+
+
+async def test_executor_whose_entry_is_gone_serves_on(site):
+    key = spelling.EXECUTOR_PREFIX + site.life.executor.id
+    await _until(lambda: key in site.store.items)
+    await site.server.places[0].remove_entry()
+    assert key not in site.store.items
+    assert await site.start() == Obeyed()
--- /dev/null
+++ b/packages/heronthread-emulator/tests/test_soak_faults.py
@@ -0,0 +1,30 @@
+from pathlib import Path
+
+import pytest
+from heronthread_emulator.soak_faults import PLANNED, SoakFaults
+from heronthread_emulator.soak_site import SiteSettings, SoakSite
+
+
+def make_faults(only="", seed=1):
+    site = SoakSite(SiteSettings(seed, Path(".")), None, None, None)
+    return SoakFaults(site, only)
+
+
+def test_every_planned_fault_is_there():
+    assert set(make_faults().names) >= PLANNED
+
+
+def test_faults_are_chosen_by_name():
+    assert make_faults("kill_all,store_busy").names == ["kill_all", "store_busy"]
+    with pytest.raises(ValueError, match="no such fault"):
+        make_faults("kill_all,other")
+
+
+def test_seed_draws_the_same_faults():
+    first, second = make_faults(seed=3), make_faults(seed=3)
+    assert [first.draw().__name__ for _ in range(50)] == [second.draw().__name__ for _ in range(50)]
+
+
+def test_every_fault_is_drawn():
+    faults = make_faults()
+    assert {faults.draw().__name__ for _ in range(2000)} == set(faults.names)
