--- a/packages/heronthread-emulator/tests/test_spelling.py
+++ b/packages/heronthread-emulator/tests/test_spelling.py
@@ -121,14 +121,15 @@
         hold_s=10.0,
     )
     template = (
-        '{"host": {{node|json}}, "ip": {{ip|json}}, '
-    template += '{{#advice}}"x": {{advice|json}},{{/advice}}'
+        '{"host": {{node|json}}, "ip": {{ip|json}},'
+        '{{#advice}}"x": {{advice|json}},{{/advice}}'
+        '"callers_address": {{listen.front|json}},'
+        '"peer_ports": {{internal-ports|json}},'
+        '"readiness_address": {{listen.readiness|json}},'
+        '"cores": {{limits.cpu-share|json}},'
+        '"store_address": {{platform.address|json}},'
+        '"stop_ms": {{bounds.stop-ms|json}}}'
     )
-    template += '"callers_address": {{listen.front|json}}, "peer_ports": {{internal-ports|json}},'
-    template += (
-        '"readiness_address": {{listen.readiness|json}}, "cores": {{limits.cpu-share|json}},'
-    )
-    template += '"store_address": {{platform.address|json}}, "stop_ms": {{bounds.stop-ms|json}}}'
     settings = ProcessSettings.model_validate_json(spelling.fill_template(template, fields))
     assert (settings.host, settings.cores, settings.stop_ms) == ("h1", 0.5, 900)
     assert settings.peer_address == "127.0.0.1:7000"
