--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := scheduling coordination daemon cli dispatch emulator
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint format thrift bench-policy bench-capacity bench-configuration bench-planning histories soak
+.PHONY: demo test lint format thrift bench-policy bench-capacity bench-configuration bench-planning histories soak soak-processes
 
 $(STAMP): constraints.txt $(wildcard packages/*/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -50,6 +50,9 @@
 soak: $(STAMP)
 	$(BIN)/heronthread emulation soak --seeds $(SEEDS)
 
+soak-processes: $(STAMP)
+	$(BIN)/heronthread soak --seeds $(SEEDS) --at_once 4
+
 # Needs the thrift compiler; its output is committed, so no other target does.
 thrift:
 	thrift --gen py:slots,no_default_ordering -out packages/heronthread-daemon/src/heronthread_daemon packages/heronthread-daemon/src/heronthread_daemon/wire.thrift
--- a/packages/heronthread-cli/src/heronthread_cli/soak.py
+++ b/packages/heronthread-cli/src/heronthread_cli/soak.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from heronthread_emulator.plants import PLANTS
+from heronthread_emulator.soak_faults import list_faults
 from heronthread_emulator.soak_run import SeedOutcome, name_folder, run_seeds
 from heronthread_emulator.soak_site import PROGRAM, SiteSettings
 
@@ -93,6 +94,10 @@
         raise BadInput(f"at-once: 1 to {MOST_AT_ONCE}")
     if at_once * (settings.hosts + STANDINS) > MOST_PROCESSES:
         raise BadInput(f"so many hosts at once are more than {MOST_PROCESSES} processes")
+    known = list_faults()
+    unknown = [name for name in settings.only.split(",") if name and name not in known]
+    if unknown:
+        raise BadInput(f"{', '.join(unknown)}: no such fault; there are {', '.join(known)}")
     if not (settings.root / PROGRAM).exists():
         raise BadInput(f"{settings.root / PROGRAM}: not there; --root names the repository")
 
--- a/packages/heronthread-emulator/src/heronthread_emulator/planted_host.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/planted_host.py
@@ -7,6 +7,7 @@
 
 import runpy
 import sys
+from pathlib import Path
 
 from .plants import planted
 
@@ -15,6 +16,7 @@
     """Plant the defect, then run the real program."""
     defect, program = sys.argv[1:]
     sys.argv[1:] = []
+    sys.path.insert(0, str(Path(program).parent))
     with planted(defect):
         runpy.run_path(program, run_name="__main__")
 
--- a/packages/heronthread-emulator/src/heronthread_emulator/soak_faults.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak_faults.py
@@ -6,6 +6,7 @@
 import signal
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
+from inspect import iscoroutinefunction
 
 import trio
 
@@ -14,7 +15,8 @@
 Fault = Callable[[], Awaitable[None]]
 
 LONGEST_S = 7.0
-OVERLAP_SHARE = 0.5
+PAUSE_S = (0.2, 1.5)
+MOST_AT_ONCE = 4
 LATE_FROM_S = 2.0
 LATE_TO_S = 12.0
 PLANNED = frozenset(
@@ -30,6 +32,7 @@
         self.site = site
         self.random = random.Random(f"faults {site.settings.seed}")
         self.played = 0
+        self.at_once = self.random.randint(1, MOST_AT_ONCE)
         self._all: list[Fault] = [
             self.kill_owner,
             self.kill_all,
@@ -82,24 +85,32 @@
         return self.random.choice(self._all)
 
     async def play(self) -> None:
-        """Begin faults until the time for them is over, then wait until they end."""
+        """Begin faults until the time for them is over, then wait until they end.
+
+        The seed says how many may go on at a time: with one they come in series.
+        """
         ends_at = trio.current_time() + self.site.settings.faults_s
+        limit = trio.CapacityLimiter(self.at_once)
         async with trio.open_nursery() as nursery:
             while trio.current_time() < ends_at:
-                await trio.sleep(self.random.uniform(0.3, 2.5))
+                await trio.sleep(self.random.uniform(*PAUSE_S))
                 fault = self.draw()
                 self.played += 1
-                if self.random.random() < OVERLAP_SHARE:
-                    nursery.start_soon(self._play_one, fault)
-                else:
-                    await self._play_one(fault)
-
-    async def _play_one(self, fault: Fault) -> None:
-        name = fault.__name__
-        number = self.played
-        self.site.sight.note("fault.began", fault=name, number=number)
-        await fault()
-        self.site.sight.note("fault.ended", fault=name, number=number)
+                await nursery.start(self._play_one, fault, self.played, limit)
+
+    async def _play_one(
+        self,
+        fault: Fault,
+        number: int,
+        limit: trio.CapacityLimiter,
+        task_status: trio.TaskStatus[None],
+    ) -> None:
+        async with limit:
+            task_status.started()
+            name = fault.__name__
+            self.site.sight.note("fault.began", fault=name, number=number)
+            await fault()
+            self.site.sight.note("fault.ended", fault=name, number=number)
 
     def _draw_s(self, longest_s: float = LONGEST_S) -> float:
         return self.random.uniform(0.8, longest_s)
@@ -394,3 +405,12 @@
     async def change_configuration(self) -> None:
         """Put a new version in force: one route comes, and the last version's goes."""
         await self.site.configure(self.site.version + self.random.randint(1, 3))
+
+
+def list_faults() -> list[str]:
+    """Return the names of all faults."""
+    return [
+        name
+        for name, value in vars(SoakFaults).items()
+        if iscoroutinefunction(value) and not name.startswith("_") and name != "play"
+    ]
--- a/packages/heronthread-emulator/src/heronthread_emulator/soak_run.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak_run.py
@@ -6,10 +6,8 @@
 import signal
 import time
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
-from types import FrameType
 
 import trio
 
@@ -28,6 +26,7 @@
 CALM_AT_LAST_S = 5.0
 """So long everything runs on after the last job, so that what is not wanted shows itself."""
 LONGEST_S = 400.0
+EXIT_TERMINATED = 128 + signal.SIGTERM
 
 
 @dataclass(slots=True)
@@ -152,25 +151,22 @@
         outcomes.append(outcome)
         show(outcome)
 
-    with _ended_by_signals():
-        async with trio.open_nursery() as nursery:
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_end_on_signal, nursery.cancel_scope)
+        async with trio.open_nursery() as playing:
             for settings in seeds:
-                nursery.start_soon(play_one, settings)
+                playing.start_soon(play_one, settings)
+        nursery.cancel_scope.cancel()
+    if len(outcomes) < len(seeds):
+        raise SystemExit(EXIT_TERMINATED)
     return sorted(outcomes, key=lambda outcome: outcome.seed)
 
 
-@contextmanager
-def _ended_by_signals() -> Iterator[None]:
-    """Have SIGTERM end this process as SIGINT does, so that what it owns is ended too."""
-
-    def interrupt(number: int, frame: FrameType | None) -> None:
-        raise KeyboardInterrupt
-
-    before = signal.signal(signal.SIGTERM, interrupt)
-    try:
-        yield
-    finally:
-        signal.signal(signal.SIGTERM, before)
+async def _end_on_signal(scope: trio.CancelScope) -> None:
+    """End as an interrupt from the keyboard does, so that what is owned is ended too."""
+    with trio.open_signal_receiver(signal.SIGTERM) as signals:
+        async for _ in signals:
+            scope.cancel()
 
 
 def run_seeds(
--- a/packages/heronthread-emulator/src/heronthread_emulator/soak_site.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak_site.py
@@ -238,10 +238,16 @@
         """Wait until the store names an owner that is there."""
         with trio.move_on_after(START_S):
             while await self.find_owner() is None:
+                self._check_started()
                 await trio.sleep(POLL_S)
             return
         raise StandinFailed(f"no host owned the cell within {START_S:g} s of the start")
 
+    def _check_started(self) -> None:
+        for host in self.hosts:
+            if self.processes.has_ended(f"h{host}"):
+                raise StandinFailed(f"h{host} ended while it started; see its log")
+
     async def _wait_ready(self) -> None:
         with trio.move_on_after(START_S):
             for host in sorted(self.hosts):
--- a/packages/heronthread-emulator/tests/test_soak_faults.py
+++ b/packages/heronthread-emulator/tests/test_soak_faults.py
@@ -1,7 +1,7 @@
 from pathlib import Path
 
 import pytest
-from heronthread_emulator.soak_faults import PLANNED, SoakFaults
+from heronthread_emulator.soak_faults import PLANNED, SoakFaults, list_faults
 from heronthread_emulator.soak_site import SiteSettings, SoakSite
 
 
@@ -12,6 +12,7 @@
 
 def test_every_planned_fault_is_there():
     assert set(make_faults().names) >= PLANNED
+    assert set(list_faults()) == set(make_faults().names)
 
 
 def test_faults_are_chosen_by_name():
