--- a/packages/heronthread-emulator/src/heronthread_emulator/soak_faults.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak_faults.py
@@ -245,7 +245,7 @@
     async def store_away_for_some(self) -> None:
         """The store turns some hosts away, each in one way, and serves the others."""
         hosts = sorted(self.site.hosts)
-        some = self.random.sample(hosts, self.random.randint(1, max(1, len(hosts) - 1)))
+        some = self.random.sample(hosts, self.random.randint(0, len(hosts)))
         owner = await self.site.find_owner()
         if owner is not None and self.random.random() < 0.5:
             some.append(owner)
--- a/packages/heronthread-emulator/src/heronthread_emulator/soak_run.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak_run.py
@@ -5,6 +5,7 @@
 import shutil
 import signal
 import time
+import traceback
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -60,8 +61,9 @@
         try:
             with trio.fail_after(LONGEST_S):
                 began_at = await _play(settings, folder, sight, outcome)
-        except* (StandinFailed, trio.TooSlowError) as errors:
-            outcome.failure = "; ".join(str(e) or "too slow" for e in _flatten(errors))
+        except* Exception as errors:
+            outcome.failure = "; ".join(str(e) or repr(e) for e in _flatten(errors))
+            traceback.print_exception(errors, file=log)
     if not outcome.failure:
         jobs = plan_jobs(settings.seed, settings.jobs, settings.faults_s)
         history = read_history(folder, jobs, began_at)
