Evacuate failure domains: believed by hosts, checked at each start, confirmed by the owner

Cause: an operator's ask to send nothing more to a failure domain was not known to the product.

An ask is a key in the store, under the operators' prefix or, for the command, under the cell's own. The store's answer to the operator is the acknowledgement, so there is nothing to write back; the answer to the command is the owner's, who writes the ask under the condition that it still owns the cell, and confirms once no start there is under way, of its own or of an earlier owner.

Each host holds the asks with their revisions; they come by the watch of the configuration, which now follows the common prefix (no further call), and by peers' news. A new owner reads them before its first start. Plans leave the domain out, and each send of a start is checked again: a start planned a moment before, or a retry of one without an answer, is not sent.

Ruled out: a watch of its own (18 more calls a second at 45 hosts); trusting the follower at a takeover (its watch may be 3.3 s behind).

--- a/packages/heronthread-daemon/src/heronthread_daemon/wire.thrift
+++ b/packages/heronthread-daemon/src/heronthread_daemon/wire.thrift
@@ -45,7 +45,8 @@
   NEWS = 13
   CONFIGURATION = 14
   CELL_OVERVIEW = 15
-  JOB_STORY = 16
+  JOB_STORY = 16,
+  EVACUATE = 17
 }
 
 /** A caller's request on its way from an entry host to the owner of a cell. */
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/configuring.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/configuring.py
@@ -5,6 +5,7 @@
 import zlib
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from os.path import commonprefix
 
 import trio
 
@@ -21,10 +22,19 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationFormat:
-    """The store's key of the configuration, and how its value is read (None: invalid)."""
+    """The store's key of the configuration, and how its value is read (None: invalid).
+
+    Under `evacuations` operators ask to evacuate failure domains, each by a key with its name.
+    """
 
     key: str
     parse: Callable[[bytes], DesiredState | None]
+    evacuations: str = ""
+
+    @property
+    def prefix(self) -> str:
+        """What all of it begins with, so that one watch follows it."""
+        return commonprefix([self.key, self.evacuations]) if self.evacuations else self.key
 
 
 @dataclass(slots=True)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
@@ -25,7 +25,8 @@
     the highest that the executor has been told. `recorded`: the store names it as in use;
     `is_inherited`: an earlier owner may have used it; `only_tasks` are those that it may
     have left there, None for any. `strays` are runs that are there beside their tasks' own
-    attempts, or of no job that is known, until each is stopped.
+    attempts, or of no job that is known, until each is stopped. `evacuated`: its failure
+    domain is to take no new work.
     """
 
     executor: Executor
@@ -43,6 +44,7 @@
     is_inherited: bool = False
     only_tasks: frozenset[TaskKey] | None = None
     dead: bool = False
+    evacuated: bool = False
     leaves_at: float | None = None
     rest_until: float = 0.0
     bad_streak: int = 0
@@ -63,6 +65,7 @@
             and self.recorded
             and self.listed
             and not self.dead
+            and not self.evacuated
             and self.leaves_at is None
             and now >= self.rest_until
         )
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -4,7 +4,7 @@
 
 import json
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from typing import Any
 
 import trio
@@ -13,6 +13,15 @@
 
 from .approval import Approver, NoApprover
 from .configuring import ConfigurationFormat, ConfigurationInForce
+from .evacuating import (
+    SETTLE_S,
+    AskRefused,
+    EvacuationOutcome,
+    InForce,
+    NotAsked,
+    set_evacuation,
+)
+from .evacuation import COMMANDED_PREFIX, Evacuations
 from .events import log_event
 from .executor_link import ExecutorLink
 from .follow import Follower
@@ -26,6 +35,7 @@
 from .owner import JobView, Owner
 from .peering import (
     BAD_REQUEST,
+    CALL_S,
     MALFORMED,
     NOT_HERE,
     NOT_TAKEN,
@@ -54,6 +64,10 @@
 HANDOVER_PAUSE_S = 10.0
 """Between two handovers to stronger hosts, so that a host that can't own what it is given does
 not get it over and over."""
+EVACUATE_S = SETTLE_S + CALL_S
+"""How long a host waits for the owner's answer to an evacuation that it passes on."""
+OWNERS_OPERATIONS = (Operation.CELL_OVERVIEW, Operation.JOB_STORY, Operation.EVACUATE)
+"""What the owner alone answers, and others pass on to it."""
 CELL_PREFIX = "cell/0/"
 OWNER_KEY = "cell/0/owner"
 HOST_PREFIX = "cell/0/host/"
@@ -92,6 +106,7 @@
         self.parts = parts
         self.store = ObservedStore(parts.store)
         self.configuration = ConfigurationInForce(parts.configuration)
+        self.evacuations = Evacuations(parts.configuration.evacuations)
         presence = Presence(settings.name, settings.peer_address, settings.strength)
         self.tenure = Tenure(self.store, presence)
         self.members: dict[str, Presence] = {}
@@ -116,7 +131,7 @@
     async def run(self) -> None:
         """Run until cancelled."""
         configuration = Follower(
-            self.store, self.parts.configuration.key, self._take_versions, self._take_version
+            self.store, self.parts.configuration.prefix, self._take_wishes, self._take_wish
         )
         cell = Follower(self.store, CELL_PREFIX, self._take_cell, self._take_cell_key)
         async with trio.open_nursery() as nursery:
@@ -145,10 +160,17 @@
 
     # Configuration and membership
 
-    def _take_versions(self, listing: Listing) -> None:
+    def _take_wishes(self, listing: Listing) -> None:
+        """Take in what the operators have written: the configuration, and evacuations."""
+        operators = self.parts.configuration.evacuations
+        self.evacuations.take_listing(listing, (operators,) if operators else ())
         for item in listing.items:
             self._take_version(item)
 
+    def _take_wish(self, event: Item | Gone) -> None:
+        self.evacuations.take(event)
+        self._take_version(event)
+
     def _take_version(self, event: Item | Gone) -> None:
         if isinstance(event, Item) and event.key == self.parts.configuration.key:
             self.configuration.offer(event.value, "store")
@@ -158,6 +180,7 @@
         self.members = {
             name: member for name, member in self.members.items() if HOST_PREFIX + name in keys
         }
+        self.evacuations.take_listing(listing, (COMMANDED_PREFIX,))
         if OWNER_KEY not in keys:
             self._note_owner(None)
         for item in listing.items:
@@ -166,6 +189,8 @@
     def _take_cell_key(self, event: Item | Gone) -> None:
         if event.key == OWNER_KEY:
             self._note_owner(event if isinstance(event, Item) else None)
+        elif event.key.startswith(COMMANDED_PREFIX):
+            self.evacuations.take(event)
         elif event.key.startswith(HOST_PREFIX):
             name = event.key.removeprefix(HOST_PREFIX)
             if isinstance(event, Gone):
@@ -230,6 +255,7 @@
             self.parts.approver,
             self.settings.policy,
             lambda: self.store.answering_since,
+            self.evacuations,
         )
 
     async def _own(self, owner: Owner) -> None:
@@ -282,6 +308,7 @@
             "hosts": len(self.members),
             "store_answering": self.store.is_answering,
             "owner": self.owner is not None,
+            "evacuated_domains": len(self.evacuations.domains),
         }
         if self.owner is not None:
             gauges["term"] = self.owner.cell.term.number
@@ -323,27 +350,31 @@
             if self.owner is not None and self.tenure.is_valid:
                 self.owner.note_job(decode_record(body))
             return OK, {}
-        if operation in (Operation.CELL_OVERVIEW, Operation.JOB_STORY):
+        if operation in OWNERS_OPERATIONS:
             return await self._handle_question(operation, body)
         return await self._handle_intake(operation, body)
 
     async def _handle_question(
         self, operation: int, body: dict[str, Any]
     ) -> tuple[int, dict[str, Any]]:
-        """Answer an operator, or pass the question on to the owner."""
+        """Answer an operator, or pass what is asked on to the owner."""
         owner = self.owner
         if owner is None or not owner.is_ready:
             presence = self.owner_presence
             if presence is None or presence.host == self.settings.name or body.get("passed"):
                 return NOT_TAKEN, {"reason": "no owner is known"}
             asked = {**body, "passed": True}
-            reply = await call_peer(self.parts.peers, presence.address, operation, asked)
+            limit_s = EVACUATE_S if operation == Operation.EVACUATE else CALL_S
+            reply = await call_peer(self.parts.peers, presence.address, operation, asked, limit_s)
             if isinstance(reply, PeerReply):
                 return reply.status, reply.body
             return NOT_TAKEN, {"reason": reply.reason}
         if operation == Operation.CELL_OVERVIEW:
             described = describe_cell(owner.cell, self.configuration.state, self.settings.name)
             return OK, {**described, "hosts": sorted(self.members)}
+        if operation == Operation.EVACUATE:
+            outcome = await set_evacuation(owner.cell, body["domain"], not body.get("undo"))
+            return _encode_evacuation(outcome)
         job = owner.cell.jobs.get(body["job"])
         return (OK, describe_job(job)) if job else (410, {"reason": "there is no such job"})
 
@@ -364,5 +395,14 @@
         return status, {"reason": outcome.reason}
 
 
+def _encode_evacuation(outcome: EvacuationOutcome) -> tuple[int, dict[str, Any]]:
+    if isinstance(outcome, InForce):
+        return OK, asdict(outcome)
+    if isinstance(outcome, AskRefused):
+        return BAD_REQUEST, {"reason": outcome.reason}
+    status = NOT_TAKEN if isinstance(outcome, NotAsked) else UNSETTLED
+    return status, {"reason": outcome.reason}
+
+
 def _encode_view(view: JobView) -> dict[str, Any]:
     return {"status": view.status.value, "tenant": view.tenant, "queue": view.queue}
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/news.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/news.py
@@ -70,6 +70,7 @@
             self._host.store.is_answering,
             term,
             owner.host if owner else "",
+            self._host.evacuations.tell(),
         )
 
     def others(self) -> list[str]:
@@ -124,9 +125,10 @@
         return sorted(shuffled, key=lambda address: address not in without)[:count]
 
     async def watch_changes(self) -> None:
-        """Tell peers at once of a new configuration, and when the store comes or goes."""
+        """Tell peers at once of a new configuration or evacuation, and of the store's absence."""
         was_ok = True
         version = 0
+        domains: frozenset[str] = frozenset()
         while True:
             with trio.move_on_after(0.2):
                 await self._host.configuration.changed.wait()
@@ -135,9 +137,11 @@
                 log_event(
                     "store.regained" if is_ok else "store.lost", host=self._host.settings.name
                 )
-            if is_ok != was_ok or version != self._host.configuration.state.version:
+            is_new = version != self._host.configuration.state.version
+            if is_new or is_ok != was_ok or domains != self._host.evacuations.domains:
                 self.wanted.set()
             was_ok, version = is_ok, self._host.configuration.state.version
+            domains = self._host.evacuations.domains
 
     async def _tell(self, address: str) -> None:
         body = encode_news(self.make())
@@ -150,6 +154,7 @@
         if news is None:
             return
         self.heard[news.host] = HeardNews(news, trio.current_time())
+        self._host.evacuations.take_told(news.evacuations, news.host)
         if news.version > self._host.configuration.state.version:
             await self._fetch_configuration()
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
@@ -85,6 +85,9 @@
                 return
             if not self.cell.parts.may_order():
                 break
+            if self.cell.is_evacuated(state):
+                self._give_up(attempt, "its domain is evacuated")
+                return
             now = trio.current_time()
             until = state.deadline_ms(now, self.cell.parts.timing.hold_s)
             assert until is not None, "an executor that was heard has a clock"
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/overview.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/overview.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from .domains import describe_domains, find_shortfall
 from .guarantee import find_guaranteed
 from .model import URGENT, DesiredState
 from .owned import OwnedCell
@@ -13,7 +14,7 @@
 
 
 def describe_cell(cell: OwnedCell, desired: DesiredState, host: str) -> dict[str, Any]:
-    """Return the owner, the queues, the executors and the guarantees as plain values."""
+    """Return the owner, queues, executors, guarantees and failure domains as plain values."""
     return {
         "owner": host,
         "term": cell.term.number,
@@ -21,6 +22,8 @@
         "queues": _describe_queues(cell, desired),
         "executors": _describe_executors(cell),
         "guarantees": _describe_guarantees(cell, desired),
+        "domains": describe_domains(cell),
+        "short by": find_shortfall(cell),
     }
 
 
@@ -55,6 +58,7 @@
                 "resting": state.rest_until > now,
                 "slow": state.slow_until > now,
                 "leaves in s": leaves_in_s,
+                "evacuated": state.evacuated,
             }
         )
     return rows
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
@@ -10,6 +10,7 @@
 from heronthread_coordination import Measure
 
 from .approval import Approvals, Approver, NoApprover
+from .evacuation import Evacuations
 from .events import describe_run, log_event
 from .executor_link import EndedRun, EndKind, ExecutorLink
 from .fleet import ExecutorState
@@ -81,6 +82,7 @@
     approver: Approver = field(default_factory=NoApprover)
     policy: Policy = DEFAULT_POLICY
     store_answers_since: Callable[[], float] = trio.current_time
+    evacuations: Evacuations = field(default_factory=Evacuations)
     random: random.Random = field(default_factory=random.Random)
 
 
@@ -103,6 +105,18 @@
         """Have a plan made soon."""
         self.changed.set()
 
+    # Evacuation
+
+    def is_evacuated(self, state: ExecutorState) -> bool:
+        """Whether an executor is to be given no start now."""
+        return state.executor.zone in self.parts.evacuations.domains
+
+    def note_evacuations(self) -> None:
+        """Have plans count on the executors outside of evacuated domains only."""
+        for state in self.executors.values():
+            state.evacuated = self.is_evacuated(state)
+        self.wake_planner()
+
     # Jobs
 
     def note_job(self, record: JobRecord, created: int = 0) -> None:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -9,6 +9,7 @@
 import trio
 from heronthread_coordination import Measure, Unavailable
 
+from .domains import tell_of_limits
 from .events import log_event
 from .fleet import ExecutorState, make_executor
 from .follow import Follower
@@ -113,6 +114,7 @@
                 nursery.start_soon(jobs.run)
                 nursery.start_soon(directory.run)
                 nursery.start_soon(self._record_used)
+                nursery.start_soon(self._follow_evacuations)
                 nursery.start_soon(Housekeeping(self.cell).run)
                 nursery.start_soon(remove_old_jobs, self.cell)
                 nursery.start_soon(self.cell.approvals.run)
@@ -129,20 +131,26 @@
         """Read everything side by side, then take it in.
 
         All readings begin after the owner key was taken, so no earlier owner writes any more.
+        Evacuations are among them: what was asked before is in force from the first start on,
+        also at a host that has just started or was cut off from the store.
         """
         found: dict[str, Listing] = {}
 
         async def fetch(prefix: str) -> None:
             found[prefix] = await self._list(prefix)
 
-        prefixes = (USED_KEY, directory.prefix, jobs.prefix, PROGRESS_PREFIX)
+        asks = self.parts.evacuations.prefixes
+        prefixes = (USED_KEY, directory.prefix, jobs.prefix, PROGRESS_PREFIX, *asks)
         async with trio.open_nursery() as nursery:
             for prefix in prefixes:
                 nursery.start_soon(fetch, prefix)
+        for prefix in asks:
+            self.parts.evacuations.take_listing(found[prefix], (prefix,))
         self._take_used(found[USED_KEY])
         directory.begin(found[directory.prefix])
         jobs.begin(found[jobs.prefix])
         self._take_progress(found[PROGRESS_PREFIX])
+        self.cell.note_evacuations()
         self._used_changed.set()
 
     async def _list(self, prefix: str) -> Listing:
@@ -240,6 +248,7 @@
         if state is None:
             state = make_executor(executor, now)
             self.cell.executors[executor_id] = state
+            state.evacuated = self.cell.is_evacuated(state)
             log_event(
                 "executor.found",
                 executor=executor_id,
@@ -261,6 +270,7 @@
         state.executor = executor
         state.free = executor.capacity.minus(used)
         state.listed = True
+        state.evacuated = self.cell.is_evacuated(state)
         if executor.leaves_in_s is not None and state.leaves_at is None:
             state.leaves_at = now + executor.leaves_in_s
             self._used_changed.set()
@@ -309,6 +319,15 @@
                 self._used_revision = item.revision if item else 0
             await trio.sleep(PAUSE_S)
 
+    async def _follow_evacuations(self) -> None:
+        """Have each change of the evacuated domains count in plans at once, and tell of limits."""
+        evacuations = self.parts.evacuations
+        while True:
+            changed = evacuations.changed
+            self.cell.note_evacuations()
+            tell_of_limits(self.cell)
+            await changed.wait()
+
     # Jobs
 
     def _take_jobs(self, listing: Listing) -> None:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/peering.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/peering.py
@@ -4,7 +4,7 @@
 
 import base64
 import json
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, field
 from typing import Any
 
 from heronthread_daemon.peer import Peers, PeerUnreachable
@@ -26,7 +26,10 @@
 
 @dataclass(frozen=True, slots=True)
 class News:
-    """What a host tells its peers of itself; `term` and `owner` name the owner it knows."""
+    """What a host tells its peers of itself; `term` and `owner` name the owner it knows.
+
+    `evacuations` are the asks it knows, as `Evacuations.tell` returns them.
+    """
 
     host: str
     address: str
@@ -34,6 +37,7 @@
     store_ok: bool
     term: int = 0
     owner: str = ""
+    evacuations: dict[str, Any] = field(default_factory=dict)
 
 
 NEWS_KINDS = {
@@ -43,6 +47,7 @@
     "store_ok": bool,
     "term": int,
     "owner": str,
+    "evacuations": dict,
 }
 
 
--- a/packages/heronthread-emulator/src/heronthread_emulator/__init__.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/__init__.py
@@ -1,6 +1,6 @@
 """Stand-ins of the platform that run in the test's process, on trio's clock."""
 
-from .checker import Told, Violation, check_promises
+from .checker import EvacuatedSpan, Told, Violation, check_evacuations, check_promises
 from .executors import EmulatedExecutor, EmulatedExecutors
 from .experiment import Difference, Pair, compare_policies, sum_up, switch_off
 from .records import captured_events
@@ -17,7 +17,9 @@
     "SoakResult",
     "Told",
     "Violation",
+    "EvacuatedSpan",
     "captured_events",
+    "check_evacuations",
     "check_promises",
     "run_soak",
     "EmulatedExecutor",
--- a/packages/heronthread-emulator/src/heronthread_emulator/checker.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/checker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_right
 from collections import defaultdict
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -32,6 +33,39 @@
     shown: JobStatus | None = None
 
 
+EVACUATE_S = 5.0
+"""From an ask, or the end of trouble with the store, to the last start, as users' pages allow."""
+
+
+@dataclass(slots=True)
+class EvacuatedSpan:
+    """From when until when an operator wanted a failure domain evacuated."""
+
+    domain: str
+    since: float
+    until: float = float("inf")
+
+
+def check_evacuations(
+    executors: EmulatedExecutors, spans: list[EvacuatedSpan], trouble: list[float]
+) -> list[Violation]:
+    """Return the starts in evacuated domains; `trouble` are times of trouble with the store.
+
+    An order that was carried out late counts from when it was given.
+    """
+    found = []
+    for event in executors.starts():
+        zone = executors.by_id[event.executor].executor.zone
+        for span in spans:
+            if span.domain != zone or not span.since <= event.sent_at < span.until:
+                continue
+            before = bisect_right(trouble, event.sent_at)
+            calm_since = max(span.since, trouble[before - 1] if before else span.since)
+            if event.sent_at > calm_since + EVACUATE_S:
+                found.append(Violation("nothing starts in an evacuated domain", str(event)))
+    return found
+
+
 def check_promises(executors: EmulatedExecutors, told: dict[str, Told]) -> list[Violation]:
     """Return every promise that is broken."""
     by_task: dict[TaskKey, list[Event]] = defaultdict(list)
--- a/packages/heronthread-emulator/src/heronthread_emulator/executors.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/executors.py
@@ -65,7 +65,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Event:
-    """One start or end, for the checker."""
+    """One start or end, for the checker; `sent_at` is when the order of a start was given."""
 
     at: float
     what: str
@@ -74,6 +74,7 @@
     executor: str
     token: int = 0
     number: int = 0
+    sent_at: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -210,9 +211,11 @@
         *,
         token: int = 0,
         number: int = 0,
+        sent_at: float = 0.0,
     ) -> None:
         now = trio.current_time()
-        self.events.append(Event(now, what, task, run, executor.executor.id, token, number))
+        name = executor.executor.id
+        self.events.append(Event(now, what, task, run, name, token, number, sent_at))
 
     def crash(self, name: str) -> None:
         """End a life at once: what ran there is gone, and it lists nothing any more."""
@@ -244,7 +247,8 @@
             place.lose_starts -= 1
         elif place is not None and await self._is_shed(place):
             return Unhealthy()
-        return await self._order(executor, lambda e: self._start(e, order), is_lost)
+        sent_at = trio.current_time()
+        return await self._order(executor, lambda e: self._start(e, order, sent_at), is_lost)
 
     async def stop(self, executor: Executor, order: StopOrder) -> OrderOutcome:
         """Stop a run."""
@@ -309,7 +313,7 @@
         place.token = token
         return False
 
-    def _start(self, place: EmulatedExecutor, order: StartOrder) -> OrderOutcome:
+    def _start(self, place: EmulatedExecutor, order: StartOrder, sent_at: float) -> OrderOutcome:
         if self._fence(place, order.token):
             return Refused(Refusal.FENCED)
         if place.is_sick:
@@ -338,7 +342,7 @@
             arrived_at=trio.current_time(),
             kind=work.kind,
         )
-        self._log("start", place, order.task, order.run, token=order.token)
+        self._log("start", place, order.task, order.run, token=order.token, sent_at=sent_at)
         return Obeyed()
 
     def _stop(self, place: EmulatedExecutor, order: StopOrder) -> OrderOutcome:
--- a/packages/heronthread-emulator/src/heronthread_emulator/site.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/site.py
@@ -30,6 +30,7 @@
 from heronthread_dispatch.tenure import Strength
 
 from .approver import EmulatedApprover
+from .checker import EvacuatedSpan
 from .executors import EmulatedExecutor, EmulatedExecutors, WorkSpec
 from .store import EmulatedStore, StoreView
 
@@ -37,6 +38,8 @@
 POOL = "pool"
 APPROVAL = ApprovalTerms(0.2, 0.01, 5.0)
 PEER_LATENCY_S = 0.001
+EVACUATIONS = "configuration/evacuate/"
+TROUBLE_LOOK_S = 0.05
 
 Handler = Callable[[Frame], Awaitable[Frame]]
 
@@ -68,7 +71,7 @@
         executor_id,
         executor_id,
         POOL,
-        "zone",
+        value.get("zone", "zone"),
         value["rack"],
         ("kind", value["rack"]),
         CAPACITY,
@@ -110,6 +113,8 @@
         self.approver = EmulatedApprover()
         self.hosts: dict[str, Host] = {}
         self.views: dict[str, StoreView] = {}
+        self.evacuated: list[EvacuatedSpan] = []
+        self.trouble: list[float] = []
         self._scopes: dict[str, trio.CancelScope] = {}
         self._nurseries: dict[str, trio.Nursery] = {}
 
@@ -121,18 +126,24 @@
         hosts: int = 2,
         executors: int = 4,
         racks: int = 2,
+        zones: int = 1,
         policy: Policy = DEFAULT_POLICY,
         strengths: Mapping[str, Strength] | None = None,
     ) -> AsyncIterator[EmulatedSite]:
-        """Run a site for as long as the context is open; hosts are equal unless `strengths`."""
+        """Run a site for as long as the context is open; hosts are equal unless `strengths`.
+
+        Executors are spread over racks and failure domains (`z0`, `z1` ...) in turn.
+        """
         async with trio.open_nursery() as nursery:
             site = cls(nursery, policy)
             site.strengths.update(strengths or {})
             nursery.start_soon(site.store.run)
             nursery.start_soon(site.executors.run)
+            nursery.start_soon(site._note_trouble)
             site.configure(1)
             for number in range(executors):
-                site.add_executor(f"e{number}", f"r{number % racks}")
+                zone = f"z{number % zones}" if zones > 1 else "zone"
+                site.add_executor(f"e{number}", f"r{number % racks}", zone)
             for number in range(hosts):
                 site.start_host(f"h{number}")
             yield site
@@ -143,9 +154,28 @@
         value = json.dumps({"version": version, "guaranteed": guaranteed}).encode()
         self.store.put("configuration", value)
 
-    def add_executor(self, name: str, rack: str) -> EmulatedExecutor:
+    def evacuate(self, domain: str, value: bytes = b"{}") -> None:
+        """Ask to evacuate a failure domain, as the operator does."""
+        self.store.put(EVACUATIONS + domain, value)
+        self.evacuated.append(EvacuatedSpan(domain, trio.current_time()))
+
+    def take_back(self, domain: str) -> None:
+        """Take an evacuation back, as the operator does."""
+        self.store.remove(EVACUATIONS + domain)
+        for span in self.evacuated:
+            if span.domain == domain:
+                span.until = min(span.until, trio.current_time())
+
+    async def _note_trouble(self) -> None:
+        """Note when hosts could not follow the store, until cancelled."""
+        while True:
+            if self.store.is_down or any(v.is_cut or v.is_silent for v in self.views.values()):
+                self.trouble.append(trio.current_time())
+            await trio.sleep(TROUBLE_LOOK_S)
+
+    def add_executor(self, name: str, rack: str, zone: str = "zone") -> EmulatedExecutor:
         """Start an executor and list it."""
-        value = json.dumps({"rack": rack}).encode()
+        value = json.dumps({"rack": rack, "zone": zone}).encode()
         executor = _parse_executor(name, value)
         assert executor is not None
         place = EmulatedExecutor(executor)
@@ -155,8 +185,9 @@
 
     def drain_executor(self, name: str, leaves_in_s: float) -> None:
         """Say that an executor leaves."""
-        rack = self.executors.by_id[name].executor.rack
-        value = json.dumps({"rack": rack, "leaves_in_s": leaves_in_s}).encode()
+        executor = self.executors.by_id[name].executor
+        entry = {"rack": executor.rack, "zone": executor.zone, "leaves_in_s": leaves_in_s}
+        value = json.dumps(entry).encode()
         self.store.put(f"executors/{name}", value)
 
     def remove_executor(self, name: str) -> None:
@@ -176,7 +207,7 @@
             view,
             self.executors,
             self.peers,
-            ConfigurationFormat("configuration", _parse_state),
+            ConfigurationFormat("configuration", _parse_state, EVACUATIONS),
             DirectoryFormat("executors/", _parse_executor),
             trio.current_time,
             self.approver,
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -2,7 +2,7 @@
 
 import orjson
 from heronthread_dispatch.model import DesiredState, Queue
-from heronthread_platform.configuration import ConfigurationReader
+from heronthread_platform.configuration import ConfigurationReader, make_configuration_format
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -63,3 +63,10 @@
     for host in ("x", "y", "z"):
         for path in paths:
             assert state.find_queue(host, path) == _find_by_looking_at_all(state, host, path)
+
+
+def test_one_watch_follows_configuration_and_evacuations() -> None:
+    wishes = make_configuration_format()
+    assert wishes.key.startswith(wishes.prefix)
+    assert wishes.evacuations.startswith(wishes.prefix)
+    assert wishes.prefix == "op/"
