Evacuate domains in the soak, and plant an owner that does not look

An operator of its own random source asks for some domains, all, or one that nobody knows, beside all faults; callers' and faults' draws of a seed stay as they were. Seeds of three older defects moved, since the product's own draws did.

--- a/packages/heronthread-emulator/src/heronthread_emulator/plants.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/plants.py
@@ -100,6 +100,15 @@
     return patch.object(JobState, "status", property(status))
 
 
+def _start_in_evacuated_domains() -> Any:
+    """Evacuated domains count as any other, in plans and at each start."""
+
+    def never(self: OwnedCell, state: ExecutorState) -> bool:
+        return False
+
+    return patch.object(OwnedCell, "is_evacuated", never)
+
+
 PLANTS: dict[str, Plant] = {
     "start-before-the-barrier": _start_before_the_barrier,
     "forget-ends-unrecorded": _forget_ends_unrecorded,
@@ -108,6 +117,7 @@
     "forget-silent-executors": _forget_silent_executors,
     "count-no-failures": _count_no_failures,
     "show-success-early": _show_success_early,
+    "start-in-evacuated-domains": _start_in_evacuated_domains,
 }
 
 
--- a/packages/heronthread-emulator/src/heronthread_emulator/soak.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak.py
@@ -11,11 +11,11 @@
 import trio
 import trio.testing
 from heronthread_dispatch.intake import NotTaken, Taken, Unsettled
-from heronthread_dispatch.model import Schedule
+from heronthread_dispatch.model import Executor, Schedule
 from heronthread_dispatch.owner import JobView
 from trio._core import _run as trio_run
 
-from .checker import Told, Violation, check_promises
+from .checker import Told, Violation, check_evacuations, check_promises
 from .site import EmulatedSite
 
 Played = TypeVar("Played")
@@ -25,6 +25,9 @@
 SETTLE_S = 60.0
 HOSTS = 4
 EXECUTORS = 6
+ZONES = 3
+EVACUATIONS = 2
+"""At most so many in a day; a seed in three has none."""
 CALLER_TRIES = 5
 SCHEDULED_SHARE = 0.2
 
@@ -46,6 +49,7 @@
     def __init__(self, site: EmulatedSite, seed: int) -> None:
         self.site = site
         self.random = random.Random(seed)
+        self.operator = random.Random(f"operator {seed}")
         self.told: dict[str, Told] = {}
         self.result = SoakResult(seed)
         self._version = 1
@@ -79,8 +83,12 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._play_callers)
             nursery.start_soon(self._play_faults)
+            nursery.start_soon(self._play_operator)
         await self._settle()
         self.result.violations = check_promises(self.site.executors, self.told)
+        self.result.violations += check_evacuations(
+            self.site.executors, self.site.evacuated, self.site.trouble
+        )
         self.result.jobs = len(self.told)
         self.result.starts = len(self.site.executors.starts())
         return self.result
@@ -93,6 +101,23 @@
             self.result.faults[fault.__name__] += 1
             await fault()
 
+    async def _play_operator(self) -> None:
+        """Evacuate domains beside the faults: some, all, or one that nobody knows.
+
+        Drawn apart, so that callers and faults of a seed stay what they were without it.
+        """
+        zones = [f"z{number}" for number in range(ZONES)]
+        choices = [zones[:1], zones[1:2], zones[2:], zones[1:], zones, ["z99"]]
+        for _ in range(self.operator.randint(0, EVACUATIONS)):
+            await trio.sleep(self.operator.uniform(0.5, 10.0))
+            domains = self.operator.choice(choices)
+            self.result.faults["evacuate"] += 1
+            for domain in domains:
+                self.site.evacuate(domain)
+            await trio.sleep(self.operator.choice([0.3, 7.0, 12.0]))
+            for domain in domains:
+                self.site.take_back(domain)
+
     async def _play_callers(self) -> None:
         async with trio.open_nursery() as nursery:
             for number in range(JOBS):
@@ -255,24 +280,25 @@
     async def executor_crashes(self) -> None:
         """Crash an executor; a new life is there at once."""
         name = self._any_executor()
-        rack = self.site.executors.by_id[name].executor.rack
+        left = self.site.executors.by_id[name].executor
         self.site.executors.crash(name)
-        self._add_executor(rack)
+        self._add_executor(left)
         await trio.sleep(2.0)
         self.site.store.remove(f"executors/{name}")
 
-    def _add_executor(self, rack: str) -> None:
-        self.site.add_executor(f"e{self._next_executor}", rack)
+    def _add_executor(self, left: Executor) -> None:
+        """Start an executor where another one was."""
+        self.site.add_executor(f"e{self._next_executor}", left.rack, left.zone)
         self._next_executor += 1
 
     async def executor_leaves(self) -> None:
         """Drain an executor, then take it away; another comes."""
         name = self._any_executor()
-        rack = self.site.executors.by_id[name].executor.rack
+        left = self.site.executors.by_id[name].executor
         self.site.drain_executor(name, 2.0)
         await trio.sleep(2.0)
         self.site.remove_executor(name)
-        self._add_executor(rack)
+        self._add_executor(left)
 
     async def executor_fails_all(self) -> None:
         """Let an executor fail all that it runs."""
@@ -308,7 +334,7 @@
 
 
 async def _play(seed: int) -> SoakResult:
-    async with EmulatedSite.open(hosts=HOSTS, executors=EXECUTORS) as site:
+    async with EmulatedSite.open(hosts=HOSTS, executors=EXECUTORS, zones=ZONES) as site:
         return await Soak(site, seed).run()
 
 
--- a/packages/heronthread-emulator/tests/test_plants.py
+++ b/packages/heronthread-emulator/tests/test_plants.py
@@ -5,11 +5,12 @@
 FIRST_SEED = {
     "start-before-the-barrier": 1,
     "forget-ends-unrecorded": 0,
-    "obey-lower-tokens": 8,
-    "refuse-what-may-run": 29,
+    "obey-lower-tokens": 7,
+    "refuse-what-may-run": 14,
     "forget-silent-executors": 2,
-    "count-no-failures": 16,
+    "count-no-failures": 32,
     "show-success-early": 0,
+    "start-in-evacuated-domains": 0,
 }
 SEEDS_TRIED = 40
 
