Ask any host to evacuate a failure domain, and show domains in the cell's status

heronthread evacuate DOMAIN [--undo] ends once it is in force at the owner and no start there is under way; an unknown or malformed domain is refused with its reason (2), what can't be confirmed yet says so (1). heronthread cell status names each domain, who asks, what is left there, domains that nobody knows, and guarantees beyond what is left.

--- a/packages/heronthread-cli/src/heronthread_cli/cell.py
+++ b/packages/heronthread-cli/src/heronthread_cli/cell.py
@@ -8,17 +8,19 @@
 import trio
 from heronthread_daemon.peer import PeerUnreachable, TcpPeers
 from heronthread_daemon.wire.ttypes import Operation
-from heronthread_dispatch.peering import OK, PeerReply, call_peer
+from heronthread_dispatch.peering import BAD_REQUEST, OK, UNSETTLED, PeerReply, call_peer
 
-from .exits import BadInput, HostUnreachable
-from .output import print_line, show_rows
+from .exits import BadInput, CommandError, HostUnreachable
+from .output import note, print_line, show_rows
 
 ADDRESS_VARIABLE = "HERONTHREAD_HOST"
 TIMEOUT_S = 3.0
+EVACUATE_S = 4.0
+"""The owner may take 2 s until starts that are under way are over, and is asked through a host."""
 
 
 class Cell:
-    """Ask who owns the cell, what waits, what runs where, and what is guaranteed.
+    """Ask who owns the cell, what waits, what runs where, what is evacuated and guaranteed.
 
     Any host answers; `host` is its peer address (IP:PORT), by default that in the
     environment variable HERONTHREAD_HOST.
@@ -35,6 +37,25 @@
         }
         show_rows([row], as_json=json)
 
+    def status(self, host: str | None = None, json: bool = False) -> None:
+        """Show who decides, and each failure domain: whether and by whom it is evacuated.
+
+        A guarantee that what is left of the cell can't back is named on standard error.
+        """
+        found = _ask(host, Operation.CELL_OVERVIEW, {})
+        if not json:
+            hosts = len(found["hosts"])
+            print_line(f"{found['owner']} decides, term {found['term']}, {hosts} hosts")
+        show_rows(found["domains"], as_json=json)
+        domains = found["domains"]
+        if domains and all(row["evacuated"] for row in domains if row["executors"]):
+            note("every failure domain is evacuated: nothing starts until one is taken back")
+        for row in domains:
+            if row["evacuated"] and not row["executors"]:
+                note(f"{row['domain']}: evacuated, but no executor is known there")
+        if found["short by"]:
+            note(f"guarantees exceed what is left by {found['short by']} accelerators")
+
     def queues(self, host: str | None = None, json: bool = False) -> None:
         """List the queues with the jobs that wait and that have begun."""
         show_rows(_ask(host, Operation.CELL_OVERVIEW, {})["queues"], as_json=json)
@@ -62,22 +83,46 @@
         show_rows(found["tasks"], as_json=json)
 
 
-def _ask(host: str | None, operation: int, body: dict[str, Any]) -> dict[str, Any]:
+def ask_evacuation(
+    domain: str, undo: bool = False, host: str | None = None, json: bool = False
+) -> None:
+    """Have a failure domain evacuated, or take that back, and say what holds now."""
+    body = {"domain": str(domain), "undo": undo}
+    found = _ask(host, Operation.EVACUATE, body, EVACUATE_S)
+    if json:
+        show_rows([found], as_json=True)
+    elif not undo:
+        print_line(f"{domain}: no new work starts there; {found['runs']} runs are left to end")
+    elif found["asked_by"]:
+        print_line(f"{domain}: still evacuated, as the platform's operator asks for it")
+    else:
+        print_line(f"{domain}: takes new work again")
+
+
+def _ask(
+    host: str | None, operation: int, body: dict[str, Any], timeout_s: float = TIMEOUT_S
+) -> dict[str, Any]:
     address = host or os.environ.get(ADDRESS_VARIABLE, "")
     if ":" not in address:
         raise BadInput(f"--host: IP:PORT of any host is needed, or {ADDRESS_VARIABLE}")
-    reply = trio.run(_call, address, operation, body)
+    reply = trio.run(_call, address, operation, body, timeout_s)
     if isinstance(reply, PeerUnreachable):
         raise HostUnreachable(reply.reason)
     if reply.status == 410:
         raise BadInput(f"{body.get('job')}: {reply.body['reason']}")
+    if reply.status == BAD_REQUEST:
+        raise BadInput(reply.body["reason"])
+    if reply.status == UNSETTLED:
+        raise CommandError(f"not confirmed yet, run it again: {reply.body['reason']}")
     if reply.status != OK:
         raise HostUnreachable(f"{address}: {reply.body.get('reason', reply.status)}")
     return reply.body
 
 
-async def _call(address: str, operation: int, body: dict[str, Any]) -> PeerReply | PeerUnreachable:
+async def _call(
+    address: str, operation: int, body: dict[str, Any], timeout_s: float
+) -> PeerReply | PeerUnreachable:
     async with trio.open_nursery() as nursery:
-        reply = await call_peer(TcpPeers(nursery), address, operation, body, TIMEOUT_S)
+        reply = await call_peer(TcpPeers(nursery), address, operation, body, timeout_s)
         nursery.cancel_scope.cancel()
     return reply
--- a/packages/heronthread-cli/src/heronthread_cli/commands.py
+++ b/packages/heronthread-cli/src/heronthread_cli/commands.py
@@ -21,7 +21,7 @@
 )
 from pydantic import ValidationError
 
-from .cell import Cell
+from .cell import Cell, ask_evacuation
 from .client import Client
 from .day import describe_day
 from .day_tables import show_day, show_losses
@@ -367,6 +367,22 @@
             left = client.post("/v1/drain")["in_progress"]
         print_line(f"{host}: stopping after {left} requests")
 
+    def evacuate(
+        self, domain: str, undo: bool = False, host: str | None = None, json: bool = False
+    ) -> None:
+        """Start no new work in a failure domain until that is taken back.
+
+        Ends once it is in force; what runs there is left to end. Exits with 1 if that can't
+        be confirmed yet: run it again.
+
+        Args:
+            domain: its name, as `cell status` lists it.
+            undo: take it back.
+            host: IP:PORT of any host of the cell; default HERONTHREAD_HOST.
+            json: print a row as JSON.
+        """
+        ask_evacuation(domain, undo, host, json)
+
     def demo(
         self,
         file: str | None = None,
--- a/packages/heronthread-cli/tests/test_cell.py
+++ b/packages/heronthread-cli/tests/test_cell.py
@@ -4,7 +4,8 @@
 import pytest
 import trio
 from heronthread_cli.cell import Cell
-from heronthread_cli.exits import BadInput, HostUnreachable
+from heronthread_cli.commands import Heronthread
+from heronthread_cli.exits import BadInput, CommandError, HostUnreachable
 from heronthread_daemon.peer import serve_peers
 from heronthread_emulator import EmulatedSite
 
@@ -47,6 +48,53 @@
         assert [task["state"] for task in tasks] == ["running"] * 3
 
 
+async def test_domain_is_evacuated_shown_and_taken_back(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    async with EmulatedSite.open(executors=2, zones=2) as site:
+        owner = await site.wait_for_owner()
+        other = next(name for name in site.hosts if name != owner)
+        address = await _serve(site, other)
+
+        async def run(command: object, *args: str, **more: bool) -> tuple[str, str]:
+            await trio.to_thread.run_sync(lambda: command(*args, host=address, **more))  # type: ignore[operator]
+            shown = capsys.readouterr()
+            return shown.out, shown.err
+
+        out, _ = await run(Heronthread().evacuate, "z0")
+        assert out == "z0: no new work starts there; 0 runs are left to end\n"
+        out, err = await run(Cell().status)
+        assert out.startswith(f"{owner} decides, term 1, 2 hosts\n")
+        assert err == "guarantees exceed what is left by 24 accelerators\n"
+        out, _ = await run(Cell().status, json=True)
+        rows = {row["domain"]: row for row in json.loads(out)}
+        assert (rows["z0"]["evacuated"], rows["z0"]["asked by"]) == (True, "command")
+        assert rows["z1"]["evacuated"] is False
+        await run(Heronthread().evacuate, "z1")
+        site.evacuate("z9")
+        await trio.sleep(0.3)
+        _, err = await run(Cell().status)
+        assert "every failure domain is evacuated" in err
+        assert "z9: evacuated, but no executor is known there" in err
+        out, _ = await run(Heronthread().evacuate, "z1", undo=True)
+        assert out == "z1: takes new work again\n"
+        site.evacuate("z0")
+        await trio.sleep(0.3)
+        out, _ = await run(Heronthread().evacuate, "z0", undo=True)
+        assert out == "z0: still evacuated, as the platform's operator asks for it\n"
+        with pytest.raises(BadInput, match="z0: the platform's operator asks for it; remove"):
+            await run(Heronthread().evacuate, "z0", undo=True)
+        with pytest.raises(BadInput, match="zx: no executor is known there; there are z0, z1"):
+            await run(Heronthread().evacuate, "zx")
+        site.executors.by_id["e1"].is_cut = True
+        place = site.executors.by_id["e1"]
+        await site.hosts[owner].requests.accept(site.make_job("a"), 2.0)
+        await trio.sleep(0.1)
+        with pytest.raises(CommandError, match="not confirmed yet, run it again: asked for, but"):
+            await run(Heronthread().evacuate, "z1")
+        place.is_cut = False
+
+
 def test_missing_host_is_bad_input(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.delenv("HERONTHREAD_HOST", raising=False)
     with pytest.raises(BadInput, match="--host"):
