--- a/packages/heronthread-dispatch/tests/test_owner.py
+++ b/packages/heronthread-dispatch/tests/test_owner.py
@@ -145,6 +145,31 @@
         _check(site)
 
 
+async def test_executor_without_its_entry_gets_nothing_new_until_it_is_back(
+    autojump_clock: Clock,
+) -> None:
+    """Entries go in the store's absence: what runs goes on, and new work waits for the entry."""
+    async with EmulatedSite.open(hosts=1, executors=2) as site:
+        host = site.hosts[await site.wait_for_owner()]
+        await host.requests.accept(site.make_job("a", count=16, work_s=9.0), 2.0)
+        await trio.sleep(1.0)
+        entry = site.store.items["executors/e0"].value
+        site.store.is_down = True
+        site.store.remove("executors/e0")
+        await trio.sleep(4.0)
+        site.store.is_down = False
+        await trio.sleep(1.0)
+        await host.requests.accept(site.make_job("b", count=8, work_s=1.0), 2.0)
+        await trio.sleep(6.0)
+        assert {s.executor for s in site.executors.starts() if s.task.job == "b"} == {"e1"}
+        assert [e.what for e in site.executors.events if e.task.job == "a"].count("done") == 16
+        site.store.put("executors/e0", entry)
+        await trio.sleep(1.0)
+        await host.requests.accept(site.make_job("c", count=16, work_s=1.0), 2.0)
+        await trio.sleep(1.0)
+        assert {s.executor for s in site.executors.starts() if s.task.job == "c"} == {"e0", "e1"}
+
+
 async def test_job_taken_in_after_a_takeover_does_not_wait_for_silent_executors(
     autojump_clock: Clock,
 ) -> None:
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -25,6 +25,7 @@
     "anti-affinity",
     "same-rack",
     "op/config",
+    "op/evacuate",
     "servers/",
     "HERONTHREAD_NODE_FILE",
     "Deadline-Ms",
