--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host_state.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host_state.py
@@ -10,6 +10,7 @@
 
 from .approval import Approver, NoApprover
 from .configuring import ConfigurationFormat, ConfigurationInForce
+from .evacuation import Evacuations
 from .executor_link import ExecutorLink
 from .keystore import KeyStore
 from .observed import ObservedStore
@@ -54,6 +55,7 @@
         self.parts = parts
         self.store = ObservedStore(parts.store)
         self.configuration = ConfigurationInForce(parts.configuration)
+        self.evacuations = Evacuations(parts.configuration.evacuations)
         presence = Presence(settings.name, settings.peer_address, settings.strength)
         self.tenure = Tenure(self.store, presence)
         self.members: dict[str, Presence] = {}
--- a/packages/heronthread-emulator/src/heronthread_emulator/executor_server.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/executor_server.py
@@ -77,6 +77,7 @@
         *,
         token: int = 0,
         number: int = 0,
+        sent_at: float = 0.0,
     ) -> None:
         event = Event(time.time(), what, task, run, executor.executor.id, token, number)
         self.sight.note(
--- a/packages/heronthread-emulator/src/heronthread_emulator/executors.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/executors.py
@@ -66,7 +66,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Event:
-    """One start or end, for the checker."""
+    """One start or end, for the checker; `sent_at` is when the order of a start was given."""
 
     at: float
     what: str
@@ -75,6 +75,7 @@
     executor: str
     token: int = 0
     number: int = 0
+    sent_at: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -213,9 +214,11 @@
         *,
         token: int = 0,
         number: int = 0,
+        sent_at: float = 0.0,
     ) -> None:
         now = trio.current_time()
-        self.events.append(Event(now, what, task, run, executor.executor.id, token, number))
+        name = executor.executor.id
+        self.events.append(Event(now, what, task, run, name, token, number, sent_at))
 
     def crash(self, name: str) -> None:
         """End a life at once: what ran there is gone, and it lists nothing any more."""
@@ -250,7 +253,8 @@
             place.lose_starts -= 1
         elif place is not None and await self._is_shed(place):
             return Unhealthy()
-        return await self._order(executor, lambda e: self._start(e, order), is_lost)
+        sent_at = trio.current_time()
+        return await self._order(executor, lambda e: self._start(e, order, sent_at), is_lost)
 
     async def stop(self, executor: Executor, order: StopOrder) -> OrderOutcome:
         """Stop a run."""
@@ -316,7 +320,7 @@
     ) -> OrderOutcome:
         """Carry an order out at once; of a hold only what it says, not its wait."""
         if isinstance(order, StartOrder):
-            return self._start(place, order)
+            return self._start(place, order, trio.current_time())
         return (
             self._stop(place, order) if isinstance(order, StopOrder) else self._hold(place, order)
         )
@@ -327,7 +331,7 @@
         place.token = token
         return False
 
-    def _start(self, place: EmulatedExecutor, order: StartOrder) -> OrderOutcome:
+    def _start(self, place: EmulatedExecutor, order: StartOrder, sent_at: float) -> OrderOutcome:
         if self._fence(place, order.token):
             return Refused(Refusal.FENCED)
         if place.is_sick:
@@ -355,7 +359,7 @@
             arrived_at=trio.current_time(),
             kind=work.kind,
         )
-        self._log("start", place, order.task, order.run, token=order.token)
+        self._log("start", place, order.task, order.run, token=order.token, sent_at=sent_at)
         return Obeyed()
 
     def _stop(self, place: EmulatedExecutor, order: StopOrder) -> OrderOutcome:
--- a/packages/heronthread-emulator/src/heronthread_emulator/plants.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/plants.py
@@ -135,6 +135,15 @@
     return patch.object(OwnedCell, "_end_attempts", end_none)
 
 
+def _start_in_evacuated_domains() -> Any:
+    """Evacuated domains count as any other, in plans and at each start."""
+
+    def never(self: OwnedCell, state: ExecutorState) -> bool:
+        return False
+
+    return patch.object(OwnedCell, "is_evacuated", never)
+
+
 PLANTS: dict[str, Plant] = {
     "start-before-the-barrier": _start_before_the_barrier,
     "forget-ends-unrecorded": _forget_ends_unrecorded,
@@ -146,6 +155,7 @@
     "settle-by-any-refusal": _settle_by_any_refusal,
     "take-missing-entries-as-gone": _take_missing_entries_as_gone,
     "forget-cancelled-runs": _forget_cancelled_runs,
+    "start-in-evacuated-domains": _start_in_evacuated_domains,
 }
 
 
--- a/packages/heronthread-emulator/tests/test_plants.py
+++ b/packages/heronthread-emulator/tests/test_plants.py
@@ -13,6 +13,7 @@
     "settle-by-any-refusal": 1,
     "take-missing-entries-as-gone": 28,
     "forget-cancelled-runs": 2,
+    "start-in-evacuated-domains": 0,
 }
 SEEDS_TRIED = 40
 
