Answer callers truthfully when a peer's reply can't be read

A peer's reply of success with a record that is not one raised in the host that asked, and its caller got 500; so did a state or a count that was not as agreed. A body nested deeper than a reader goes raised in the host that was asked as well. News with an address that is none would have raised beside the host's other tasks and ended it.

Such a reply to a taking in or a cancel is told as doubt now, since the peer may have done it; a state is read from the store instead; a count is not known.

Ruled out: taking an unreadable success as success. What the peer keeps under the id may be a job that was cancelled before, so only the same call again settles it.

Records that can be read but hold other kinds of values than agreed are not looked at here.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -26,7 +26,6 @@
     UNSETTLED,
     Operation,
     PeerReply,
-    call_peer,
     decode_news,
     decode_record,
     encode_news,
@@ -255,7 +254,7 @@
         try:
             status, answer = await self._handle(forward.operation, json.loads(forward.body))
         except MALFORMED as error:
-            log_event("peer.malformed", operation=forward.operation, error=repr(error))
+            self.note_malformed(forward.operation, "", repr(error))
             return make_reply(BAD_REQUEST, {"reason": "the request can't be read"})
         return make_reply(status, answer)
 
@@ -289,7 +288,7 @@
             if presence is None or presence.host == self.settings.name or body.get("passed"):
                 return NOT_TAKEN, {"reason": "no owner is known"}
             asked = {**body, "passed": True}
-            reply = await call_peer(self.parts.peers, presence.address, operation, asked)
+            reply = await self.ask_peer(presence.address, operation, asked)
             if isinstance(reply, PeerReply):
                 return reply.status, reply.body
             return NOT_TAKEN, {"reason": reply.reason}
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host_state.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host_state.py
@@ -10,12 +10,14 @@
 
 from .approval import Approver, NoApprover
 from .configuring import ConfigurationFormat, ConfigurationInForce
+from .events import RepeatedEvents
 from .executor_link import ExecutorLink
 from .keystore import KeyStore
 from .observed import ObservedStore
 from .owned import DirectoryFormat, Timing
 from .owner import Owner
-from .peer import Peers
+from .peer import Peers, PeerUnreachable
+from .peering import CALL_S, MalformedReply, PeerReply, call_peer
 from .policy import DEFAULT_POLICY, Policy
 from .statistics import Statistics
 from .tenure import Presence, Strength, Tenure
@@ -60,9 +62,29 @@
         self.owner: Owner | None = None
         self.owner_presence: Presence | None = None
         self.statistics = Statistics()
+        self._malformed = RepeatedEvents()
         self._nursery: trio.Nursery | None = None
 
     def spawn(self, function: Callable[..., Awaitable[object]], *arguments: Any) -> None:
         """Run something beside the other tasks of this host."""
         assert self._nursery is not None, "the host runs"
         self._nursery.start_soon(function, *arguments)
+
+    async def ask_peer(
+        self, address: str, operation: int, body: dict[str, Any], timeout_s: float = CALL_S
+    ) -> PeerReply | PeerUnreachable:
+        """Ask a peer for one operation."""
+        reply = await call_peer(self.parts.peers, address, operation, body, timeout_s)
+        if isinstance(reply, MalformedReply):
+            self.note_malformed(operation, address, reply.reason)
+        return reply
+
+    def note_malformed(self, operation: int, address: str, error: str) -> None:
+        """Log that what a peer sent can't be read; the same again only now and then.
+
+        A broken peer sends it with every call, and its lines would push all others out.
+        """
+        key = (operation, address)
+        self._malformed.log(
+            "peer.malformed", key, operation=operation, address=address, error=error
+        )
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/news.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/news.py
@@ -15,7 +15,6 @@
     News,
     Operation,
     PeerReply,
-    call_peer,
     decode_news,
     decode_packed,
     encode_news,
@@ -141,13 +140,14 @@
 
     async def _tell(self, address: str) -> None:
         body = encode_news(self.make())
-        reply = await call_peer(self._host.parts.peers, address, Operation.NEWS, body)
+        reply = await self._host.ask_peer(address, Operation.NEWS, body)
         if isinstance(reply, PeerReply) and reply.status == OK:
             await self.take(decode_news(reply.body))
 
     async def take(self, news: News | None) -> None:
         """Take a peer's news in, and fetch its configuration if that is newer."""
         if news is None:
+            self._host.note_malformed(Operation.NEWS, "", "it is no news")
             return
         self.heard[news.host] = HeardNews(news, trio.current_time())
         if news.version > self._host.configuration.state.version:
@@ -181,7 +181,7 @@
     async def _fetch_from(self, address: str) -> bool:
         """Fetch a peer's version; whether it, or a newer one, is in force then."""
         before = self._host.configuration.state.version
-        reply = await call_peer(self._host.parts.peers, address, Operation.CONFIGURATION, {})
+        reply = await self._host.ask_peer(address, Operation.CONFIGURATION, {})
         if isinstance(reply, PeerReply) and reply.status == OK and "packed" in reply.body:
             packed = decode_packed(reply.body["packed"])
             if packed is None:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/peer.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/peer.py
@@ -174,6 +174,8 @@
                 connection = await self._connect(address)
             except OSError as error:
                 return PeerUnreachable(f"{address}: {error.strerror or error}", refused=True)
+            except (ValueError, OverflowError) as error:
+                return PeerUnreachable(f"{address}: no address: {error}", refused=True)
             return await self._exchange(address, connection, frame)
         if connection is not None and connection.heard_at < asked_at:
             # After a cut, a new connection is there long before an old one sends again.
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/peering.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/peering.py
@@ -19,7 +19,15 @@
 UNSETTLED = 504
 BAD_REQUEST = 400
 
-MALFORMED = (KeyError, IndexError, TypeError, ValueError, AttributeError)
+MALFORMED = (
+    KeyError,
+    IndexError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 """What reading a body raises that is not as agreed."""
 
 
@@ -53,6 +61,11 @@
     body: dict[str, Any]
 
 
+@dataclass(frozen=True, slots=True)
+class MalformedReply(PeerUnreachable):
+    """A reply came that can't be read; what was asked for may have been done."""
+
+
 async def call_peer(
     peers: Peers, address: str, operation: int, body: dict[str, Any], timeout_s: float = CALL_S
 ) -> PeerReply | PeerUnreachable:
@@ -65,7 +78,7 @@
     try:
         return PeerReply(int(answer.status), dict(json.loads(answer.body)))
     except MALFORMED as error:
-        return PeerUnreachable(f"{address}: a malformed reply: {error!r}")
+        return MalformedReply(f"{address}: a malformed reply: {error!r}")
 
 
 def make_reply(status: int, body: dict[str, Any]) -> Frame:
@@ -119,6 +132,7 @@
     "NOT_TAKEN",
     "OK",
     "UNSETTLED",
+    "MalformedReply",
     "News",
     "Operation",
     "PeerReply",
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/requests.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/requests.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from functools import partial
-from typing import Any
+from typing import Any, TypeVar
 
 import trio
 from heronthread_coordination import Measure, Unavailable
@@ -31,11 +31,11 @@
 from .peer import PeerUnreachable
 from .peering import (
     CALL_S,
+    MALFORMED,
     NOT_TAKEN,
     OK,
     Operation,
     PeerReply,
-    call_peer,
     decode_record,
     encode_record,
 )
@@ -54,6 +54,8 @@
 QUERY_BUDGET_S = 0.8
 MAX_FINAL = 20_000
 
+Read = TypeVar("Read")
+
 
 class Requests:
     """What one host does for callers, with its peers' help where it lacks the store."""
@@ -141,15 +143,18 @@
         self, address: str, operation: int, body: dict[str, Any], doubt: Doubt
     ) -> IntakeOutcome:
         doubt.is_open = True
-        reply = await call_peer(self._host.parts.peers, address, operation, body, PEER_INTAKE_S)
+        reply = await self._host.ask_peer(address, operation, body, PEER_INTAKE_S)
         doubt.is_open = False
         if isinstance(reply, PeerUnreachable):
             return NotTaken(reply.reason) if reply.refused else Unsettled(reply.reason)
         if reply.status == OK:
-            return Taken(decode_record(reply.body))
+            record = self._read_reply(reply, operation, address, decode_record)
+            if record is not None:
+                return Taken(record)
+            return Unsettled(f"{address}: the job in its reply can't be read")
         if reply.status == 410:
             return NoSuchJob()
-        reason = reply.body.get("reason", "")
+        reason = str(reply.body.get("reason", ""))
         return NotTaken(reason) if reply.status == NOT_TAKEN else Unsettled(reason)
 
     def _tell_owner(self, record: JobRecord) -> None:
@@ -161,7 +166,7 @@
         elif self._host.owner_presence is not None:
             body = encode_record(record)
             address = self._host.owner_presence.address
-            self._host.spawn(call_peer, self._host.parts.peers, address, Operation.NOTE_JOB, body)
+            self._host.spawn(self._host.ask_peer, address, Operation.NOTE_JOB, body)
 
     async def find_job(self, job_id: str) -> JobView | NoSuchJob | Unavailable:
         """Return what may be told of a job."""
@@ -185,17 +190,15 @@
             return self._host.owner.view(job_id)
         if self._host.owner_presence is None:
             return None
-        reply = await call_peer(
-            self._host.parts.peers,
-            self._host.owner_presence.address,
+        address = self._host.owner_presence.address
+        reply = await self._host.ask_peer(
+            address,
             Operation.JOB_STATE,
             {"job": job_id},
             QUERY_BUDGET_S,
         )
         if isinstance(reply, PeerReply) and reply.status == OK:
-            return JobView(
-                JobStatus(reply.body["status"]), reply.body["tenant"], reply.body["queue"]
-            )
+            return self._read_reply(reply, Operation.JOB_STATE, address, _decode_view)
         return None
 
     async def _read_view(self, job_id: str) -> JobView | NoSuchJob | Unavailable:
@@ -224,13 +227,41 @@
             return self._host.owner.count_pending(queue)
         if self._host.owner_presence is None:
             return None
-        reply = await call_peer(
-            self._host.parts.peers,
-            self._host.owner_presence.address,
+        address = self._host.owner_presence.address
+        reply = await self._host.ask_peer(
+            address,
             Operation.QUEUE_COUNT,
             {"queue": queue},
             CALL_S,
         )
         if isinstance(reply, PeerReply) and reply.status == OK:
-            return int(reply.body["count"])
+            return self._read_reply(reply, Operation.QUEUE_COUNT, address, _decode_count)
         return None
+
+    def _read_reply(
+        self,
+        reply: PeerReply,
+        operation: int,
+        address: str,
+        decode: Callable[[dict[str, Any]], Read],
+    ) -> Read | None:
+        """Read a peer's reply; None if it is not as agreed."""
+        try:
+            return decode(reply.body)
+        except MALFORMED as error:
+            self._host.note_malformed(operation, address, repr(error))
+            return None
+
+
+def _decode_view(body: dict[str, Any]) -> JobView:
+    tenant, queue = body["tenant"], body["queue"]
+    if not isinstance(tenant, str) or not isinstance(queue, str):
+        raise ValueError("a tenant and a queue are texts")
+    return JobView(JobStatus(body["status"]), tenant, queue)
+
+
+def _decode_count(body: dict[str, Any]) -> int:
+    count = int(body["count"])
+    if count < 0:
+        raise ValueError(f"a count of {count}")
+    return count
--- a/packages/heronthread-dispatch/tests/test_peer.py
+++ b/packages/heronthread-dispatch/tests/test_peer.py
@@ -56,6 +56,16 @@
         assert await _answers(peers, address)
 
 
+@pytest.mark.parametrize("address", ["", "a", "127.0.0.1:", "127.0.0.1:x", "127.0.0.1:99999"])
+async def test_an_address_that_is_none_is_an_unreachable_peer(address: str) -> None:
+    """A peer tells others' addresses too; calls go out beside all other tasks of a host."""
+    async with _served() as (served, peers):
+        reply = await peers.call(address, _ask(b"hello"), 1.0)
+        assert isinstance(reply, PeerUnreachable)
+        assert reply.refused
+        assert await _answers(peers, served)
+
+
 async def test_call_given_up_while_sending_breaks_no_later_one() -> None:
     """A frame sent in part must not be completed by the next one."""
     accepted: list[trio.SocketStream] = []
