Refuse a job at once that its pool can never hold

A task larger than every executor of its pool, or a gang larger than the pool, was taken in and waited for ever; its caller was told 200. It is told 503 now, with the reason and `Retry-After: 30`; nothing is stored, and the host's `job.accept` line says why.

Only the owner knows the executors, so a host asks it, once in 10 s for each pool and for each job that does not fit what it told. Ruled out: sizes in the news (hearsay of unknown age), each host following the entries (each watch is priced), and 400, of which callers do not know whether the job runs.

A pool is judged once it has not grown for 30 s, anew by each owner; executors that went within 30 s count, and an empty pool is not judged. A job that was taken in before stays one job: the store is read once for a job about to be refused, and not for any other. No answer refuses nothing.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -13,6 +13,7 @@
 from .intake import Doubt, NoSuchJob, NotTaken, Taken
 from .keystore import Gone, Item, Listing
 from .loop import LoopWatch
+from .model import JobSpec
 from .news import NewsExchange
 from .overview import describe_cell, describe_job
 from .owned import OwnerParts
@@ -34,6 +35,7 @@
     make_reply,
 )
 from .requests import Requests
+from .sizes import encode_kinds
 from .succession import RANK_DELAY_S, find_stronger, rank
 from .tenure import Presence
 from .wire.ttypes import Frame
@@ -274,10 +276,19 @@
             if self.owner is not None and self.tenure.is_valid:
                 self.owner.note_job(decode_record(body))
             return OK, {}
+        if operation == Operation.JOB_FIT:
+            return self._check_fit(decode_record(body).spec)
         if operation in (Operation.CELL_OVERVIEW, Operation.JOB_STORY):
             return await self._handle_question(operation, body)
         return await self._handle_intake(operation, body)
 
+    def _check_fit(self, spec: JobSpec) -> tuple[int, dict[str, Any]]:
+        """Tell whether a job can ever be served; only an owner can, and while it is one."""
+        if self.owner is None or not self.owner.is_ready or not self.tenure.is_valid:
+            return NOT_HERE, {}
+        reason, kinds = self.owner.check_fit(spec)
+        return OK, {"reason": reason, "kinds": encode_kinds(kinds)}
+
     async def _handle_question(
         self, operation: int, body: dict[str, Any]
     ) -> tuple[int, dict[str, Any]]:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host_state.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host_state.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, TypeVar
 
 import trio
 
@@ -17,11 +17,13 @@
 from .owned import DirectoryFormat, Timing
 from .owner import Owner
 from .peer import Peers, PeerUnreachable
-from .peering import CALL_S, MalformedReply, PeerReply, call_peer
+from .peering import CALL_S, MALFORMED, MalformedReply, PeerReply, call_peer
 from .policy import DEFAULT_POLICY, Policy
 from .statistics import Statistics
 from .tenure import Presence, Strength, Tenure
 
+Read = TypeVar("Read")
+
 
 @dataclass(frozen=True, slots=True)
 class HostSettings:
@@ -88,3 +90,17 @@
         self._malformed.log(
             "peer.malformed", key, operation=operation, address=address, error=error
         )
+
+    def read_reply(
+        self,
+        reply: PeerReply,
+        operation: int,
+        address: str,
+        decode: Callable[[dict[str, Any]], Read],
+    ) -> Read | None:
+        """Read a peer's reply; None if it is not as agreed."""
+        try:
+            return decode(reply.body)
+        except MALFORMED as error:
+            self.note_malformed(operation, address, repr(error))
+            return None
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -14,7 +14,7 @@
 from .follow import Follower
 from .housekeeping import Housekeeping
 from .keystore import Committed, Gone, Item, Listing, Mismatch, Put, Transaction
-from .model import Executor, Resources, TaskKey
+from .model import Executor, JobSpec, Resources, TaskKey
 from .orders import Orders
 from .owned import JOB_PREFIX, OwnedCell, OwnerParts
 from .peaks import RecentPeaks
@@ -23,6 +23,7 @@
 from .record import JobRecord, JobStatus, ProgressRecord, decode_job
 from .recorder import PROGRESS_PREFIX, Deposed, progress_key
 from .retention import remove_old_jobs
+from .sizes import Kind, PoolSizes, find_misfit
 from .tenure import Term
 from .watching import ExecutorWatch
 
@@ -64,6 +65,7 @@
         self._nursery: trio.Nursery | None = None
         self._orders: Orders | None = None
         self._urgent = RecentPeaks(URGENT_WINDOW_S)
+        self._sizes = PoolSizes()
 
     @property
     def is_settled(self) -> bool:
@@ -222,6 +224,7 @@
         for item in listing.items:
             self._take_entry(item)
             present.add(item.key.removeprefix(self.parts.directory.prefix))
+        self._sizes.drop_others(present, trio.current_time())
         for state in self.cell.executors.values():
             if state.id not in present:
                 state.listed = False
@@ -231,6 +234,7 @@
         executor_id = event.key.removeprefix(self.parts.directory.prefix)
         state = self.cell.executors.get(executor_id)
         if isinstance(event, Gone):
+            self._sizes.drop(executor_id, trio.current_time())
             if state is not None:
                 state.listed = False
                 state.wake.set()
@@ -239,6 +243,7 @@
         if executor is None:
             return
         now = trio.current_time()
+        self._sizes.keep(executor, now)
         if state is None:
             state = make_executor(executor, now)
             self.cell.executors[executor_id] = state
@@ -336,6 +341,20 @@
             return None
         return JobView(job.shown, job.spec.tenant, job.spec.queue.name)
 
+    def check_fit(self, spec: JobSpec) -> tuple[str, list[Kind]]:
+        """Return why a job can never be served, "" if it may be, and what its pool holds.
+
+        What is in the cell already stays and waits, and a pool that grows is not judged.
+        """
+        now = trio.current_time()
+        pool = self.parts.desired().current_queue(spec).pool
+        kinds = self._sizes.list_kinds(pool, now)
+        if not self.is_ready or not kinds or not self._sizes.is_settled(pool, now):
+            return "", kinds
+        if spec.id in self.cell.jobs:
+            return "", kinds
+        return find_misfit(kinds, spec, pool), kinds
+
     def count_pending(self, queue: str) -> int | None:
         """Return how many accepted jobs of a queue have not begun."""
         if not self.is_ready:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/requests.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/requests.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from functools import partial
-from typing import Any, TypeVar
+from typing import Any
 
 import trio
 from heronthread_coordination import Measure, Unavailable
 
 from .events import log_event
+from .fitting import Fitting
 from .host_state import HostState
 from .intake import (
     Doubt,
@@ -31,7 +32,6 @@
 from .peer import PeerUnreachable
 from .peering import (
     CALL_S,
-    MALFORMED,
     NOT_TAKEN,
     OK,
     Operation,
@@ -47,6 +47,7 @@
     decode_job,
 )
 from .recorder import progress_key
+from .sizes import SEEN_S
 
 ACCEPT_BUDGET_S = 2.2
 PEER_INTAKE_S = 1.2
@@ -54,8 +55,6 @@
 QUERY_BUDGET_S = 0.8
 MAX_FINAL = 20_000
 
-Read = TypeVar("Read")
-
 
 class Requests:
     """What one host does for callers, with its peers' help where it lacks the store."""
@@ -63,15 +62,19 @@
     def __init__(self, host: HostState, news: NewsExchange) -> None:
         self._host = host
         self._news = news
+        self._fitting = Fitting(host)
         self._final: dict[str, JobView] = {}
 
     async def accept(self, record: JobRecord, budget_s: float) -> IntakeOutcome:
         """Take a job in."""
         body = encode_record(record)
         started = trio.current_time()
-        outcome = await self._intake(
-            partial(self.accept_here, record), Operation.ACCEPT_JOB, body, budget_s
-        )
+        outcome: IntakeOutcome | None = await self._refuse_hopeless(record)
+        if outcome is None:
+            left_s = budget_s - (trio.current_time() - started)
+            outcome = await self._intake(
+                partial(self.accept_here, record), Operation.ACCEPT_JOB, body, left_s
+            )
         elapsed = trio.current_time() - started
         self._host.statistics.count("accepts", type(outcome).__name__)
         self._host.statistics.record(
@@ -90,6 +93,22 @@
         )
         return outcome
 
+    async def _refuse_hopeless(self, record: JobRecord) -> NotTaken | None:
+        """Refuse a job that can never be served, unless it was taken in before.
+
+        A job that is there stays one job: its caller may only have lost the answer.
+        """
+        store = self._host.store
+        if not store.is_answering:
+            return None
+        reason = await self._fitting.find_reason(record.spec)
+        if not reason:
+            return None
+        with trio.move_on_after(store.patience_s):
+            if isinstance(await store.read(job_key(record.spec.id)), Missing):
+                return NotTaken(reason, SEEN_S)
+        return None
+
     async def accept_here(self, record: JobRecord, doubt: Doubt) -> IntakeOutcome:
         """Take a job in at the store, as this host reaches it."""
         store = self._host.store
@@ -148,7 +167,7 @@
         if isinstance(reply, PeerUnreachable):
             return NotTaken(reply.reason) if reply.refused else Unsettled(reply.reason)
         if reply.status == OK:
-            record = self._read_reply(reply, operation, address, decode_record)
+            record = self._host.read_reply(reply, operation, address, decode_record)
             if record is not None:
                 return Taken(record)
             return Unsettled(f"{address}: the job in its reply can't be read")
@@ -198,7 +217,7 @@
             QUERY_BUDGET_S,
         )
         if isinstance(reply, PeerReply) and reply.status == OK:
-            return self._read_reply(reply, Operation.JOB_STATE, address, _decode_view)
+            return self._host.read_reply(reply, Operation.JOB_STATE, address, _decode_view)
         return None
 
     async def _read_view(self, job_id: str) -> JobView | NoSuchJob | Unavailable:
@@ -235,23 +254,9 @@
             CALL_S,
         )
         if isinstance(reply, PeerReply) and reply.status == OK:
-            return self._read_reply(reply, Operation.QUEUE_COUNT, address, _decode_count)
+            return self._host.read_reply(reply, Operation.QUEUE_COUNT, address, _decode_count)
         return None
 
-    def _read_reply(
-        self,
-        reply: PeerReply,
-        operation: int,
-        address: str,
-        decode: Callable[[dict[str, Any]], Read],
-    ) -> Read | None:
-        """Read a peer's reply; None if it is not as agreed."""
-        try:
-            return decode(reply.body)
-        except MALFORMED as error:
-            self._host.note_malformed(operation, address, repr(error))
-            return None
-
 
 def _decode_view(body: dict[str, Any]) -> JobView:
     tenant, queue = body["tenant"], body["queue"]
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/wire.thrift
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/wire.thrift
@@ -46,6 +46,7 @@
   CONFIGURATION = 14
   CELL_OVERVIEW = 15
   JOB_STORY = 16
+  JOB_FIT = 17
 }
 
 /** A caller's request on its way from an entry host to the owner of a cell. */
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/wire/ttypes.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/wire/ttypes.py
@@ -33,6 +33,7 @@
     CONFIGURATION = 14
     CELL_OVERVIEW = 15
     JOB_STORY = 16
+    JOB_FIT = 17
 
     _VALUES_TO_NAMES = {
         1: "SUBMIT",
@@ -51,6 +52,7 @@
         14: "CONFIGURATION",
         15: "CELL_OVERVIEW",
         16: "JOB_STORY",
+        17: "JOB_FIT",
     }
 
     _NAMES_TO_VALUES = {
@@ -70,6 +72,7 @@
         "CONFIGURATION": 14,
         "CELL_OVERVIEW": 15,
         "JOB_STORY": 16,
+        "JOB_FIT": 17,
     }
 
 
--- /dev/null
+++ b/packages/heronthread-dispatch/tests/test_sizes.py
@@ -0,0 +1,132 @@
+"""What a pool is known to hold, and what is said of jobs that it never can."""
+
+import random
+
+import pytest
+from heronthread_dispatch.model import Executor, JobSpec, Queue, Resources, StepSpec
+from heronthread_dispatch.sizes import (
+    SEEN_S,
+    Kind,
+    PoolSizes,
+    decode_kinds,
+    encode_kinds,
+    find_misfit,
+)
+
+SMALL = Resources(8_000, 8_000, 4)
+LARGE = Resources(16_000, 64_000, 8)
+KINDS = [Kind(SMALL, ("small", "r0"), 3), Kind(LARGE, ("large", "r1"), 2)]
+QUEUE = Queue("q", "h", "/q/", "pool", 1, 3, 3.0, 1.0)
+
+
+def _make_executor(name: str, capacity: Resources = SMALL, pool: str = "pool") -> Executor:
+    return Executor(name, name, pool, "z", "r0", ("small", "r0"), capacity)
+
+
+def _make_job(*steps: StepSpec) -> JobSpec:
+    return JobSpec("a", QUEUE, "t", "", steps, 0.0)
+
+
+def _ask(count: int, accelerators: int, **more: object) -> JobSpec:
+    need = Resources(100, 100, accelerators)
+    return _make_job(StepSpec(count, need, 1.0, **more))  # type: ignore[arg-type]
+
+
+def _count_held(sizes: PoolSizes, now: float, pool: str = "pool") -> int:
+    return sum(kind.count for kind in sizes.list_kinds(pool, now))
+
+
+@pytest.mark.parametrize(
+    ("spec", "fits"),
+    [
+        (_ask(1, 8), True),
+        (_ask(1, 9), False),
+        (_ask(1_000, 1), True),  # no gang: one after another
+        (_ask(1_000, 1, lasting=True), True),
+        (_ask(28, 1, gang=True), True),
+        (_ask(29, 1, gang=True), False),
+        (_ask(29, 1, gang=True, same_rack=True), False),
+        (_ask(16, 1, gang=True, same_rack=True), True),
+        (_ask(28, 1, gang=True, same_rack=True, data_rack="r9"), True),  # only slower
+        (_ask(5, 1, gang=True, spread_limit=1), True),
+        (_ask(6, 1, gang=True, spread_limit=1), False),
+        (_ask(6, 1, spread_limit=1), True),
+        (_ask(1, 5, label="large"), True),
+        (_ask(1, 5, label="small"), False),
+        (_ask(1, 1, label="none such"), False),
+        (_ask(12, 1, gang=True, label="small"), True),
+        (_ask(13, 1, gang=True, label="small"), False),
+        (_make_job(StepSpec(3, Resources(), 1.0, gang=True)), True),
+        (_make_job(StepSpec(1, Resources(16_001, 0, 0), 1.0)), False),
+        (_make_job(StepSpec(1, SMALL, 1.0), StepSpec(1, Resources(0, 64_001, 0), 1.0)), False),
+    ],
+)
+def test_what_can_be_held_is_told_from_what_never_can(spec: JobSpec, fits: bool) -> None:
+    reason = find_misfit(KINDS, spec, "pool")
+    assert (reason == "") is fits
+    assert fits or f"pool seen in the last {SEEN_S:g} s" in reason
+
+
+def test_a_pool_is_judged_once_it_has_not_grown_for_a_while() -> None:
+    sizes = PoolSizes()
+    assert not sizes.is_settled("pool", 100.0)
+    sizes.keep(_make_executor("e0"), 0.0)
+    sizes.keep(_make_executor("e1"), 10.0)
+    assert not sizes.is_settled("pool", 10.0 + SEEN_S - 0.1)
+    assert sizes.is_settled("pool", 10.0 + SEEN_S)
+    sizes.keep(_make_executor("e1"), 50.0)  # the same again
+    sizes.drop("e1", 51.0)
+    sizes.keep(_make_executor("e2"), 52.0)  # one in the place of another
+    assert sizes.is_settled("pool", 52.0)
+    sizes.keep(_make_executor("e3"), 53.0)
+    assert not sizes.is_settled("pool", 54.0)
+    assert not sizes.is_settled("second", 54.0)
+
+
+def test_executors_that_went_of_late_count() -> None:
+    sizes = PoolSizes()
+    for number in range(3):
+        sizes.keep(_make_executor(f"e{number}"), 0.0)
+    sizes.keep(_make_executor("f0", pool="second"), 0.0)
+    sizes.drop_others({"e0", "f0"}, 100.0)
+    assert _count_held(sizes, 100.0 + SEEN_S - 0.1) == 3
+    assert _count_held(sizes, 100.0 + SEEN_S) == 1
+    assert _count_held(sizes, 100.0, "second") == 1
+    sizes.drop("e0", 200.0)
+    sizes.drop("e0", 200.0 + SEEN_S - 0.1)
+    assert _count_held(sizes, 200.0 + SEEN_S) == 0
+
+
+def test_an_executor_that_says_something_else_of_itself_counts_once() -> None:
+    sizes = PoolSizes()
+    sizes.keep(_make_executor("e0"), 0.0)
+    sizes.keep(_make_executor("e0", LARGE), 1.0)
+    assert sizes.list_kinds("pool", 1.0) == [Kind(LARGE, ("small", "r0"), 1)]
+    sizes.keep(_make_executor("e0", LARGE, "second"), 2.0)
+    assert sizes.list_kinds("pool", 2.0) == []
+    assert sizes.list_kinds("second", 2.0) == [Kind(LARGE, ("small", "r0"), 1)]
+
+
+def test_what_went_is_forgotten_also_when_nobody_asks() -> None:
+    sizes = PoolSizes()
+    for number in range(1_000):
+        sizes.keep(_make_executor(f"e{number}"), float(number))
+        sizes.drop(f"e{number}", float(number))
+    assert len(sizes._seen) <= SEEN_S + 1
+
+
+def test_kinds_come_through_a_body_as_they_were() -> None:
+    assert decode_kinds(encode_kinds(KINDS)) == KINDS
+
+
+def test_a_body_without_kinds_is_told() -> None:
+    source = random.Random(3)
+    values = (None, 7, "a", [], [1], {}, [[1, 2]], [[[1, 2, 3], [7], 1]], [["a", [], 1]], [[[1]]])
+    assert decode_kinds([]) == []
+    for value in [v for v in values if v != []]:
+        with pytest.raises((TypeError, ValueError)):
+            decode_kinds(value)
+    for _ in range(50):
+        row = [source.choice(values), source.choice(values), source.choice((None, "x", []))]
+        with pytest.raises((TypeError, ValueError)):
+            decode_kinds([row])
