Count the room of a run that ends by itself once

What ends by itself within a stop's time is waited for and its room counted as coming free. Where it was also the cheapest to take, its room was counted again, so a step was promised more than would come and the run that really was in the way went on; likewise where the plan stopped it already.

Now it is no candidate for a stop by one that waits for it, and counts as ending only until the plan stops it, in the planner and in the plain one of the tests. Ruled out: taking it and not waiting, which throws away work for nothing.

By reading, a lasting run at work counts as one that ends soon; that is noted as open.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/clearing.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/clearing.py
@@ -77,7 +77,10 @@
     `soon` is what is left there without what is running and not doomed.
     """
     need = terms.need
+    ending: frozenset[int] = frozenset()
     if terms.waits:
+        # What ends by itself is counted here, so stopping it as well would gain nothing.
+        ending = losses.find_ending(room, doomed)
         soon = losses.add_ending(room, soon, doomed)
     if need.fits_in(soon):
         return Way(0.0, [])
@@ -85,7 +88,7 @@
     chosen: list[Loss] = []
     away = set(doomed)
     for loss in losses.list_takeable(terms.guaranteed, room):
-        if id(loss.attempt) in away:
+        if id(loss.attempt) in away or id(loss.attempt) in ending:
             continue
         if loss.is_lasting and not losses.may_be_away(loss.attempt, away):
             continue
@@ -93,7 +96,7 @@
         cost += loss.core_seconds
         for member in loss.members:
             away.add(id(member))
-            if member.executor == room.state.id:
+            if member.executor == room.state.id and id(member) not in ending:
                 soon = soon.plus(member.need)
         if need.fits_in(soon):
             return Way(cost, chosen)
@@ -124,7 +127,7 @@
         entries: list[Entry] = []
         unsettled, most = [], 0
         for room in rooms:
-            ladder = losses.find_ladder(terms.guaranteed, room)
+            ladder = losses.find_ladder(terms.guaranteed, terms.waits, room)
             soon = losses.add_ending(room, room.soon) if terms.waits else room.soon
             most += max(0, count_fits(terms.need, soon.plus(ladder.total)))
             if ladder.has_lasting:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/losses.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/losses.py
@@ -83,7 +83,7 @@
         self._stop_s = stop_s
         self._known: dict[str, list[Loss]] = {}
         self._of_gang: dict[int, Loss] = {}
-        self._ladders: dict[tuple[bool, str], tuple[int, Ladder]] = {}
+        self._ladders: dict[tuple[bool, bool, str], tuple[int, Ladder]] = {}
         self._ending: dict[str, list[Attempt]] = {}
         self._sharing: dict[str, bool] = {}
 
@@ -99,12 +99,16 @@
             known = [loss for loss in known if id(loss.attempt) not in self._stopped]
         return known
 
-    def find_ladder(self, guaranteed: bool, room: Room) -> Ladder:
-        """Return what may be stopped at an executor, summed up."""
-        key = (guaranteed and self._holds_urgent(room), room.state.id)
+    def find_ladder(self, guaranteed: bool, waits: bool, room: Room) -> Ladder:
+        """Return what may be stopped at an executor, summed up.
+
+        With `waits` that is beside what ends by itself.
+        """
+        waits = waits and bool(self.list_ending(room))
+        key = (guaranteed and self._holds_urgent(room), waits, room.state.id)
         known = self._ladders.get(key)
         if known is None or known[0] != room.stops:
-            known = self._ladders[key] = (room.stops, self._make_ladder(key[0], room))
+            known = self._ladders[key] = (room.stops, self._make_ladder(key[0], waits, room))
         return known[1]
 
     def _holds_urgent(self, room: Room) -> bool:
@@ -121,17 +125,20 @@
             self._known[room.state.id] = known
         return known
 
-    def _make_ladder(self, guaranteed: bool, room: Room) -> Ladder:
+    def _make_ladder(self, guaranteed: bool, waits: bool, room: Room) -> Ladder:
         losses: list[Loss] = []
         costs: list[float] = []
         freed: list[Resources] = []
         cost, room_freed, total = 0.0, NOTHING, NOTHING
         has_lasting = False
         away: set[int] = set()
+        ending = self.find_ending(room) if waits else frozenset()
         for loss in self.list_takeable(guaranteed, room):
             need = loss.attempt.need
-            total = total.plus(need)
             has_lasting |= loss.is_lasting
+            if id(loss.attempt) in ending:
+                continue
+            total = total.plus(need)
             if id(loss.attempt) in away:
                 continue
             cost += loss.core_seconds
@@ -140,7 +147,7 @@
             else:
                 for member in loss.members:
                     away.add(id(member))
-                    if member.executor == room.state.id:
+                    if member.executor == room.state.id and id(member) not in ending:
                         room_freed = room_freed.plus(member.need)
             losses.append(loss)
             costs.append(cost)
@@ -170,12 +177,20 @@
             ]
         return self._ending[executor]
 
+    def find_ending(self, room: Room, doomed: Container[int] = frozenset()) -> frozenset[int]:
+        """Return the ids of what ends by itself and isn't stopped, nor `doomed` to be."""
+        ending = (id(attempt) for attempt in self.list_ending(room))
+        return frozenset(i for i in ending if i not in doomed and i not in self._stopped)
+
     def add_ending(
         self, room: Room, soon: Resources, doomed: Container[int] = frozenset()
     ) -> Resources:
-        """Add the room of what ends by itself and isn't stopped."""
+        """Add the room of what ends by itself and isn't stopped.
+
+        The room of what is stopped is in `soon` already, however soon it would have ended.
+        """
         for attempt in self.list_ending(room):
-            if id(attempt) not in doomed:
+            if id(attempt) not in doomed and id(attempt) not in self._stopped:
                 soon = soon.plus(attempt.need)
         return soon
 
--- a/packages/heronthread-dispatch/tests/test_victims.py
+++ b/packages/heronthread-dispatch/tests/test_victims.py
@@ -74,6 +74,29 @@
     assert found is not None and [attempt.task.job for attempt in found[1]] == ["young"]
 
 
+def test_what_ends_by_itself_is_not_counted_again_as_stopped() -> None:
+    """Four come free by themselves, so the other four must be those of the run that stays."""
+    room = _make_room(0)
+    jobs = [_run(room, "nearly done", 4, 1.0, 60.0), _run(room, "stays", 4, 6.0, 40.0)]
+    found = _clear(jobs, _ask(1, 8), [room], stop_s=0.9)
+    assert found is not None and [attempt.task.job for attempt in found[1]] == ["stays"]
+    jobs = [_run(_make_room(1), "elsewhere", 8, 1.0, 10.0), *jobs]
+    assert _clear(jobs, _ask(2, 8), [room], stop_s=0.9) is None
+
+
+def test_what_the_plan_stops_already_is_not_counted_as_ending_too() -> None:
+    room = _make_room(0)
+    jobs = [_run(room, "nearly done", 4, 1.0, 60.0), _run(room, "stays", 4, 6.0, 40.0)]
+    stopped = jobs[0].steps[0].tasks[0].attempt
+    assert stopped is not None
+    room.await_stop(stopped.need)
+    room.take(stopped.need)  # for what it was stopped for
+    losses = Losses(jobs, DESIRED, set(), NOW, {id(stopped)}, 0.9)
+    candidate = _ask(1, 4)
+    found = Victims(losses, NOW).clear(candidate, 1, Scope([room]))
+    assert found is not None and [attempt.task.job for attempt in found[1]] == ["stays"]
+
+
 def test_nothing_is_taken_for_a_gang_that_would_not_fit_whole() -> None:
     rooms = [_make_room(0), _make_room(1)]
     jobs = [_run(rooms[0], "a", 8, 6.0, 40.0), _run(rooms[1], "b", 8, 1.0, 10.0)]
--- a/tests/plain_planner/victims.py
+++ b/tests/plain_planner/victims.py
@@ -108,8 +108,10 @@
         need, found = clearing.need, 0
         for room in scope:
             most = clearing.soon[room.state.id]
+            ending = self._find_ending(clearing.candidate, room, clearing.doomed)
             for loss in self._takeable(clearing.candidate, room):
-                most = most.plus(loss.attempt.need)
+                if id(loss.attempt) not in ending:
+                    most = most.plus(loss.attempt.need)
             if clearing.candidate.waited_s(self._now) < END_PATIENCE_S:
                 most = self._with_ending(room, most, clearing.doomed)
             found += max(0, count_fits(need, most))
@@ -153,6 +155,7 @@
     def _cheapest_here(self, clearing: _Clearing, room: Room) -> _Option | None:
         """Return what to stop at one executor so that one more task fits; None if nothing does."""
         need, soon, doomed = clearing.need, clearing.soon[room.state.id], clearing.doomed
+        ending = self._find_ending(clearing.candidate, room, doomed)
         if clearing.candidate.waited_s(self._now) < END_PATIENCE_S:
             soon = self._with_ending(room, soon, doomed)
         if need.fits_in(soon):
@@ -162,13 +165,15 @@
         away = set(doomed)
         for loss in self._takeable(clearing.candidate, room):
             attempt = loss.attempt
-            if id(attempt) in away or not self.may_be_away(attempt, away):
+            if id(attempt) in away or id(attempt) in ending:
+                continue
+            if not self.may_be_away(attempt, away):
                 continue
             victims.append(attempt)
             cost += loss.core_seconds
             for member in self.whole_gang(attempt):
                 away.add(id(member))
-                if member.executor == room.state.id:
+                if member.executor == room.state.id and id(member) not in ending:
                     soon = soon.plus(member.need)
             if need.fits_in(soon):
                 return _Option(cost, victims)
@@ -187,8 +192,20 @@
         stopped = self._stopped()
         return [loss for loss in self._known[key] if id(loss.attempt) not in stopped]
 
+    def _find_ending(self, candidate: Candidate, room: Room, doomed: set[int]) -> set[int]:
+        """Return the ids of what a candidate waits for instead of having it stopped."""
+        if candidate.waited_s(self._now) >= END_PATIENCE_S:
+            return set()
+        return {id(attempt) for attempt in self._list_ending(room, doomed)}
+
     def _with_ending(self, room: Room, soon: Resources, doomed: set[int]) -> Resources:
         """Add what will have ended by itself before a stop would be over."""
+        for attempt in self._list_ending(room, doomed):
+            soon = soon.plus(attempt.need)
+        return soon
+
+    def _list_ending(self, room: Room, doomed: set[int]) -> list[Attempt]:
+        """Return what ends by itself before a stop would be over, and is not stopped."""
         executor = room.state.id
         if executor not in self._ending:
             self._ending[executor] = [
@@ -197,10 +214,8 @@
                 if attempt.phase is Phase.RUNNING
                 and expected_end_s(attempt, self._now) <= self._stop_s
             ]
-        for attempt in self._ending[executor]:
-            if id(attempt) not in doomed:
-                soon = soon.plus(attempt.need)
-        return soon
+        gone = self._stopped().union(doomed)
+        return [attempt for attempt in self._ending[executor] if id(attempt) not in gone]
 
     def may_be_away(self, attempt: Attempt, doomed: Iterable[int] = ()) -> bool:
         """Whether a lasting task may be taken away beside `doomed` and what is stopped."""
--- a/tests/test_planner_equivalence.py
+++ b/tests/test_planner_equivalence.py
@@ -9,7 +9,9 @@
 import trio
 from heronthread_dispatch import owner as owner_module
 from heronthread_dispatch.fleet import ExecutorState
+from heronthread_dispatch.losses import expected_end_s
 from heronthread_dispatch.model import (
+    NOTHING,
     URGENT,
     DesiredState,
     Executor,
@@ -181,6 +183,26 @@
         assert found[1] == found[0], f"seed {seed}"
 
 
+@pytest.mark.parametrize("make", [PlainPlanner, Planner])
+def test_no_more_room_is_promised_than_comes_free(make: type[Planner]) -> None:
+    """What ends by itself counts once, also where the plan stops it."""
+    promised = 0
+    for seed in range(400):
+        jobs, executors = _make_state(seed)
+        policy = Policy(headroom=seed % 2 == 0, reserve=False)
+        planner = make(jobs, executors, DESIRED, NOW, NOW, policy=policy, stop_s=0.9)
+        stopped = {id(attempt) for attempt in planner.make().stops}
+        for room in (room for rooms in planner.rooms.values() for room in rooms):
+            left = room.soon
+            for attempt in room.state.attempts.values():
+                ends = expected_end_s(attempt, NOW) <= 0.9 and id(attempt) not in stopped
+                if attempt.phase is Phase.RUNNING and ends:
+                    left = left.plus(attempt.need)
+            assert NOTHING.fits_in(left), f"seed {seed}, {room.state.id}"
+            promised += not NOTHING.fits_in(room.soon)
+    assert promised >= 20, "rooms of which something that ends by itself is promised"
+
+
 def test_generated_states_show_every_kind_of_decision() -> None:
     """So that equal decisions say something: starts, stops, gangs, reservations, waits."""
     starts = stops = gangs = marks = waits = 0
