--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -23,6 +23,7 @@
 from .intake import Doubt, NoSuchJob, NotTaken, Taken
 from .keystore import Gone, Item, Listing
 from .loop import LoopWatch
+from .model import JobSpec
 from .news import NewsExchange
 from .overview import describe_cell, describe_job
 from .owned import OwnerParts
@@ -37,7 +38,6 @@
     UNSETTLED,
     Operation,
     PeerReply,
-    call_peer,
     decode_news,
     decode_record,
     encode_news,
@@ -46,6 +46,7 @@
     make_reply,
 )
 from .requests import Requests
+from .sizes import encode_kinds
 from .succession import RANK_DELAY_S, find_stronger, rank
 from .tenure import Presence
 from .wire.ttypes import Frame
@@ -282,7 +283,7 @@
         try:
             status, answer = await self._handle(forward.operation, json.loads(forward.body))
         except MALFORMED as error:
-            log_event("peer.malformed", operation=forward.operation, error=repr(error))
+            self.note_malformed(forward.operation, "", repr(error))
             return make_reply(BAD_REQUEST, {"reason": "the request can't be read"})
         return make_reply(status, answer)
 
@@ -302,10 +303,19 @@
             if self.owner is not None and self.tenure.is_valid:
                 self.owner.note_job(decode_record(body))
             return OK, {}
+        if operation == Operation.JOB_FIT:
+            return self._check_fit(decode_record(body).spec)
         if operation in OWNERS_OPERATIONS:
             return await self._handle_question(operation, body)
         return await self._handle_intake(operation, body)
 
+    def _check_fit(self, spec: JobSpec) -> tuple[int, dict[str, Any]]:
+        """Tell whether a job can ever be served; only an owner can, and while it is one."""
+        if self.owner is None or not self.owner.is_ready or not self.tenure.is_valid:
+            return NOT_HERE, {}
+        reason, kinds = self.owner.check_fit(spec)
+        return OK, {"reason": reason, "kinds": encode_kinds(kinds)}
+
     async def _handle_question(
         self, operation: int, body: dict[str, Any]
     ) -> tuple[int, dict[str, Any]]:
@@ -317,7 +327,7 @@
                 return NOT_TAKEN, {"reason": "no owner is known"}
             asked = {**body, "passed": True}
             limit_s = EVACUATE_S if operation == Operation.EVACUATE else CALL_S
-            reply = await call_peer(self.parts.peers, presence.address, operation, asked, limit_s)
+            reply = await self.ask_peer(presence.address, operation, asked, limit_s)
             if isinstance(reply, PeerReply):
                 return reply.status, reply.body
             return NOT_TAKEN, {"reason": reply.reason}
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/requests.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/requests.py
@@ -10,6 +10,7 @@
 from heronthread_coordination import Measure, Unavailable
 
 from .events import log_event
+from .fitting import Fitting
 from .host_state import HostState
 from .intake import (
     Doubt,
@@ -35,7 +36,6 @@
     OK,
     Operation,
     PeerReply,
-    call_peer,
     decode_record,
     encode_record,
 )
@@ -47,6 +47,7 @@
     decode_job,
 )
 from .recorder import progress_key
+from .sizes import SEEN_S
 
 ACCEPT_BUDGET_S = 2.2
 PEER_INTAKE_S = 1.2
@@ -61,15 +62,19 @@
     def __init__(self, host: HostState, news: NewsExchange) -> None:
         self._host = host
         self._news = news
+        self._fitting = Fitting(host)
         self._final: dict[str, JobView] = {}
 
     async def accept(self, record: JobRecord, budget_s: float) -> IntakeOutcome:
         """Take a job in."""
         body = encode_record(record)
         started = trio.current_time()
-        outcome = await self._intake(
-            partial(self.accept_here, record), Operation.ACCEPT_JOB, body, budget_s
-        )
+        outcome: IntakeOutcome | None = await self._refuse_hopeless(record)
+        if outcome is None:
+            left_s = budget_s - (trio.current_time() - started)
+            outcome = await self._intake(
+                partial(self.accept_here, record), Operation.ACCEPT_JOB, body, left_s
+            )
         elapsed = trio.current_time() - started
         self._host.statistics.count("accepts", type(outcome).__name__)
         self._host.statistics.record(
@@ -88,6 +93,22 @@
         )
         return outcome
 
+    async def _refuse_hopeless(self, record: JobRecord) -> NotTaken | None:
+        """Refuse a job that can never be served, unless it was taken in before.
+
+        A job that is there stays one job: its caller may only have lost the answer.
+        """
+        store = self._host.store
+        if not store.is_answering:
+            return None
+        reason = await self._fitting.find_reason(record.spec)
+        if not reason:
+            return None
+        with trio.move_on_after(store.patience_s):
+            if isinstance(await store.read(job_key(record.spec.id)), Missing):
+                return NotTaken(reason, SEEN_S)
+        return None
+
     async def accept_here(self, record: JobRecord, doubt: Doubt) -> IntakeOutcome:
         """Take a job in at the store, as this host reaches it."""
         store = self._host.store
@@ -141,15 +162,18 @@
         self, address: str, operation: int, body: dict[str, Any], doubt: Doubt
     ) -> IntakeOutcome:
         doubt.is_open = True
-        reply = await call_peer(self._host.parts.peers, address, operation, body, PEER_INTAKE_S)
+        reply = await self._host.ask_peer(address, operation, body, PEER_INTAKE_S)
         doubt.is_open = False
         if isinstance(reply, PeerUnreachable):
             return NotTaken(reply.reason) if reply.refused else Unsettled(reply.reason)
         if reply.status == OK:
-            return Taken(decode_record(reply.body))
+            record = self._host.read_reply(reply, operation, address, decode_record)
+            if record is not None:
+                return Taken(record)
+            return Unsettled(f"{address}: the job in its reply can't be read")
         if reply.status == 410:
             return NoSuchJob()
-        reason = reply.body.get("reason", "")
+        reason = str(reply.body.get("reason", ""))
         return NotTaken(reason) if reply.status == NOT_TAKEN else Unsettled(reason)
 
     def _tell_owner(self, record: JobRecord) -> None:
@@ -161,7 +185,7 @@
         elif self._host.owner_presence is not None:
             body = encode_record(record)
             address = self._host.owner_presence.address
-            self._host.spawn(call_peer, self._host.parts.peers, address, Operation.NOTE_JOB, body)
+            self._host.spawn(self._host.ask_peer, address, Operation.NOTE_JOB, body)
 
     async def find_job(self, job_id: str) -> JobView | NoSuchJob | Unavailable:
         """Return what may be told of a job."""
@@ -185,17 +209,15 @@
             return self._host.owner.view(job_id)
         if self._host.owner_presence is None:
             return None
-        reply = await call_peer(
-            self._host.parts.peers,
-            self._host.owner_presence.address,
+        address = self._host.owner_presence.address
+        reply = await self._host.ask_peer(
+            address,
             Operation.JOB_STATE,
             {"job": job_id},
             QUERY_BUDGET_S,
         )
         if isinstance(reply, PeerReply) and reply.status == OK:
-            return JobView(
-                JobStatus(reply.body["status"]), reply.body["tenant"], reply.body["queue"]
-            )
+            return self._host.read_reply(reply, Operation.JOB_STATE, address, _decode_view)
         return None
 
     async def _read_view(self, job_id: str) -> JobView | NoSuchJob | Unavailable:
@@ -224,13 +246,27 @@
             return self._host.owner.count_pending(queue)
         if self._host.owner_presence is None:
             return None
-        reply = await call_peer(
-            self._host.parts.peers,
-            self._host.owner_presence.address,
+        address = self._host.owner_presence.address
+        reply = await self._host.ask_peer(
+            address,
             Operation.QUEUE_COUNT,
             {"queue": queue},
             CALL_S,
         )
         if isinstance(reply, PeerReply) and reply.status == OK:
-            return int(reply.body["count"])
+            return self._host.read_reply(reply, Operation.QUEUE_COUNT, address, _decode_count)
         return None
+
+
+def _decode_view(body: dict[str, Any]) -> JobView:
+    tenant, queue = body["tenant"], body["queue"]
+    if not isinstance(tenant, str) or not isinstance(queue, str):
+        raise ValueError("a tenant and a queue are texts")
+    return JobView(JobStatus(body["status"]), tenant, queue)
+
+
+def _decode_count(body: dict[str, Any]) -> int:
+    count = int(body["count"])
+    if count < 0:
+        raise ValueError(f"a count of {count}")
+    return count
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/wire/ttypes.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/wire/ttypes.py
@@ -34,6 +34,7 @@
     CELL_OVERVIEW = 15
     JOB_STORY = 16
     EVACUATE = 17
+    JOB_FIT = 18
 
     _VALUES_TO_NAMES = {
         1: "SUBMIT",
@@ -53,6 +54,7 @@
         15: "CELL_OVERVIEW",
         16: "JOB_STORY",
         17: "EVACUATE",
+        18: "JOB_FIT",
     }
 
     _NAMES_TO_VALUES = {
@@ -73,6 +75,7 @@
         "CELL_OVERVIEW": 15,
         "JOB_STORY": 16,
         "EVACUATE": 17,
+        "JOB_FIT": 18,
     }
 
 
