--- /dev/null
+++ b/packages/heronthread-emulator/tests/test_soak_site.py
@@ -0,0 +1,54 @@
+import io
+import json
+from pathlib import Path
+
+import pytest
+from heronthread_emulator import spelling
+from heronthread_emulator.addresses import Network
+from heronthread_emulator.sight import Sight
+from heronthread_emulator.soak_processes import Processes
+from heronthread_emulator.soak_site import SiteSettings, SoakSite, StandinFailed
+from heronthread_platform.settings import ProcessSettings
+
+ROOT = Path(__file__).parents[3]
+
+
+@pytest.fixture
+def site(tmp_path):
+    with Processes(tmp_path) as processes:
+        yield SoakSite(SiteSettings(1, ROOT), Network(31), processes, Sight("soak", io.StringIO()))
+
+
+def test_settings_are_filled_from_the_template_of_the_deployment(site):
+    path = site.write_settings(2, cores=0.5)
+    settings = ProcessSettings.model_validate_json(path.read_bytes())
+    assert settings.host == "h2"
+    assert settings.peer_address == site.network.host(2, 7000)
+    assert settings.store_address == site.network.store_link(2)
+    assert settings.cores == 0.5
+    assert spelling.SETTINGS_VARIABLE.isupper()
+    assert [seed.rpartition(":")[0] for seed in settings.seeds] == [
+        site.network.peer_link(2, peer).rpartition(":")[0] for peer in range(3)
+    ]
+    assert "advice" not in json.loads(path.read_text())
+
+
+def test_host_that_ends_while_it_starts_is_noticed(site):
+    site.processes.start("h0", ["-c", "raise SystemExit(3)"], {})
+    site.hosts.add(0)
+    site.processes.running["h0"].wait(30)
+    with pytest.raises(StandinFailed, match="h0 ended"):
+        site._check_started()
+
+
+async def test_host_that_is_killed_is_forgotten(site):
+    site.processes.start("h0", ["-c", "import time; time.sleep(600)"], {})
+    site.hosts.add(0)
+    await site.kill_host(0)
+    assert site.hosts == set()
+    assert site.processes.has_ended("h0")
+
+
+async def test_standin_that_does_not_answer_is_the_harness_fault(site):
+    with pytest.raises(StandinFailed, match="store_server"):
+        await site.steer(0, "mend")
