--- a/packages/heronthread-dispatch/tests/test_room.py
+++ b/packages/heronthread-dispatch/tests/test_room.py
@@ -2,6 +2,7 @@
 
 import pytest
 from heronthread_dispatch.fleet import ExecutorState
+from heronthread_dispatch.headroom import Headroom
 from heronthread_dispatch.model import NOTHING, Executor, Resources, StepSpec
 from heronthread_dispatch.room import Room, Scope, count_fits, make_rooms
 
@@ -33,6 +34,21 @@
     assert [(room.state.id, room.number) for room in rooms] == [("a-0", 0), ("a-2", 2)]
 
 
+def test_headroom_and_racks_count_without_evacuated_executors() -> None:
+    """The emptiest rack lies in an evacuated domain: none of it is kept free, or found by gangs."""
+    states = _make_states({"a": 2, "b": 2})
+    for state in states[:2]:
+        state.evacuated = True
+    for state in states[2:]:
+        state.free = CAPACITY.minus(ONE)
+    rooms = make_rooms(states, NOW)
+    assert Headroom(rooms, {"pool": 8}).choose({}) == {"b-0"}
+    scope = Scope(rooms["pool"])
+    assert [part.rooms[0].state.executor.rack for part in scope.parts] == ["b"]
+    assert scope.count(ONE) == 14
+    assert not scope.holds_when_empty(StepSpec(17, ONE, 1.0), 17)
+
+
 def test_what_is_kept_is_worked_out_again_only_after_a_change_in_its_rack() -> None:
     scope = _make_scope({"a": 2, "b": 2})
     calls: list[str] = []
