Remove operations, fields and names that nothing uses

Cause: two operations of the messages between hosts were asked for by nobody (EXPLAIN, HISTOGRAMS), one field was sent and read by nobody (Changes.generation), and four names had no user. One of these, the count of bytes and frames of a host's peers, wrote each frame that came a second time just to learn its length.

Change: they are gone. Numbers of operations stay as they were, so hosts of two versions still understand each other.

Ruled out: Forward.cell and wait_ms, which dispatch writes and does not read, since the daemon reads them.

--- a/packages/heronthread-coordination/src/heronthread_coordination/budget.py
+++ b/packages/heronthread-coordination/src/heronthread_coordination/budget.py
@@ -17,14 +17,6 @@
         self._tokens = self.burst
         self._updated: float | None = None
 
-    def try_take(self, count: float = 1.0) -> bool:
-        """Take tokens if they are there."""
-        self._refill()
-        if self._tokens < count:
-            return False
-        self._tokens -= count
-        return True
-
     async def take(self, count: float = 1.0, *, patience_s: float) -> bool:
         """Take tokens, waiting for them at most `patience_s`; False if that is too short."""
         self._refill()
--- a/packages/heronthread-coordination/src/heronthread_coordination/memory.py
+++ b/packages/heronthread-coordination/src/heronthread_coordination/memory.py
@@ -36,7 +36,6 @@
     entries: dict[str, Entry] = field(default_factory=dict)
     reads: int = 0
     writes: int = 0
-    bytes_written: int = 0
     _revision: int = 0
     _wake: trio.Event = field(default_factory=trio.Event)
 
@@ -102,7 +101,6 @@
 
     def _put(self, key: str, value: bytes) -> int:
         self._revision += 1
-        self.bytes_written += len(value)
         self.entries[key] = Entry(key, value, self._revision)
         self._notify()
         return self._revision
--- a/packages/heronthread-daemon/src/heronthread_daemon/host.py
+++ b/packages/heronthread-daemon/src/heronthread_daemon/host.py
@@ -255,7 +255,7 @@
         if frame.changes_request is not None:
             delta = self.configuration.changes_since(frame.changes_request.since)
             encoded = delta.encode() if delta else b""
-            return Frame(changes=Changes(self.configuration.generation, encoded))
+            return Frame(changes=Changes(encoded))
         forward = frame.forward
         routed = await self._serve_here(
             forward.cell, forward.operation, forward.body, forward.wait_ms / 1000
--- a/packages/heronthread-daemon/src/heronthread_daemon/routing.py
+++ b/packages/heronthread-daemon/src/heronthread_daemon/routing.py
@@ -57,8 +57,6 @@
         return await _submit(owner, SubmitModel.model_validate_json(body), wait_s)
     if operation == Operation.LIST:
         return _list(owner, ListQuery.model_validate_json(body))
-    if operation == Operation.HISTOGRAMS:
-        return Routed(OK, HISTOGRAMS.dump_json(owner.parts.histograms.encode()))
     if operation == Operation.SETTLE:
         order = SettleOrder.model_validate_json(body)
         return _answer(await owner.settle(order.job_id, order.state, order.note))
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/keystore.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/keystore.py
@@ -11,8 +11,6 @@
 
 from heronthread_coordination import Unavailable, Unknown
 
-MAX_ENTRIES = 32
-
 
 @dataclass(frozen=True, slots=True)
 class Item:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/peer.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/peer.py
@@ -60,16 +60,7 @@
     return frame
 
 
-@dataclass(slots=True)
-class PeerTraffic:
-    """Bytes and frames sent and received, for the statistics."""
-
-    sent: int = 0
-    received: int = 0
-    frames: int = 0
-
-
-async def _send(stream: trio.SocketStream, lock: trio.Lock, frame: Frame) -> int:
+async def _send(stream: trio.SocketStream, lock: trio.Lock, frame: Frame) -> None:
     data = encode(frame)
     async with lock:
         try:
@@ -78,7 +69,6 @@
             # A part may have been sent, and the next frame would be read as its rest.
             stream.socket.close()
             raise
-    return len(data) + LENGTH_BYTES
 
 
 async def _receive_exactly(stream: trio.SocketStream, count: int) -> bytes | None:
@@ -161,7 +151,6 @@
         self._nursery = nursery
         self._connections: dict[str, _Connection] = {}
         self._connecting: dict[str, trio.Lock] = {}
-        self.traffic = PeerTraffic()
 
     async def call(
         self, address: str, frame: Frame, timeout_s: float = CALL_TIMEOUT_S
@@ -189,8 +178,7 @@
         arrived, box = trio.Event(), list[Frame]()
         connection.waiting[request_id] = (arrived, box)
         try:
-            self.traffic.sent += await _send(connection.stream, connection.lock, frame)
-            self.traffic.frames += 1
+            await _send(connection.stream, connection.lock, frame)
             await arrived.wait()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             self._close(address, connection)
@@ -213,7 +201,6 @@
         try:
             while (frame := await _receive(connection.stream)) is not None:
                 connection.heard_at = trio.current_time()
-                self.traffic.received += len(encode(frame)) + LENGTH_BYTES
                 waiting = connection.waiting.pop(frame.id, None)
                 if waiting is not None:
                     waiting[1].append(frame)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/wire.thrift
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/wire.thrift
@@ -25,7 +25,6 @@
 
 /** The change, in the form of heronthread_coordination.Delta; empty if there is none. */
 struct Changes {
-  1: i64 generation
   2: binary delta
 }
 
@@ -34,9 +33,7 @@
   OUTCOME = 2
   CANCEL = 3
   LIST = 4
-  EXPLAIN = 5
   SETTLE = 6
-  HISTOGRAMS = 7
   ACCEPT_JOB = 8
   CANCEL_JOB = 9
   JOB_STATE = 10
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/wire/ttypes.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/wire/ttypes.py
@@ -21,9 +21,7 @@
     OUTCOME = 2
     CANCEL = 3
     LIST = 4
-    EXPLAIN = 5
     SETTLE = 6
-    HISTOGRAMS = 7
     ACCEPT_JOB = 8
     CANCEL_JOB = 9
     JOB_STATE = 10
@@ -39,9 +37,7 @@
         2: "OUTCOME",
         3: "CANCEL",
         4: "LIST",
-        5: "EXPLAIN",
         6: "SETTLE",
-        7: "HISTOGRAMS",
         8: "ACCEPT_JOB",
         9: "CANCEL_JOB",
         10: "JOB_STATE",
@@ -58,9 +54,7 @@
         "OUTCOME": 2,
         "CANCEL": 3,
         "LIST": 4,
-        "EXPLAIN": 5,
         "SETTLE": 6,
-        "HISTOGRAMS": 7,
         "ACCEPT_JOB": 8,
         "CANCEL_JOB": 9,
         "JOB_STATE": 10,
@@ -389,19 +383,16 @@
     The change, in the form of heronthread_coordination.Delta; empty if there is none.
 
     Attributes:
-     - generation
      - delta
 
     """
 
     __slots__ = (
-        'generation',
         'delta',
     )
 
 
-    def __init__(self, generation=None, delta=None,):
-        self.generation = generation
+    def __init__(self, delta=None,):
         self.delta = delta
 
     def read(self, iprot):
@@ -413,12 +404,7 @@
             (fname, ftype, fid) = iprot.readFieldBegin()
             if ftype == TType.STOP:
                 break
-            if fid == 1:
-                if ftype == TType.I64:
-                    self.generation = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
+            if fid == 2:
                 if ftype == TType.STRING:
                     self.delta = iprot.readBinary()
                 else:
@@ -433,10 +419,6 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('Changes')
-        if self.generation is not None:
-            oprot.writeFieldBegin('generation', TType.I64, 1)
-            oprot.writeI64(self.generation)
-            oprot.writeFieldEnd()
         if self.delta is not None:
             oprot.writeFieldBegin('delta', TType.STRING, 2)
             oprot.writeBinary(self.delta)
@@ -812,7 +794,7 @@
 all_structs.append(Changes)
 Changes.thrift_spec = (
     None,  # 0
-    (1, TType.I64, 'generation', None, None, ),  # 1
+    None,  # 1
     (2, TType.STRING, 'delta', 'BINARY', None, ),  # 2
 )
 all_structs.append(Forward)
