Judge in one place whether the store is down for all

Cause: the daemon and dispatch each worked out, from what their peers say of the store, whether an owner whose lease ran out may go on: the same rule in two spellings.

Change: the rule is a function of the coordination library, with a test of its own, and both ask it.

No decision changed.

Conclusion: what an outage alone may do stands once.

--- a/packages/heronthread-coordination/src/heronthread_coordination/__init__.py
+++ b/packages/heronthread-coordination/src/heronthread_coordination/__init__.py
@@ -16,7 +16,7 @@
 from .ledger import Committed, Deposed, Ledger, Record
 from .limit import Admitted, CustomerLimits, Overloaded, TargetLimits
 from .log import Appended, LogContents, LogEntry, NumberedLog, Taken
-from .membership import Member, Membership, rank
+from .membership import Member, Membership, is_store_down_for_all, rank
 from .memory import MemoryStore, StoreFaults
 from .store import (
     Absent,
@@ -78,6 +78,7 @@
     "Unknown",
     "Written",
     "compute_digest",
+    "is_store_down_for_all",
     "make_answer",
     "rank",
     "write_settled",
--- a/packages/heronthread-coordination/src/heronthread_coordination/membership.py
+++ b/packages/heronthread-coordination/src/heronthread_coordination/membership.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
 import trio
@@ -86,5 +86,14 @@
     return sum(1 for other in names if other != name and _weight(other, key) > own)
 
 
+def is_store_down_for_all(heard: Collection[bool], *, has_peers: bool) -> bool:
+    """Tell whether nobody reaches the store, for a host that does not.
+
+    `heard` is what the peers heard of late say of it. A host that hears none of its peers may
+    be cut off itself, so it must not count its lease as good any longer; one without peers may.
+    """
+    return not any(heard) if heard else not has_peers
+
+
 def _weight(name: str, key: str) -> int:
     return xxhash.xxh3_64_intdigest(f"{key}\0{name}".encode())
--- a/packages/heronthread-coordination/tests/test_parts.py
+++ b/packages/heronthread-coordination/tests/test_parts.py
@@ -23,6 +23,7 @@
     Overloaded,
     RetryBudget,
     Unavailable,
+    is_store_down_for_all,
     make_answer,
     rank,
 )
@@ -142,3 +143,17 @@
     summary = one.summarise(Key("a", "c", Measure.WAITING))
     assert summary.count == 2
     assert 2900 <= summary.largest <= 3100
+
+
+@pytest.mark.parametrize(
+    ("heard", "has_peers", "is_down"),
+    [
+        ([False, False], True, True),
+        ([False, True], True, False),
+        ([True], True, False),
+        ([], True, False),
+        ([], False, True),
+    ],
+)
+def test_a_store_is_down_for_all_only_by_the_word_of_peers(heard, has_peers, is_down):
+    assert is_store_down_for_all(heard, has_peers=has_peers) is is_down
--- a/packages/heronthread-daemon/src/heronthread_daemon/ownership.py
+++ b/packages/heronthread-daemon/src/heronthread_daemon/ownership.py
@@ -3,7 +3,14 @@
 from __future__ import annotations
 
 import trio
-from heronthread_coordination import CellLease, Ledger, Standing, Unavailable, rank
+from heronthread_coordination import (
+    CellLease,
+    Ledger,
+    Standing,
+    Unavailable,
+    is_store_down_for_all,
+    rank,
+)
 
 from .host_state import HostState
 from .owned_cell import OwnerParts
@@ -58,11 +65,9 @@
         return False
     now = trio.current_time()
     others = [m.name for m in host.membership.members.values() if m.name != host.name]
-    fresh = [host.news[n] for n in others if n in host.news]
-    fresh = [news for news in fresh if now - news.at <= HEARD_WITHIN_S]
-    if not others:
-        return True
-    return bool(fresh) and not any(news.store_ok for news in fresh)
+    heard = [host.news[n] for n in others if n in host.news]
+    says = [news.store_ok for news in heard if now - news.at <= HEARD_WITHIN_S]
+    return is_store_down_for_all(says, has_peers=bool(others))
 
 
 async def _own(host: HostState, cell: str, lease: CellLease) -> None:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/news.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/news.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 import trio
+from heronthread_coordination import is_store_down_for_all
 
 from .events import log_event
 from .host_state import HostState
@@ -97,10 +98,8 @@
             return False
         if now - self._host.tenure.last_renewed > OUTAGE_LIMIT_S:
             return False
-        fresh = [heard.news for heard in self.heard.values() if now - heard.at <= FRESH_S]
-        if not fresh:
-            return not self.others()
-        return not any(news.store_ok for news in fresh)
+        says = [h.news.store_ok for h in self.heard.values() if now - h.at <= FRESH_S]
+        return is_store_down_for_all(says, has_peers=bool(self.others()))
 
     async def run(self, nursery: trio.Nursery) -> None:
         """Tell some peers now and then, and more of them at once when something changed."""
