Read separators in the description of the messages, which its language allows

Cause: test_wire.py took an operation with a comma behind it for none, and so found the generated one to be too many. What it compares is the same.

--- a/packages/heronthread-dispatch/tests/test_wire.py
+++ b/packages/heronthread-dispatch/tests/test_wire.py
@@ -13,8 +13,8 @@
 SOURCE = Path(heronthread_dispatch.__file__).parent
 DESCRIPTION = (SOURCE / "wire.thrift").read_text()
 STRUCTS = dict(re.findall(r"struct (\w+) \{\n(.*?)\}", DESCRIPTION, re.DOTALL))
-FIELD = re.compile(r"^  (\d+): (?:optional )?\S+ (\w+)$", re.MULTILINE)
-ENTRY = re.compile(r"^  (\w+) = (\d+)$", re.MULTILINE)
+FIELD = re.compile(r"^  (\d+): (?:optional )?\S+ (\w+)[,;]?$", re.MULTILINE)
+ENTRY = re.compile(r"^  (\w+) = (\d+)[,;]?$", re.MULTILINE)
 PRODUCT = SOURCE.parents[2]
 
 
