--- a/packages/heronthread-dispatch/src/heronthread_dispatch/news.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/news.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 import trio
+from heronthread_coordination import is_store_down_for_all
 
 from .events import log_event
 from .host_state import HostState
@@ -101,9 +102,8 @@
         own_term = self._host.owner.cell.term.number if self._host.owner else 0
         if any(news.term > own_term for news in fresh):
             return False
-        if not fresh:
-            return not self.others()
-        return not any(news.store_ok for news in fresh)
+        says = [news.store_ok for news in fresh]
+        return is_store_down_for_all(says, has_peers=bool(self.others()))
 
     async def run(self, nursery: trio.Nursery) -> None:
         """Tell some peers now and then, and more of them at once when something changed."""
