Count a run beside its task's attempt against its step's limit

A run that an executor still holds beside its task's own attempt, until it is stopped, did not count against the number of the step's tasks that one executor may hold, so one more was started there. It counts now, for tasks placed one at a time and for gangs, and a gang held up by one says nothing of where other gangs fit. The plain planner of the tests counts what each executor holds, attempt or not.

Ruled out: leaving such an executor out for the step altogether, since its limit may allow more.

The search for room among what others run does not look at these runs: it may clear an executor a stop's time before a start may go there. What a plan costs was not measured anew.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/gangs.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/gangs.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from .model import URGENT, Resources
 from .plan import Candidate
 from .policy import Policy
@@ -35,11 +37,12 @@
         )
 
     def place(
-        self, candidate: Candidate, usable: Scope, keeps_out: bool
+        self, candidate: Candidate, usable: Scope, keeps_out: bool, held: Counter[str]
     ) -> list[tuple[TaskState, Room]]:
         """Take room for all members at once; nothing if they do not all fit.
 
-        `keeps_out`: the headroom for urgent work is left out of `usable`.
+        `keeps_out`: the headroom for urgent work is left out of `usable`; `held` counts the
+        step's runs that are still at executors.
         """
         scopes = self.list_scopes(candidate, usable)
         key = self._key(candidate, usable, scopes, keeps_out)
@@ -47,9 +50,9 @@
         if count >= self._too_large.get(key, count + 1):
             return []
         avoided = self._avoided_by_any(candidate)
-        best = self._best_fit(candidate, scopes, avoided)
+        best = self._best_fit(candidate, scopes, avoided, held)
         if best is None:
-            if not avoided:
+            if not avoided and not held:
                 self._too_large[key] = count
             return []
         for room in best:
@@ -99,20 +102,20 @@
         return [*scopes, *others, usable] if may_spread or not possible else scopes
 
     def _best_fit(
-        self, candidate: Candidate, scopes: list[Scope], avoided: set[str]
+        self, candidate: Candidate, scopes: list[Scope], avoided: set[str], held: Counter[str]
     ) -> list[Room] | None:
         """Return the rooms in the first scope that fits, or for one rack in the tightest one."""
         spec, wanted = candidate.step.spec, len(candidate.tasks)
         fitting = [s for s in scopes if s.count(spec.need) >= wanted]
         if not spec.same_rack:
-            found = (self._fit_in_scope(candidate, scope, avoided) for scope in fitting)
+            found = (self._fit_in_scope(candidate, scope, avoided, held) for scope in fitting)
             return next((chosen for chosen in found if chosen is not None), None)
         left = [(float(s.free_accelerators()), place, s) for place, s in enumerate(fitting)]
         best: tuple[float, int, list[Room]] | None = None
         for least, place, scope in sorted(left, key=lambda entry: entry[:2]):
             if best is not None and (least, place) >= best[:2]:
                 break
-            chosen = self._fit_in_scope(candidate, scope, avoided)
+            chosen = self._fit_in_scope(candidate, scope, avoided, held)
             if chosen is None:
                 continue
             cost = least + SLOW_COST * sum(r.state.slow_until > self._now for r in chosen)
@@ -123,7 +126,7 @@
         return best[2] if best else None
 
     def _fit_in_scope(
-        self, candidate: Candidate, scope: Scope, avoided: set[str]
+        self, candidate: Candidate, scope: Scope, avoided: set[str], held: Counter[str]
     ) -> list[Room] | None:
         """Return a room for each member, tightest first, or None; takes nothing."""
         spec = candidate.step.spec
@@ -135,7 +138,7 @@
         for room in sorted(fitting, key=self.prefer):
             fits = _count_here(room, spec.need)
             if spec.spread_limit:
-                fits = min(fits, spec.spread_limit)
+                fits = min(fits, max(0, spec.spread_limit - held[room.state.id]))
             chosen += [room] * min(fits, wanted - len(chosen))
             if len(chosen) == wanted:
                 return chosen
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Iterable
 
 import trio
@@ -71,6 +71,7 @@
         self._victims = Victims(self._losses, now)
         self._approvals = approvals
         self._waiting: deque[Candidate] | None = None
+        self._strays: dict[tuple[str, int, int], Counter[str]] = {}
 
     @property
     def is_complete(self) -> bool:
@@ -85,6 +86,7 @@
         """
         until = trio.current_time() + budget_s if budget_s < float("inf") else budget_s
         self.plan = Plan()
+        self._strays = _count_strays(self._room_of.values())
         if self._waiting is None:
             self._waiting = deque(sorted(self._candidates(), key=lambda c: c.order))
         else:
@@ -165,7 +167,9 @@
         usable: Scope | None = None
         if candidate.step.spec.gang and len(candidate.tasks) > 1:
             usable = self._usable(candidate, keeps_out)
-            placed = self._gangs.place(candidate, usable, keeps_out)
+            placed = self._gangs.place(
+                candidate, usable, keeps_out, self._count_by_executor(candidate)
+            )
         else:
             placed = self._place_single(candidate, keeps_out)
         if placed:
@@ -313,7 +317,7 @@
     def _fill(self, candidate: Candidate, rooms: list[Room]) -> list[tuple[TaskState, Room]]:
         """Give each task the first room that takes it."""
         spec = candidate.step.spec
-        counts = _count_by_executor(candidate.step)
+        counts = self._count_by_executor(candidate)
 
         def is_used_up(room: Room) -> bool:
             if spec.spread_limit and counts.get(room.state.id, 0) >= spec.spread_limit:
@@ -334,6 +338,18 @@
                 break
         return placed
 
+    def _count_by_executor(self, candidate: Candidate) -> Counter[str]:
+        """Return how many runs of a step with a limit are, or may be, at each executor.
+
+        A run beside its task's attempt counts until it has ended: its executor goes by what it
+        holds.
+        """
+        step = candidate.step
+        if not step.spec.spread_limit:
+            return Counter()
+        attempts = Counter(attempt.executor for attempt in step.attempts())
+        return attempts + self._strays.get(_name_step(candidate.key), Counter())
+
     def _may_go_remote(self, candidate: Candidate, usable: Scope) -> bool:
         if usable.find_part(candidate.step.spec.data_rack) is None:
             return True
@@ -377,10 +393,15 @@
             room.await_stop(attempt.need)
 
 
-def _count_by_executor(step: StepState) -> dict[str, int]:
-    counts: dict[str, int] = {}
-    if step.spec.spread_limit:
-        for task in step.tasks:
-            if task.attempt is not None:
-                counts[task.attempt.executor] = counts.get(task.attempt.executor, 0) + 1
+def _name_step(task: TaskKey) -> tuple[str, int, int]:
+    """Return what is the same for all tasks of a step, and of one time of its job."""
+    return task.job, task.step, task.occurrence
+
+
+def _count_strays(rooms: Iterable[Room]) -> dict[tuple[str, int, int], Counter[str]]:
+    """Return, by step, how many runs are at each executor without being their tasks' attempts."""
+    counts: dict[tuple[str, int, int], Counter[str]] = {}
+    for room in rooms:
+        for task, _ in room.state.strays:
+            counts.setdefault(_name_step(task), Counter())[room.state.id] += 1
     return counts
--- a/packages/heronthread-dispatch/tests/test_planner.py
+++ b/packages/heronthread-dispatch/tests/test_planner.py
@@ -4,9 +4,10 @@
 
 import pytest
 import trio
+from heronthread_dispatch.model import JobSpec, Resources, StepSpec, TaskKey
 from heronthread_dispatch.plan import Plan
 from heronthread_dispatch.planner import Planner
-from heronthread_dispatch.progress import JobState
+from heronthread_dispatch.progress import Attempt, JobState, Phase, make_job
 
 from benchmarks.planning import (
     DESIRED,
@@ -104,6 +105,27 @@
     assert started
 
 
+@pytest.mark.parametrize("gang", [False, True])
+def test_a_stray_run_counts_against_its_steps_limit_until_it_has_ended(gang: bool) -> None:
+    """One executor is to hold one task of the step, and still holds an earlier run of one."""
+    states = make_executors(3)
+    need = Resources(100, 100, 1)
+    step = StepSpec(2, need, 1.0, gang=gang, spread_limit=1)
+    job = make_job(JobSpec("a", DESIRED.queues[0], "t", "", (step,), NOW), NOW)
+    stray = Attempt(TaskKey("a", 0, 1), 1, states[0].id, need, NOW, Phase.STOPPING)
+    states[0].occupy_astray(stray)
+    starts = _list_starts(Planner([job], states, DESIRED, NOW, NOW).make())
+    assert sorted(executor for _, _, executor in starts) == [states[1].id, states[2].id]
+    other = make_job(JobSpec("b", DESIRED.queues[0], "t", "", (step,), NOW), NOW)
+    starts = _list_starts(Planner([other], states[:2], DESIRED, NOW, NOW).make())
+    assert len(starts) == 2, "a run of another job says nothing of this step"
+    starts = _list_starts(Planner([job], states[:2], DESIRED, NOW, NOW).make())
+    assert len(starts) == (0 if gang else 1)
+    states[0].release(stray)
+    starts = _list_starts(Planner([job], states[:2], DESIRED, NOW, NOW).make())
+    assert len(starts) == 2
+
+
 def _list_starts(plan: Plan) -> list[tuple[str, int, str]]:
     return [
         (start.job.spec.id, start.task.index, start.executor.id)
--- a/tests/plain_planner/gangs.py
+++ b/tests/plain_planner/gangs.py
@@ -29,15 +29,17 @@
         """Sort sound executors first, and of those the fullest."""
         return (room.state.slow_until > self._now, room.now.accelerators, room.now.cpu)
 
-    def place(self, candidate: Candidate, rooms: list[Room]) -> list[tuple[TaskState, Room]]:
+    def place(
+        self, candidate: Candidate, rooms: list[Room], held: dict[str, int]
+    ) -> list[tuple[TaskState, Room]]:
         """Take room for all members at once; nothing if they do not all fit."""
         scopes = self.list_scopes(candidate, rooms)
         key, count = self._key(candidate, rooms, scopes), len(candidate.tasks)
         if count >= self._too_large.get(key, count + 1):
             return []
-        best = self._best_fit(candidate, scopes)
+        best = self._best_fit(candidate, scopes, held)
         if best is None:
-            if not self._avoided_by_any(candidate):
+            if not self._avoided_by_any(candidate) and not held:
                 self._too_large[key] = count
             return []
         for room in best:
@@ -91,11 +93,13 @@
             return [*scopes, *others, rooms]
         return scopes
 
-    def _best_fit(self, candidate: Candidate, scopes: list[list[Room]]) -> list[Room] | None:
+    def _best_fit(
+        self, candidate: Candidate, scopes: list[list[Room]], held: dict[str, int]
+    ) -> list[Room] | None:
         spec = candidate.step.spec
         best: tuple[float, list[Room]] | None = None
         for scope in scopes:
-            chosen = self._fit_in_scope(candidate, scope)
+            chosen = self._fit_in_scope(candidate, scope, held)
             if chosen is None:
                 continue
             if not spec.same_rack:
@@ -108,7 +112,9 @@
                 best = (left, chosen)
         return best[1] if best else None
 
-    def _fit_in_scope(self, candidate: Candidate, scope: list[Room]) -> list[Room] | None:
+    def _fit_in_scope(
+        self, candidate: Candidate, scope: list[Room], held: dict[str, int]
+    ) -> list[Room] | None:
         """Return a room for each member, tightest first, or None; takes nothing."""
         spec = candidate.step.spec
         wanted = len(candidate.tasks)
@@ -118,7 +124,7 @@
             return None
         chosen: list[Room] = []
         for room in sorted(fitting, key=self.prefer):
-            now, soon, here = room.now, room.soon, 0
+            now, soon, here = room.now, room.soon, held.get(room.state.id, 0)
             while len(chosen) < wanted and spec.need.fits_in(now) and spec.need.fits_in(soon):
                 if spec.spread_limit and here >= spec.spread_limit:
                     break
--- a/tests/plain_planner/planner.py
+++ b/tests/plain_planner/planner.py
@@ -127,7 +127,7 @@
     def _serve(self, candidate: Candidate) -> None:
         rooms = self._usable(candidate)
         if candidate.step.spec.gang and len(candidate.tasks) > 1:
-            placed = self._gangs.place(candidate, rooms)
+            placed = self._gangs.place(candidate, rooms, self._count_by_executor(candidate))
         else:
             placed = self._place_single(candidate, rooms)
         if placed:
@@ -261,7 +261,7 @@
             if near or not self._may_go_remote(candidate, rooms):
                 fitting = near
         fitting.sort(key=self._gangs.prefer)
-        counts = _count_by_executor(candidate.step)
+        counts = self._count_by_executor(candidate)
         return self._fill(candidate, fitting, counts)
 
     def _fill(
@@ -285,6 +285,18 @@
         until = task.avoid.get(room.state.id)
         return until is not None and until > self.now
 
+    def _count_by_executor(self, candidate: Candidate) -> dict[str, int]:
+        """Return how many runs of a step with a limit are, or may be, at each executor."""
+        counts: dict[str, int] = {}
+        if candidate.step.spec.spread_limit:
+            keys = {candidate.job.key_of(candidate.step, task) for task in candidate.step.tasks}
+            for room in self._room_of.values():
+                runs = [*room.state.attempts, *(task for task, _ in room.state.strays)]
+                here = sum(task in keys for task in runs)
+                if here:
+                    counts[room.state.id] = here
+        return counts
+
     def _may_go_remote(self, candidate: Candidate, rooms: list[Room]) -> bool:
         rack = candidate.step.spec.data_rack
         if not any(r.state.executor.rack == rack for r in rooms):
@@ -327,12 +339,3 @@
         room = self._room_of.get(attempt.executor)
         if room is not None:
             room.soon = room.soon.plus(attempt.need)
-
-
-def _count_by_executor(step: StepState) -> dict[str, int]:
-    counts: dict[str, int] = {}
-    if step.spec.spread_limit:
-        for task in step.tasks:
-            if task.attempt is not None:
-                counts[task.attempt.executor] = counts.get(task.attempt.executor, 0) + 1
-    return counts
--- a/tests/test_planner_equivalence.py
+++ b/tests/test_planner_equivalence.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from dataclasses import replace
 
 import pytest
@@ -131,6 +132,18 @@
         attempt.percent = 100.0 if step.spec.lasting else percent
         state.occupy(attempt)
 
+    def leave_strays(self, source: random.Random) -> None:
+        """Have runs of some steps be where their tasks' own attempts are not."""
+        for job in self.jobs:
+            for step in job.steps:
+                if not step.spec.spread_limit or source.random() < 0.5:
+                    continue
+                for state in source.sample(self.executors, min(2, len(self.executors))):
+                    task = job.key_of(step, source.choice(step.tasks))
+                    if step.spec.need.fits_in(state.free):
+                        need = step.spec.need
+                        state.occupy_astray(Attempt(task, 9, state.id, need, NOW, Phase.STOPPING))
+
     def stop_some(self) -> None:
         for job in self.jobs:
             for step in job.steps:
@@ -147,6 +160,7 @@
     generator.stop_some()
     for number in range(generator.source.randint(1, 25)):
         generator.make_job(f"w{number}")
+    generator.leave_strays(random.Random(seed))
     return generator.jobs, generator.executors
 
 
@@ -203,6 +217,30 @@
     assert promised >= 20, "rooms of which something that ends by itself is promised"
 
 
+@pytest.mark.parametrize("make", [PlainPlanner, Planner])
+def test_no_start_goes_beyond_the_limit_for_one_executor(make: type[Planner]) -> None:
+    """Runs beside their tasks' own attempts are there until they are stopped."""
+    limited = beside_strays = 0
+    for seed in range(400):
+        jobs, executors = _make_state(seed)
+        held: Counter[tuple[str, int, int, str]] = Counter()
+        for state in executors:
+            for task in [*state.attempts, *(task for task, _ in state.strays)]:
+                held[task.job, task.step, task.occurrence, state.id] += 1
+        plan = make(jobs, executors, DESIRED, NOW, NOW).make()
+        for start in (start for group in plan.groups for start in group):
+            limit = start.step.spec.spread_limit
+            if limit:
+                key = start.job.key_of(start.step, start.task)
+                place = (key.job, key.step, key.occurrence, start.executor.id)
+                limited += 1
+                beside_strays += held[place] > 0
+                held[place] += 1
+                assert held[place] <= limit, f"seed {seed}, {place}"
+    assert limited >= 300
+    assert beside_strays >= 20
+
+
 def test_generated_states_show_every_kind_of_decision() -> None:
     """So that equal decisions say something: starts, stops, gangs, reservations, waits."""
     starts = stops = gangs = marks = waits = 0
