--- a/packages/heronthread-emulator/src/heronthread_emulator/soak_faults.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak_faults.py
@@ -362,8 +362,8 @@
             await self._wait(9.0)
 
     async def executor_cut_off_over_takeover(self) -> None:
-        """An executor is cut off and runs on; its entry goes about when a new owner takes over."""
-        async with self._order_fault([self._any_executor()], silent=True):
+        """Executors are cut off and run on; their entries go about when an owner takes over."""
+        async with self._order_fault(self._some_executors(), silent=True):
             await trio.sleep(self.random.uniform(0.0, 2.0))
             await self.stop_owner()
             await trio.sleep(2.0)
