--- a/packages/heronthread-emulator/src/heronthread_emulator/soak_faults.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak_faults.py
@@ -363,8 +363,10 @@
 
     async def executor_cut_off_over_takeover(self) -> None:
         """Executors are cut off and run on; their entries go about when an owner takes over."""
-        async with self._order_fault(self._some_executors(), silent=True):
-            await trio.sleep(self.random.uniform(0.0, 2.0))
+        known = sorted(self.site.executors)
+        some = self.random.sample(known, self.random.randint(1, max(1, len(known) // 2)))
+        async with self._order_fault(some, silent=True):
+            await trio.sleep(self.random.uniform(0.0, 0.6))
             await self.stop_owner()
             await trio.sleep(2.0)
 
