--- a/packages/heronthread-emulator/src/heronthread_emulator/sight.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/sight.py
@@ -22,6 +22,8 @@
 
     name: str
     output: TextIO = sys.stdout
+    late_s: float = 0.0
+    """The worst lateness of this process so far."""
 
     def note(self, kind: str, at: float | None = None, **fields: Any) -> None:
         """Write one line; `at` is in seconds since the epoch."""
@@ -36,6 +38,7 @@
             due = trio.current_time() + LOOK_S
             await trio.sleep_until(due)
             late_s = trio.current_time() - due
+            self.late_s = max(self.late_s, late_s)
             if late_s > LATE_S:
                 self.note("loop.late", worst_s=round(late_s, 3))
 
--- a/packages/heronthread-emulator/src/heronthread_emulator/soak_run.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak_run.py
@@ -125,12 +125,17 @@
 
 
 async def _settle(site: SoakSite) -> None:
-    """Wait until everything that was taken is final, or time is up."""
-    ends_at = trio.current_time() + site.settings.settle_s
-    while trio.current_time() < ends_at:
+    """Wait until everything that was taken is final, or no more of it became so for long.
+
+    The wait grows with the lateness of this process: a machine that is starved does little.
+    """
+    left, since = -1, trio.current_time()
+    while trio.current_time() < since + site.settings.settle_s * (1 + site.sight.late_s):
         await trio.sleep(POLL_S)
         shown = await site.steer(CALLERS, "show")
-        if not shown["playing"] and not shown["open"]:
+        if shown["open"] != left:
+            left, since = shown["open"], trio.current_time()
+        if not shown["playing"] and not left:
             await trio.sleep(CALM_AT_LAST_S)
             return
 
