--- a/packages/heronthread-emulator/src/heronthread_emulator/soak_run.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak_run.py
@@ -170,8 +170,9 @@
 
 
 async def _end_on_signal(scope: trio.CancelScope) -> None:
-    """End as an interrupt from the keyboard does, so that what is owned is ended too."""
-    with trio.open_signal_receiver(signal.SIGTERM) as signals:
+    """End what is owned, whichever code runs as the signal comes: an exception raised there by an
+    interrupt may end that code alone."""
+    with trio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
         async for _ in signals:
             scope.cancel()
 
