--- a/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
@@ -25,7 +25,8 @@
     `lapse_by` is when everything there has certainly ended unless it is held again.
     `noted` is the highest end taken in, `seen` the highest that is recorded, `told_seen`
     the highest that the executor has been told. `listed`: its entry is there, `was_listed`: it was
-    at any time of this term. `recorded`: the store names it as in use;
+    at any time of this term. `silent_since` is when it failed to report, None while it does.
+    `recorded`: the store names it as in use;
     `is_inherited`: an earlier owner may have used it; `only_tasks` are those that it may
     have left there, None for any. `strays` are runs that are there beside their tasks' own
     attempts, or of no job that is known, until each is stopped. `evacuated`: its failure
@@ -42,6 +43,7 @@
     seen: int = 0
     told_seen: int = 0
     heard: bool = False
+    silent_since: float | None = None
     listed: bool = True
     was_listed: bool = False
     recorded: bool = False
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
@@ -42,6 +42,13 @@
     return f"{JOB_PREFIX}{job_id}"
 
 
+def _age_at_silence(attempt: Attempt, state: ExecutorState | None) -> float | None:
+    """Return how old an attempt was (s) as its executor fell silent, None if it did not."""
+    if state is None or state.silent_since is None:
+        return None
+    return round(state.silent_since - attempt.ordered_at, 3)
+
+
 @dataclass(frozen=True, slots=True)
 class DirectoryFormat:
     """Where executors register in the store, and how an entry is read (None: not one)."""
@@ -243,6 +250,7 @@
             sends=attempt.sends,
             unanswered=attempt.unanswered,
             age_s=round(trio.current_time() - attempt.ordered_at, 3),
+            silent_at_s=_age_at_silence(attempt, state),
             why=why,
         )
         self.wake_planner()
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
@@ -9,11 +9,14 @@
 from .events import describe_run, log_event
 from .executor_link import (
     HoldOrder,
+    HoldOutcome,
     OtherLife,
     Refusal,
     Refused,
     Report,
     RunningRun,
+    Unanswered,
+    Unhealthy,
 )
 from .fleet import ExecutorState
 from .model import TaskKey
@@ -27,6 +30,7 @@
 PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.8
 RECORD_PATIENCE_S = 0.25
+MOST_RUNS_LOGGED = 8
 
 
 class ExecutorWatch:
@@ -76,6 +80,7 @@
         outcome = await self.cell.parts.link.hold(state.executor, order)
         if isinstance(outcome, Report):
             self._silent = 0
+            state.silent_since = None
             state.told_seen = max(state.told_seen, order.seen)
             await self._take_report(outcome, sent, trio.current_time())
         elif isinstance(outcome, OtherLife):
@@ -84,7 +89,7 @@
             self._depose()
             await trio.sleep(PAUSE_S)
         else:
-            await self._note_silence()
+            await self._note_silence(outcome)
 
     def _choose_wait(self, now: float) -> float:
         """Return how long the executor may wait for an end before it reports."""
@@ -115,16 +120,34 @@
             return None
         return self.state.deadline_ms(now, self.cell.parts.timing.hold_s)
 
-    async def _note_silence(self) -> None:
+    async def _note_silence(self, outcome: HoldOutcome) -> None:
         now = trio.current_time()
         self._silent += 1
         if self._silent == 1:
-            log_event("executor.silent", executor=self.state.id)
+            self.state.silent_since = now
+            self._log_silence(outcome, now)
         self.state.rest_until = max(self.state.rest_until, now + LONGEST_PAUSE_S)
         if now > self.state.lapse_by and self.state.heard:
             self._close_all("the holding time has run out")
         await trio.sleep(min(LONGEST_PAUSE_S, PAUSE_S * 2 ** min(self._silent, 4)))
 
+    def _log_silence(self, outcome: HoldOutcome, now: float) -> None:
+        """Log how the silence showed, and how old what may run there is, the youngest first."""
+        held = sorted(self.state.list_held(), key=lambda attempt: -attempt.ordered_at)
+        log_event(
+            "executor.silent",
+            executor=self.state.id,
+            sign=_describe_sign(outcome),
+            listed=self.state.listed,
+            leaves=self.state.leaves_at is not None,
+            runs=len(held),
+            youngest=[
+                describe_run(attempt.task, attempt.run, self.state.id)
+                | {"age_s": round(now - attempt.ordered_at, 3), "percent": attempt.percent}
+                for attempt in held[:MOST_RUNS_LOGGED]
+            ],
+        )
+
     def _close_all(self, why: str) -> None:
         for attempt in self.state.list_held():
             self.cell.close(attempt, why)
@@ -246,6 +269,13 @@
                     self.cell.stop_gang(attempt, "a member is not there")
 
 
+def _describe_sign(outcome: HoldOutcome) -> str:
+    """Return how an executor showed that it does not report: no answer, refused or unhealthy."""
+    if isinstance(outcome, Unanswered):
+        return "refused" if outcome.unsent else "no answer"
+    return "unhealthy" if isinstance(outcome, Unhealthy) else "turned away"
+
+
 def _is_stop_open(attempt: Attempt) -> bool:
     """Whether an attempt is to be stopped and nothing has settled yet that it is."""
     return attempt.phase is Phase.STOPPING and attempt.settled_at == UNSETTLED
