Count the executors that crash under a task, and give it up at the second it is to blame for

Cause: an executor that crashes lists no end, and only ends listed as failed were counted, so a task that crashes whatever starts it was started without bound. The class: an outcome that nobody lists is an outcome that nobody counts. Ruled out: a count lost at a takeover (three starts after the third crash came in one term) and the choice of executors (it decides where, not how often). Now each crash is judged from what ran there: runs of less than 0.5 s are to blame, a run that has worked is not, a rack that goes clears. It is noted with its task in the store as soon as the executor's address takes no connection, withdrawn if the same life reports again, and kept by the executors' ids, so that two owners count it once. A suspect starts where nothing else begins and least is at stake.

--- /dev/null
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/crashes.py
@@ -0,0 +1,221 @@
+"""Under which tasks executors crashed, and which task is to blame.
+
+An executor that crashes lists no ends, so what ran there is known from this owner's orders alone.
+Of several runs, those that had just begun are to blame: a task that crashes whatever starts it does
+so at once. Where that can't be told, the next start stands apart, so that the next crash tells.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from .events import describe_run, log_event
+from .fleet import ExecutorState
+from .model import TaskKey
+from .progress import Attempt, TaskState
+from .record import Blame
+from .statistics import Statistics
+
+YOUNG_S = 0.5
+"""A run that had begun so shortly before its executor fell silent may have crashed it: such tasks
+were 0.016 s old at most, what else ran there 0.8 s at least (31 runs of one day)."""
+OLD_S = 10.0
+"""A run that had worked for so long crashes nothing by being started."""
+AT_ONCE_S = 1.0
+MANY_AT_ONCE = 2
+"""Where so many other executors fall silent within `AT_ONCE_S`, a rack, a switch or a failure
+domain is as likely a cause as any task."""
+MOST_SILENCES = 256
+
+
+@dataclass(frozen=True, slots=True)
+class RunThere:
+    """A run that was at an executor as it fell silent; `age_s` since it was ordered.
+
+    `seen`: a report of the executor has named it. `works`: a run of its task has shown progress, so
+    starting it crashes nothing by itself.
+    """
+
+    task: TaskKey
+    run: int
+    age_s: float
+    seen: bool
+    works: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Silence:
+    """One executor that fell silent at `at` (trio's clock); `young_jobs` had just begun there."""
+
+    at: float
+    executor: str
+    young_jobs: frozenset[str]
+
+
+def list_young(runs: Iterable[RunThere]) -> list[RunThere]:
+    """Return the runs that had just begun, else those that no report has named yet.
+
+    The latter are all that a late owner can go by: its own delays add to the ages.
+    """
+    runs = list(runs)
+    young = [run for run in runs if run.age_s <= YOUNG_S]
+    return young or [run for run in runs if not run.seen]
+
+
+def judge_crash(runs: Iterable[RunThere], lost_beside: int) -> dict[TaskKey, Blame]:
+    """Return who may have crashed an executor; the runs that are left out did not.
+
+    `lost_beside` is how many other executors fell silent with it for no reason of these runs.
+    """
+    runs = list(runs)
+    young = list_young(runs)
+    is_alone = lost_beside < MANY_AT_ONCE
+    if young:
+        doubtful = [run for run in young if not run.works] or young
+        is_sure = is_alone and len({run.task.job for run in doubtful}) == 1
+        return {
+            run.task: Blame.BLAMED if is_sure and not run.works else Blame.SUSPECTED
+            for run in doubtful
+        }
+    if not is_alone or len({run.task.job for run in runs}) > 1:
+        return {}
+    return {run.task: Blame.SUSPECTED for run in runs if run.age_s < OLD_S}
+
+
+def began_lately(state: ExecutorState, now: float) -> bool:
+    """Whether anything at an executor is so young that it would be suspected of a crash there."""
+    return any(now - attempt.ordered_at <= YOUNG_S for attempt in state.attempts.values())
+
+
+def sum_at_stake(state: ExecutorState, now: float) -> float:
+    """Return the core-seconds that a crash of an executor would cost."""
+    return sum((now - a.ordered_at) * a.need.cores for a in state.attempts.values())
+
+
+class Crashes:
+    """The crashes of one owner's term; each stands with its task until the task's job is final.
+
+    A crash is noted as soon as an executor's address takes no connection, so that it outlasts this
+    owner, and withdrawn if the same life reports again. `note_change` is told of each change.
+    """
+
+    def __init__(
+        self,
+        find_task: Callable[[TaskKey], TaskState | None],
+        note_change: Callable[[TaskKey], None],
+        statistics: Statistics,
+    ) -> None:
+        self._find_task = find_task
+        self._note_change = note_change
+        self._statistics = statistics
+        self._silences: deque[Silence] = deque(maxlen=MOST_SILENCES)
+        self._noted: dict[str, set[TaskKey]] = {}
+
+    def restore(self, task: TaskKey, state: TaskState) -> None:
+        """Take over the crashes under a task that an earlier owner noted."""
+        for executor in state.crashes:
+            self._noted.setdefault(executor, set()).add(task)
+
+    def note_silence(self, state: ExecutorState, now: float) -> None:
+        """Take in that an executor gives no answer any more, with what is there."""
+        state.silent_since = now
+        state.at_silence = tuple(state.attempts.values())
+        young = list_young(self._describe(state))
+        jobs = frozenset(run.task.job for run in young)
+        self._silences.append(Silence(now, state.id, jobs))
+
+    def note_down(self, state: ExecutorState) -> None:
+        """Note that an executor which fell silent may have crashed, until it reports again."""
+        if state.id not in self._noted:
+            self._note(state, self._judge(state))
+
+    def withdraw(self, state: ExecutorState) -> None:
+        """Take back what was noted of an executor: the same life has reported again."""
+        state.silent_since = None
+        state.at_silence = ()
+        self._silences = deque(
+            (s for s in self._silences if s.executor != state.id), maxlen=MOST_SILENCES
+        )
+        self._note(state, {})
+
+    def confirm(self, state: ExecutorState, now: float) -> None:
+        """Note that a life is over, now that it is known what else went with it.
+
+        Where this owner had nothing there, what an earlier one noted stands.
+        """
+        if state.silent_since is None:
+            self.note_silence(state, now)
+        if not state.at_silence:
+            return
+        blames = self._judge(state)
+        self._note(state, blames)
+        self._log(state, blames, now)
+
+    def _judge(self, state: ExecutorState) -> dict[TaskKey, Blame]:
+        """Return the blame for an executor that fell silent; none if it was known to leave."""
+        if state.leaves_at is not None or not state.listed_at_silence:
+            return {}
+        runs = self._describe(state)
+        return judge_crash(runs, self._count_beside(state, {run.task.job for run in runs}))
+
+    def _count_beside(self, state: ExecutorState, jobs: set[str]) -> int:
+        """Return how many executors fell silent at the same time without a run of these jobs."""
+        at = state.silent_since
+        assert at is not None
+        return sum(
+            silence.executor != state.id
+            and abs(silence.at - at) <= AT_ONCE_S
+            and jobs.isdisjoint(silence.young_jobs)
+            for silence in self._silences
+        )
+
+    def _note(self, state: ExecutorState, blames: dict[TaskKey, Blame]) -> None:
+        """Have exactly these tasks blamed for an executor."""
+        known = self._noted.pop(state.id, set())
+        for key in known | blames.keys():
+            task = self._find_task(key)
+            if task is None or task.crashes.get(state.id) == blames.get(key):
+                continue
+            task.note_crash(state.id, blames.get(key))
+            self._note_change(key)
+        if blames:
+            self._noted[state.id] = set(blames)
+
+    def _describe(self, state: ExecutorState) -> list[RunThere]:
+        """Return what may have run at an executor as it fell silent."""
+        assert state.silent_since is not None
+        found = []
+        for attempt in state.at_silence:
+            task = self._find_task(attempt.task)
+            if task is not None and _may_have_begun(attempt):
+                age_s = state.silent_since - attempt.ordered_at
+                there = RunThere(attempt.task, attempt.run, age_s, attempt.seen, task.works)
+                found.append(there)
+        return found
+
+    def _log(self, state: ExecutorState, blames: dict[TaskKey, Blame], now: float) -> None:
+        self._statistics.count("executors_crashed")
+        runs = {run.task: run for run in self._describe(state)}
+        log_event(
+            "executor.crashed",
+            executor=state.id,
+            runs=len(runs),
+            silent_s=round(now - (state.silent_since or now), 3),
+            beside=self._count_beside(state, {task.job for task in runs}),
+            leaves=state.leaves_at is not None,
+            listed=state.listed_at_silence,
+            blamed=[
+                describe_run(task, runs[task].run, state.id)
+                | {"age_s": round(runs[task].age_s, 3), "blame": blame.value}
+                for task, blame in blames.items()
+                if task in runs
+            ],
+        )
+
+
+def _may_have_begun(attempt: Attempt) -> bool:
+    """Whether any send of its start was, or may have been, carried out."""
+    is_open = attempt.sends > attempt.refused_sends
+    return attempt.seen or is_open
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
@@ -25,12 +25,13 @@
     `lapse_by` is when everything there has certainly ended unless it is held again.
     `noted` is the highest end taken in, `seen` the highest that is recorded, `told_seen`
     the highest that the executor has been told. `listed`: its entry is there, `was_listed`: it was
-    at any time of this term. `silent_since` is when it failed to report, None while it does.
-    `recorded`: the store names it as in use;
-    `is_inherited`: an earlier owner may have used it; `only_tasks` are those that it may
-    have left there, None for any. `strays` are runs that are there beside their tasks' own
-    attempts, or of no job that is known, until each is stopped. `evacuated`: its failure
-    domain is to take no new work.
+    at any time of this term. `silent_since` is when it failed to report, None while it does;
+    `at_silence` what was there then, `listed_at_silence` whether its entry was. Until `apart_until`
+    nothing is started beside a task under which executors have crashed. `recorded`: the store
+    names it as in use; `is_inherited`: an earlier owner may have used it; `only_tasks` are those
+    that it may have left there, None for any. `strays` are runs that are there beside their tasks'
+    own attempts, or of no job that is known, until each is stopped. `evacuated`: its failure domain
+    is to take no new work.
     """
 
     executor: Executor
@@ -44,6 +45,9 @@
     told_seen: int = 0
     heard: bool = False
     silent_since: float | None = None
+    at_silence: tuple[Attempt, ...] = ()
+    listed_at_silence: bool = True
+    apart_until: float = 0.0
     listed: bool = True
     was_listed: bool = False
     recorded: bool = False
@@ -74,6 +78,7 @@
             and not self.evacuated
             and self.leaves_at is None
             and now >= self.rest_until
+            and now >= self.apart_until
         )
 
     def occupy(self, attempt: Attempt) -> None:
@@ -115,6 +120,11 @@
                 soon = soon.plus(attempt.need)
         return soon
 
+    def note_over(self) -> None:
+        """Take in that this life is over: nothing runs here, and nothing will."""
+        self.dead = True
+        self.wake.set()
+
     def read_clock(self, sent: float, received: float, clock_ms: int) -> None:
         """Keep a reading of its clock if it bounds it better than the last one did."""
         if self.clock is not None:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/gangs.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/gangs.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 
+from .crashes import began_lately
 from .model import URGENT, Resources
 from .plan import Candidate
 from .policy import Policy
@@ -50,6 +51,8 @@
         if count >= self._too_large.get(key, count + 1):
             return []
         avoided = self._avoided_by_any(candidate)
+        if candidate.step.has_suspects:
+            avoided |= {r.state.id for r in usable.rooms if began_lately(r.state, self._now)}
         best = self._best_fit(candidate, scopes, avoided, held)
         if best is None:
             if not avoided and not held:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
@@ -7,6 +7,7 @@
 import trio
 from heronthread_coordination import Measure
 
+from .crashes import YOUNG_S
 from .events import describe_run, log_event
 from .executor_link import (
     Obeyed,
@@ -54,6 +55,9 @@
             key = start.job.key_of(start.step, start.task)
             attempt = Attempt(key, run, start.executor.id, start.step.spec.need, now)
             attempt.moved_at = now
+            if start.step.has_suspects:
+                # Whatever else began there would be under the same suspicion if it crashes.
+                start.executor.apart_until = now + YOUNG_S
             self.cell.place(start.task, attempt, start.executor)
             self._nursery.start_soon(self._start, start, attempt, checkpoint)
         job = group[0].job
@@ -107,6 +111,7 @@
                 self._settle_start(start, attempt, outcome)
                 return
             attempt.unanswered += not outcome.unsent
+            attempt.refused_sends += outcome.unsent
             state.wake.set()
             await trio.sleep(RETRY_S)
         if attempt.phase is Phase.STARTING and start.task.attempt is attempt:
@@ -139,6 +144,7 @@
                 attempt.settled_at = now
                 attempt.moved_at = now
             return
+        attempt.refused_sends += 1
         reason = _reason(outcome)
         is_over = isinstance(outcome, Refused) and outcome.reason is Refusal.OLD_RUN
         log_event(
@@ -168,8 +174,7 @@
         if isinstance(outcome, Unhealthy):
             state.note_bad(now)
         elif isinstance(outcome, OtherLife):
-            state.dead = True
-            state.wake.set()
+            state.note_over()
         elif isinstance(outcome, Refused) and outcome.reason is Refusal.NOT_APPROVED:
             self.cell.approvals.drop(attempt.task._replace(member=0), state.id)
         else:
@@ -230,8 +235,7 @@
             state.wake.set()
             return True
         if isinstance(outcome, OtherLife):
-            state.dead = True
-            state.wake.set()
+            state.note_over()
             return True
         if isinstance(outcome, Refused) and outcome.reason is Refusal.FENCED:
             self._depose()
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
@@ -10,6 +10,7 @@
 from heronthread_coordination import Measure
 
 from .approval import Approvals, Approver, NoApprover
+from .crashes import Crashes
 from .evacuation import Evacuations
 from .events import describe_run, log_event
 from .executor_link import EndedRun, EndKind, ExecutorLink
@@ -107,6 +108,7 @@
         self.approvals = Approvals(parts.approver, self.wake_planner)
         self.to_stop: list[tuple[Attempt, str]] = []
         self.stop_wanted = trio.Event()
+        self.crashes = Crashes(self.find_task, self._note_crash, parts.statistics)
 
     def wake_planner(self) -> None:
         """Have a plan made soon."""
@@ -156,6 +158,54 @@
             term=self.term.number,
         )
 
+    # Crashes
+
+    def restore_crashes(self, job: JobState) -> None:
+        """Take over what an earlier owner noted of executors that crashed under a job's tasks."""
+        for step in job.steps:
+            for task in step.tasks if step.has_suspects else ():
+                self.crashes.restore(job.key_of(step, task), task)
+
+    def _note_crash(self, key: TaskKey) -> None:
+        job = self.jobs.get(key.job)
+        if job is not None and job.spec.id in self.active:
+            self._settle(job)
+
+    def give_up_crashing(self) -> None:
+        """Fail the jobs of which a task has crashed executors so often that it is not started.
+
+        To be called once no executor that a task is blamed for can report again.
+        """
+        for job in list(self.active.values()):
+            self._give_up_job(job)
+
+    def confirm_crash(self, state: ExecutorState) -> None:
+        """Take in that an executor's life is over, and give up the tasks that did it again."""
+        jobs = {attempt.task.job for attempt in state.at_silence}
+        jobs |= {attempt.task.job for attempt in state.list_held()}
+        self.crashes.confirm(state, trio.current_time())
+        for name in jobs:
+            job = self.active.get(name)
+            if job is not None:
+                self._give_up_job(job)
+
+    def _give_up_job(self, job: JobState) -> None:
+        for step in job.steps:
+            for task in step.tasks if step.has_suspects else ():
+                if not task.is_given_up or not job.is_active:
+                    continue
+                job.failed = True
+                log_event(
+                    "job.failed",
+                    job=job.spec.id,
+                    step=step.number,
+                    index=task.index,
+                    why="executors crashed under it",
+                    executors=task.crashes,
+                )
+                self._end_attempts(job, "job failed")
+                self._settle(job)
+
     def _cancel(self, job: JobState) -> None:
         job.cancelled = True
         log_event("job.cancelled", job=job.spec.id, status=job.status.value)
@@ -367,6 +417,12 @@
         limit = self.parts.desired().current_queue(job.spec).max_attempts
         if step.count_failures(task) >= limit and not job.status.is_final:
             job.failed = True
-            log_event("job.failed", job=job.spec.id, step=end.task.step, index=end.task.member)
+            log_event(
+                "job.failed",
+                job=job.spec.id,
+                step=end.task.step,
+                index=end.task.member,
+                why="its runs failed",
+            )
             self._end_attempts(job, "job failed")
         self._settle(job)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -185,6 +185,7 @@
             job = self.cell.jobs.get(item.key.removeprefix(PROGRESS_PREFIX))
             if job is not None:
                 job.restore(ProgressRecord.decode(item.value), item.revision)
+                self.cell.restore_crashes(job)
         for job in list(self.cell.active.values()):
             if job.status.is_final:
                 del self.cell.active[job.spec.id]
@@ -202,6 +203,7 @@
             await trio.sleep(0.02)
             self._drop_gone(started)
             self.cell.wake_planner()
+        self.cell.give_up_crashing()
         log_event(
             "owner.ready",
             term=self.cell.term.number,
@@ -223,7 +225,7 @@
         for state in self.cell.silent():
             if not state.was_listed:
                 log_event("executor.gone", executor=state.id, entry_missing_s=ENTRY_BACK_S)
-                state.dead = True
+                state.note_over()
 
     # Executors
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -8,6 +8,7 @@
 import trio
 
 from .approval import LARGEST_QUESTION, USUAL_QUESTION, Approvals, Question
+from .crashes import began_lately, sum_at_stake
 from .fleet import ExecutorState
 from .gangs import SPREAD_PATIENCE_S, Gangs
 from .guarantee import find_guaranteed
@@ -131,6 +132,8 @@
                 if not step.open_count or (step.spec.gang and step.held_count):
                     continue
                 tasks = self._without_doubt(job, step, step.open_tasks())
+                if step.has_suspects:
+                    tasks = [task for task in tasks if not task.is_given_up]
                 if not tasks or (step.spec.gang and len(tasks) < len(step.tasks)):
                     continue
                 yield Candidate(job, step, queue, tasks, *self._rank(job, step, queue))
@@ -312,9 +315,32 @@
             if near or not self._may_go_remote(candidate, usable):
                 fitting = near
         fitting.sort(key=self._gangs.prefer)
-        return self._fill(candidate, fitting)
+        if candidate.step.has_suspects:
+            return self._fill_apart(candidate, fitting)
+        return self._fill(candidate, fitting, candidate.tasks)
 
-    def _fill(self, candidate: Candidate, rooms: list[Room]) -> list[tuple[TaskState, Room]]:
+    def _fill_apart(self, candidate: Candidate, rooms: list[Room]) -> list[tuple[TaskState, Room]]:
+        """Give each task under which an executor crashed one of its own, then the others theirs.
+
+        It is the only one to begin there if that can be had, and least work is lost if it crashes
+        that one too.
+        """
+        placed: list[tuple[TaskState, Room]] = []
+
+        def rank(room: Room) -> tuple[bool, float]:
+            return began_lately(room.state, self.now), sum_at_stake(room.state, self.now)
+
+        apart = sorted(rooms, key=rank)
+        for task in [task for task in candidate.tasks if task.crashes]:
+            found = self._fill(candidate, apart, [task])
+            for _, room in found:
+                room.shrink(NO_ROOM)
+            placed += found
+        return placed + self._fill(candidate, rooms, [t for t in candidate.tasks if not t.crashes])
+
+    def _fill(
+        self, candidate: Candidate, rooms: list[Room], tasks: list[TaskState]
+    ) -> list[tuple[TaskState, Room]]:
         """Give each task the first room that takes it."""
         spec = candidate.step.spec
         counts = self._count_by_executor(candidate)
@@ -326,7 +352,7 @@
 
         placed = []
         first = 0
-        for task in candidate.tasks:
+        for task in tasks:
             while first < len(rooms) and is_used_up(rooms[first]):
                 first += 1
             for room in rooms[first:]:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
@@ -6,10 +6,14 @@
 from enum import Enum
 
 from .model import JobSpec, Queue, Resources, StepSpec, TaskKey
-from .record import JobStatus, ProgressRecord, StepProgress
+from .record import Blame, JobStatus, ProgressRecord, StepProgress
 
 UNSETTLED = float("inf")
 LATE_FACTOR = 3.0
+MOST_BLAMED = 2
+"""The users' page lets a task be given up under which two executors have crashed."""
+MOST_CRASHES = 4
+"""And it allows two more starts after the third crash, whoever is to blame; one is kept in hand."""
 
 
 class Phase(Enum):
@@ -27,8 +31,8 @@
     Times are on trio's clock. `settled_at` is when an answer proved that no order for it can
     have an effect any more that a report asked for later does not show: its start or a stop of
     it was obeyed, or it was called old. Of its start, `sends` went out and `unanswered` had no
-    answer; each of those may be carried out seconds later until then. `moved_at` is when
-    `percent` last rose.
+    answer; each of those may be carried out seconds later until then. `refused_sends` did nothing.
+    `moved_at` is when `percent` last rose.
     `rate` is the last measured speed (percent a second) and `best_rate` the highest one;
     `ratio` is the time that it takes over the time that was estimated. `is_long`: it was
     behind its step while its executor did well with others, so it is the task itself.
@@ -43,6 +47,7 @@
     settled_at: float = UNSETTLED
     sends: int = 0
     unanswered: int = 0
+    refused_sends: int = 0
     seen: bool = False
     percent: float = 0.0
     moved_at: float = 0.0
@@ -60,8 +65,9 @@
 class TaskState:
     """One task; it has at most one attempt that may be anywhere.
 
-    `moves` counts the attempts stopped because others of its step were faster. What changes
-    here is counted in its step, so that no plan has to look at each task.
+    `moves` counts the attempts stopped because others of its step were faster. `crashes` are the
+    executors that crashed under it; `works`: a report has shown progress of a run of it. What
+    changes here is counted in its step, so that no plan has to look at each task.
     """
 
     __slots__ = (
@@ -71,20 +77,24 @@
         "avoid",
         "checkpoint",
         "checkpoint_run",
+        "crashes",
         "failed_runs",
         "index",
         "last_run",
         "moves",
+        "works",
     )
 
     def __init__(self, index: int) -> None:
         self.index = index
         self.failed_runs: set[int] = set()
+        self.crashes: dict[str, Blame] = {}
         self.checkpoint = ""
         self.checkpoint_run = 0
         self.last_run = 0
         self.avoid: dict[str, float] = {}
         self.moves = 0
+        self.works = False
         self._done = False
         self._attempt: Attempt | None = None
         self._step: StepState | None = None
@@ -94,6 +104,21 @@
         until = self.avoid.get(executor)
         return until is not None and until > now
 
+    def note_crash(self, executor: str, blame: Blame | None) -> None:
+        """Take in whether it is to blame for an executor's crash; None if it is not."""
+        if blame is None:
+            self.crashes.pop(executor, None)
+        else:
+            self.crashes[executor] = blame
+        if self._step is not None:
+            self._step.has_suspects = any(task.crashes for task in self._step.tasks)
+
+    @property
+    def is_given_up(self) -> bool:
+        """Whether so many executors have crashed under it that it is not started any more."""
+        blamed = sum(blame is Blame.BLAMED for blame in self.crashes.values())
+        return blamed >= MOST_BLAMED or len(self.crashes) >= MOST_CRASHES
+
     def join(self, step: StepState) -> None:
         """Belong to a step from now on."""
         self._step = step
@@ -149,6 +174,7 @@
     chosen_rack: str | None = None
     ratios: dict[int, float] = field(default_factory=dict)
     rescues: int = 0
+    has_suspects: bool = False
     partial_since: float | None = None
     done_count: int = 0
     held_count: int = 0
@@ -283,6 +309,7 @@
                 sum(1 << t.index for t in s.tasks if t.done),
                 {t.index: sorted(t.failed_runs) for t in s.tasks if t.failed_runs},
                 {t.index: t.checkpoint for t in s.tasks if t.checkpoint and not t.done},
+                {t.index: dict(t.crashes) for t in s.tasks if t.crashes},
             )
             for s in self.steps
         ]
@@ -299,6 +326,8 @@
                 task.done = bool(saved.done >> task.index & 1)
                 task.failed_runs = set(saved.failures.get(task.index, ()))
                 task.checkpoint = saved.checkpoints.get(task.index, "")
+                for executor, blame in saved.crashes.get(task.index, {}).items():
+                    task.note_crash(executor, blame)
 
 
 def make_job(spec: JobSpec, now: float) -> JobState:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
@@ -146,16 +146,25 @@
     )
 
 
+class Blame(StrEnum):
+    """Whether a task crashed an executor: nothing else may have, or something else may."""
+
+    BLAMED = "blamed"
+    SUSPECTED = "suspected"
+
+
 @dataclass(slots=True)
 class StepProgress:
     """Done tasks as a bit mask; the runs that failed and checkpoints by task index.
 
-    The runs are kept, not their count, because an executor may list an end again.
+    The runs are kept, not their count, because an executor may list an end again; for the same
+    reason `crashes` names the executors that crashed under a task.
     """
 
     done: int = 0
     failures: dict[int, list[int]] = field(default_factory=dict)
     checkpoints: dict[int, str] = field(default_factory=dict)
+    crashes: dict[int, dict[str, Blame]] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -168,7 +177,9 @@
     def encode(self) -> bytes:
         """Return the stored form."""
         steps = [[f"{s.done:x}", s.failures, s.checkpoints] for s in self.steps]
-        value = {"status": self.status.value, "steps": steps}
+        value: dict[str, Any] = {"status": self.status.value, "steps": steps}
+        if any(s.crashes for s in self.steps):
+            value["crashes"] = [s.crashes for s in self.steps]
         return json.dumps(value, separators=(",", ":")).encode()
 
     @classmethod
@@ -183,4 +194,9 @@
             )
             for done, failures, checkpoints in value["steps"]
         ]
+        for step, crashes in zip(steps, value.get("crashes", ()), strict=False):
+            step.crashes = {
+                int(index): {executor: Blame(blame) for executor, blame in blames.items()}
+                for index, blames in crashes.items()
+            }
         return cls(JobStatus(value["status"]), steps)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
@@ -54,6 +54,8 @@
             await self._hold_once()
             if self.state.dead or self._may_be_forgotten():
                 break
+        if self.state.dead:
+            self.cell.confirm_crash(self.state)
         self._close_all("the executor is gone")
         self.cell.executors.pop(self.state.id, None)
 
@@ -80,11 +82,12 @@
         outcome = await self.cell.parts.link.hold(state.executor, order)
         if isinstance(outcome, Report):
             self._silent = 0
-            state.silent_since = None
+            if not state.heard or state.silent_since is not None:
+                self.cell.crashes.withdraw(state)
             state.told_seen = max(state.told_seen, order.seen)
             await self._take_report(outcome, sent, trio.current_time())
         elif isinstance(outcome, OtherLife):
-            state.dead = True
+            state.note_over()
         elif isinstance(outcome, Refused) and outcome.reason is Refusal.FENCED:
             self._depose()
             await trio.sleep(PAUSE_S)
@@ -124,10 +127,16 @@
         now = trio.current_time()
         self._silent += 1
         if self._silent == 1:
-            self.state.silent_since = now
             self._log_silence(outcome, now)
+        if isinstance(outcome, Unanswered):
+            if self.state.silent_since is None:
+                self.state.listed_at_silence = self.state.listed
+                self.cell.crashes.note_silence(self.state, now)
+            if outcome.unsent:
+                self.cell.crashes.note_down(self.state)
         self.state.rest_until = max(self.state.rest_until, now + LONGEST_PAUSE_S)
         if now > self.state.lapse_by and self.state.heard:
+            self.cell.crashes.note_down(self.state)
             self._close_all("the holding time has run out")
         await trio.sleep(min(LONGEST_PAUSE_S, PAUSE_S * 2 ** min(self._silent, 4)))
 
@@ -205,6 +214,7 @@
         policy = self.cell.parts.policy
         measure_speed(job, attempt, self.state, run.percent, received, factor, policy)
         if run.percent > attempt.percent:
+            task.works = True
             attempt.percent = run.percent
             attempt.moved_at = received
             if attempt.began_at is None:
