Set aside stored forms that can't be read, and count suspended time towards leases

A job, progress, list of executors or member that can't be read raised in the owner that loads it, and so in each next one: by reading, then by a test that ended two owners in a row. Now such forms are told (record.unreadable) and set aside, the rest goes on; a job without readable progress is not run, as what is done of it is unknown; where the executors in use can't be read an owner waits for the longest holding time. One small clock counts suspended time for lease, news and tickets. Ruled out: holding times and lapses, which a host that was suspended only judges too late, never too early.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/approval.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/approval.py
@@ -13,6 +13,7 @@
 
 import trio
 
+from .clock import lasting_time
 from .events import log_event
 from .executor_link import Unanswered
 from .model import ApprovalTerms, TaskKey
@@ -62,7 +63,7 @@
 
 
 class Approvals:
-    """What has been answered, and the questions that wait; times are on trio's clock."""
+    """What has been answered, and the questions that wait; times are on the lasting clock."""
 
     def __init__(self, approver: Approver, on_answer: Callable[[], None]) -> None:
         self._approver = approver
@@ -76,7 +77,7 @@
     def find_ticket(self, step: TaskKey, executor: str) -> str | None:
         """Return the ticket of a step for an executor, if it has one that holds."""
         ticket = self._tickets[step].get(executor)
-        if ticket is None or trio.current_time() >= ticket.until:
+        if ticket is None or lasting_time() >= ticket.until:
             return None
         return ticket.text
 
@@ -105,7 +106,7 @@
             await self._ask(self._waiting.popleft())
 
     async def _ask(self, question: Question) -> None:
-        sent = trio.current_time()
+        sent = lasting_time()
         outcome = await self._approver.ask(question)
         self._asked.discard(question.step)
         if isinstance(outcome, Unanswered):
@@ -129,5 +130,5 @@
             step=question.step.step,
             asked=len(question.executors),
             approved=len(outcome.tickets),
-            took_s=round(trio.current_time() - sent, 3),
+            took_s=round(lasting_time() - sent, 3),
         )
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -45,6 +45,7 @@
     encode_record,
     make_reply,
 )
+from .record import Unreadable
 from .requests import Requests
 from .sizes import encode_kinds
 from .succession import RANK_DELAY_S, find_stronger, rank
@@ -149,10 +150,20 @@
             if isinstance(event, Gone):
                 self.members.pop(name, None)
             else:
-                self.members[name] = Presence.decode(event.value)
+                self._note_member(name, event)
+
+    def _note_member(self, name: str, item: Item) -> None:
+        presence = Presence.decode(item.value)
+        if isinstance(presence, Unreadable):
+            log_event("record.unreadable", key=item.key, reason=presence.reason)
+            return
+        self.members[name] = presence
 
     def _note_owner(self, item: Item | None) -> None:
         presence = Presence.decode(item.value) if item is not None else None
+        if isinstance(presence, Unreadable):
+            log_event("record.unreadable", key=OWNER_KEY, reason=presence.reason)
+            presence = None
         if presence is None and self.owner_presence is not None:
             self._owner_gone_at = trio.current_time()
             self._owner_gone.set()
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/intake.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/intake.py
@@ -21,7 +21,7 @@
     Transaction,
 )
 from .owned import job_key
-from .record import CancelledUntaken, JobRecord, decode_job
+from .record import CancelledUntaken, JobRecord, Unreadable, decode_job
 
 FORBID_S = 30.0
 """For how long a job that was cancelled before it came is kept from being taken in: some times
@@ -88,11 +88,13 @@
     return _describe(outcome)
 
 
-def _read_taken(item: Item) -> Taken | NotTaken:
+def _read_taken(item: Item) -> Taken | NotTaken | Unsettled:
     """Return what stands in a job's place already."""
     record = decode_job(item.value)
     if isinstance(record, CancelledUntaken):
         return NotTaken("it was cancelled before it was taken in")
+    if isinstance(record, Unreadable):
+        return Unsettled(f"what stands in its place can't be read: {record.reason}")
     return Taken(record)
 
 
@@ -134,6 +136,8 @@
         record = decode_job(item.value)
         if isinstance(record, CancelledUntaken):
             return NoSuchJob()
+        if isinstance(record, Unreadable):
+            return Unsettled(f"what stands in its place can't be read: {record.reason}")
         if record.spec.tenant != tenant:
             return NoSuchJob()
         if record.cancelled:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/news.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/news.py
@@ -9,6 +9,7 @@
 import trio
 from heronthread_coordination import is_store_down_for_all
 
+from .clock import lasting_time
 from .events import log_event
 from .host_state import HostState
 from .peering import (
@@ -53,7 +54,7 @@
         self._is_fetching = False
 
     def _forget_old(self) -> None:
-        since = trio.current_time() - FORGET_S
+        since = lasting_time() - FORGET_S
         self.heard = {name: heard for name, heard in self.heard.items() if heard.at >= since}
 
     def make(self) -> News:
@@ -86,14 +87,14 @@
 
     def _find_peer(self, is_meant: Callable[[News], bool]) -> str | None:
         """Return the address of some peer whose news of late are meant."""
-        since = trio.current_time() - 2 * FRESH_S
+        since = lasting_time() - 2 * FRESH_S
         heard = [heard.news for heard in self.heard.values() if heard.at >= since]
         found = [news.address for news in heard if is_meant(news)]
         return random.choice(found) if found else None
 
     def is_outage_agreed(self) -> bool:
         """Whether the lease could not be renewed because nobody reaches the store."""
-        now = trio.current_time()
+        now = lasting_time()
         if self._host.tenure.lease is None or self._host.store.is_answering:
             return False
         if now - self._host.tenure.last_renewed > OUTAGE_LIMIT_S:
@@ -153,7 +154,7 @@
         if news is None:
             self._host.note_malformed(Operation.NEWS, "", "it is no news")
             return
-        self.heard[news.host] = HeardNews(news, trio.current_time())
+        self.heard[news.host] = HeardNews(news, lasting_time())
         self._host.evacuations.take_told(news.evacuations, news.host)
         if news.version > self._host.configuration.state.version:
             await self._fetch_configuration()
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
@@ -144,6 +144,11 @@
             self._cancel(job)
         self.wake_planner()
 
+    def forget(self, job: JobState) -> None:
+        """Neither plan nor show a job, as if it had not been taken in."""
+        self.jobs.pop(job.spec.id, None)
+        self.active.pop(job.spec.id, None)
+
     def _log_known(self, job: JobState) -> None:
         queue = self.parts.desired().current_queue(job.spec)
         log_event(
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -10,7 +10,7 @@
 from heronthread_coordination import Measure, Unavailable
 
 from .domains import tell_of_limits
-from .events import log_event
+from .events import RepeatedEvents, log_event
 from .fleet import ExecutorState, make_executor
 from .follow import Follower
 from .housekeeping import Housekeeping
@@ -21,7 +21,15 @@
 from .peaks import RecentPeaks
 from .plan import Plan
 from .planner import Planner
-from .record import JobRecord, JobStatus, ProgressRecord, decode_job
+from .progress import JobState
+from .record import (
+    MALFORMED,
+    JobRecord,
+    JobStatus,
+    Unreadable,
+    decode_job,
+    decode_progress,
+)
 from .recorder import PROGRESS_PREFIX, Deposed, progress_key
 from .retention import remove_old_jobs
 from .sizes import Kind, PoolSizes, find_misfit
@@ -37,6 +45,7 @@
 LATE_OWNER_S = 1.2
 FIRST_HEARING_S = 0.04
 URGENT_WINDOW_S = 12.0
+UNREADABLE_EVERY_S = 60.0
 ENTRY_BACK_S = 2.0 + 0.5
 """What the users' pages allow for an entry, and what its news may take to arrive here."""
 DIRECTORY_GATHER_S = 0.25
@@ -67,6 +76,8 @@
         self._orders: Orders | None = None
         self._urgent = RecentPeaks(URGENT_WINDOW_S)
         self._sizes = PoolSizes()
+        self._set_aside: set[str] = set()
+        self._unreadable = RepeatedEvents(UNREADABLE_EVERY_S)
 
     @property
     def is_settled(self) -> bool:
@@ -148,7 +159,10 @@
                 nursery.start_soon(fetch, prefix)
         for prefix in asks:
             self.parts.evacuations.take_listing(found[prefix], (prefix,))
-        self._take_used(found[USED_KEY])
+        if not self._take_used(found[USED_KEY]):
+            # Executors that can't be named can't be held either: what an earlier owner left there
+            # ends by itself.
+            await trio.sleep(LATE_OWNER_S + self.parts.timing.hold_s * 1.05)
         directory.begin(found[directory.prefix])
         jobs.begin(found[jobs.prefix])
         self._take_progress(found[PROGRESS_PREFIX])
@@ -162,11 +176,15 @@
                 return listing
             await trio.sleep(PAUSE_S)
 
-    def _take_used(self, listing: Listing) -> None:
-        """Take in which executors an earlier owner may have used."""
+    def _take_used(self, listing: Listing) -> bool:
+        """Take in which executors an earlier owner may have used; False if that can't be read."""
         for item in listing.items:
             self._used_revision = item.revision
-            self._used = json.loads(item.value)
+            used = decode_used(item.value)
+            if isinstance(used, Unreadable):
+                log_event("record.unreadable", key=item.key, reason=used.reason)
+                return False
+            self._used = used
         now = trio.current_time()
         unheard_until = now + LATE_OWNER_S + self.parts.timing.hold_s * 1.05
         for executor_id, (address, pool, tasks) in self._used.items():
@@ -179,19 +197,31 @@
                 state.only_tasks = frozenset(TaskKey(*task) for task in tasks)
             state.lapse_by = unheard_until
             self.cell.executors[executor_id] = state
+        return True
 
     def _take_progress(self, listing: Listing) -> None:
         for item in listing.items:
             job = self.cell.jobs.get(item.key.removeprefix(PROGRESS_PREFIX))
             if job is not None:
-                job.restore(ProgressRecord.decode(item.value), item.revision)
-                self.cell.restore_crashes(job)
+                self._restore(job, item)
         for job in list(self.cell.active.values()):
             if job.status.is_final:
                 del self.cell.active[job.spec.id]
             if job.recorded is not job.status and job.status.is_final:
                 self.cell.recorder.mark(job)
 
+    def _restore(self, job: JobState, item: Item) -> None:
+        """Take over how far a job has come; set it aside if that can't be told."""
+        record = decode_progress(item.value)
+        if not isinstance(record, Unreadable) and job.fits(record):
+            job.restore(record, item.revision)
+            self.cell.restore_crashes(job)
+            return
+        reason = record.reason if isinstance(record, Unreadable) else "it is not of this job"
+        log_event("record.unreadable", key=item.key, reason=reason)
+        self._set_aside.add(job.spec.id)
+        self.cell.forget(job)
+
     async def _pass_barrier(self) -> None:
         """Wait until every executor of an earlier owner was heard, or holds nothing any more.
 
@@ -251,6 +281,7 @@
             return
         executor = self.parts.directory.parse(executor_id, event.value)
         if executor is None:
+            self._unreadable.log("executor.unreadable", (executor_id,), executor=executor_id)
             return
         now = trio.current_time()
         self._sizes.keep(executor, now)
@@ -276,6 +307,14 @@
         used = Resources()
         for attempt in state.list_held():
             used = used.plus(attempt.need)
+        if executor.capacity != state.executor.capacity:
+            log_event(
+                "executor.resized",
+                executor=state.id,
+                before=list(state.executor.capacity),
+                now=list(executor.capacity),
+                used=list(used),
+            )
         state.executor = executor
         state.free = executor.capacity.minus(used)
         state.listed = state.was_listed = True
@@ -347,12 +386,14 @@
         if not isinstance(event, Item):
             return
         record = decode_job(event.value)
-        if isinstance(record, JobRecord):
+        if isinstance(record, Unreadable):
+            log_event("record.unreadable", key=event.key, reason=record.reason)
+        elif isinstance(record, JobRecord) and record.spec.id not in self._set_aside:
             self.cell.note_job(record, event.created)
 
     def note_job(self, record: JobRecord) -> None:
         """Take in a job or a cancel that a peer tells of."""
-        if self.is_ready:
+        if self.is_ready and record.spec.id not in self._set_aside:
             self.cell.note_job(record)
 
     def view(self, job_id: str) -> JobView | None:
@@ -439,6 +480,23 @@
             self.cell.approvals.want(question)
 
 
+def decode_used(data: bytes) -> dict[str, list[Any]] | Unreadable:
+    """Read which executors are in use: address, pool and tasks of each by its id."""
+    try:
+        rows = json.loads(data).items()
+        return {
+            str(name): [str(address), str(pool), tasks and [_read_task(task) for task in tasks]]
+            for name, (address, pool, tasks) in rows
+        }
+    except MALFORMED as error:
+        return Unreadable(repr(error))
+
+
+def _read_task(value: list[Any]) -> list[Any]:
+    job, step, member, occurrence = value
+    return [str(job), int(step), int(member), int(occurrence)]
+
+
 def _describe_use(state: ExecutorState) -> list[Any]:
     """Return an executor's entry among those in use: address, pool, and its tasks.
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
@@ -315,6 +315,13 @@
         ]
         return ProgressRecord(self.status, steps)
 
+    def fits(self, record: ProgressRecord) -> bool:
+        """Whether a record has this job's steps, and names no task that it hasn't."""
+        return len(record.steps) == len(self.steps) and all(
+            saved.done >> len(step.tasks) == 0
+            for step, saved in zip(self.steps, record.steps, strict=True)
+        )
+
     def restore(self, record: ProgressRecord, revision: int) -> None:
         """Take over what an earlier owner recorded."""
         self.revision = revision
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
@@ -3,12 +3,24 @@
 from __future__ import annotations
 
 import json
-from dataclasses import astuple, dataclass, field, replace
+from dataclasses import astuple, dataclass, field
 from enum import StrEnum
 from typing import Any
 
 from .model import ApprovalTerms, JobSpec, Queue, Resources, Schedule, StepSpec
 
+MALFORMED = (KeyError, IndexError, TypeError, ValueError, AttributeError, OverflowError)
+"""What reading bytes that are not as agreed may raise."""
+MOST_TASKS = 1_000_000
+"""More than any caller may ask for; a job that names more is no job."""
+
+
+@dataclass(frozen=True, slots=True)
+class Unreadable:
+    """Stored bytes that are not as agreed: set aside and told, so that no reader ends by them."""
+
+    reason: str
+
 
 class JobStatus(StrEnum):
     """What callers are told of a job."""
@@ -59,15 +71,16 @@
         """Take the values out of the stored form."""
         steps = tuple(_decode_step(step) for step in value["steps"])
         spec = JobSpec(
-            value["id"],
+            str(value["id"]),
             _decode_queue(value["queue"]),
-            value["tenant"],
-            value["payload"],
+            str(value["tenant"]),
+            str(value["payload"]),
             steps,
-            value["accepted"],
-            Schedule(*value["schedule"]) if "schedule" in value else None,
+            float(value["accepted"]),
+            _decode_schedule(value["schedule"]) if "schedule" in value else None,
         )
-        return cls(spec, value.get("cancelled", False))
+        _check_steps(steps)
+        return cls(spec, bool(value.get("cancelled", False)))
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,12 +94,37 @@
         return json.dumps({"cancelled_untaken": self.tenant}).encode()
 
 
-def decode_job(data: bytes) -> JobRecord | CancelledUntaken:
+def decode_job(data: bytes) -> JobRecord | CancelledUntaken | Unreadable:
     """Read what stands under a job's key."""
-    value = json.loads(data)
-    if "cancelled_untaken" in value:
-        return CancelledUntaken(value["cancelled_untaken"])
-    return JobRecord.read(value)
+    try:
+        value = json.loads(data)
+        if "cancelled_untaken" in value:
+            return CancelledUntaken(str(value["cancelled_untaken"]))
+        return JobRecord.read(value)
+    except MALFORMED as error:
+        return Unreadable(repr(error))
+
+
+def decode_progress(data: bytes) -> ProgressRecord | Unreadable:
+    """Read what stands under a progress key."""
+    try:
+        return ProgressRecord.decode(data)
+    except MALFORMED as error:
+        return Unreadable(repr(error))
+
+
+def _check_steps(steps: tuple[StepSpec, ...]) -> None:
+    """Raise `ValueError` unless each step has tasks and waits for earlier steps only."""
+    for number, step in enumerate(steps):
+        if not 1 <= step.count <= MOST_TASKS:
+            raise ValueError(f"step {number} has {step.count} tasks")
+        if not all(0 <= earlier < number for earlier in step.after):
+            raise ValueError(f"step {number} does not wait for earlier steps only")
+
+
+def _decode_schedule(value: list[Any]) -> Schedule:
+    count, first_at, interval_s = value
+    return Schedule(int(count), float(first_at), float(interval_s))
 
 
 def _encode_queue(queue: Queue) -> list[Any]:
@@ -105,8 +143,19 @@
 
 
 def _decode_queue(value: list[Any]) -> Queue:
-    queue, approval = Queue(*value[:-1]), value[-1]
-    return replace(queue, approval=ApprovalTerms(*approval)) if approval else queue
+    name, host, prefix, pool, priority, attempts, stretch, target_s, public, approval = value
+    return Queue(
+        str(name),
+        str(host),
+        str(prefix),
+        str(pool),
+        int(priority),
+        int(attempts),
+        float(stretch),
+        float(target_s),
+        bool(public),
+        ApprovalTerms(*map(float, approval)) if approval else None,
+    )
 
 
 def _encode_step(step: StepSpec) -> list[Any]:
@@ -128,21 +177,22 @@
 def _decode_step(value: list[Any]) -> StepSpec:
     count, need, estimate, after, flags, label, rack, limit, target, may_miss = value
     gang, same_rack, checkpointing, lasting, fills = (flag == "1" for flag in flags)
+    cpu, memory_mb, accelerators = map(int, need)
     return StepSpec(
-        count,
-        Resources(*need),
-        estimate,
-        tuple(after),
+        int(count),
+        Resources(cpu, memory_mb, accelerators),
+        float(estimate),
+        tuple(map(int, after)),
         gang,
         same_rack,
-        label,
-        rack,
-        limit,
+        str(label),
+        str(rack),
+        int(limit),
         checkpointing,
         lasting,
-        target,
+        float(target),
         fills,
-        may_miss,
+        int(may_miss),
     )
 
 
@@ -189,8 +239,8 @@
         steps = [
             StepProgress(
                 int(done, 16),
-                {int(index): runs for index, runs in failures.items()},
-                {int(index): text for index, text in checkpoints.items()},
+                {int(index): list(map(int, runs)) for index, runs in failures.items()},
+                {int(index): str(text) for index, text in checkpoints.items()},
             )
             for done, failures, checkpoints in value["steps"]
         ]
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/requests.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/requests.py
@@ -43,8 +43,9 @@
     CancelledUntaken,
     JobRecord,
     JobStatus,
-    ProgressRecord,
+    Unreadable,
     decode_job,
+    decode_progress,
 )
 from .recorder import progress_key
 from .sizes import SEEN_S
@@ -230,12 +231,17 @@
         record = decode_job(item.value)
         if isinstance(record, CancelledUntaken):
             return NoSuchJob()
+        if isinstance(record, Unreadable):
+            return Unavailable(f"the job can't be read: {record.reason}")
         progress = await self._host.store.read(progress_key(job_id))
         if isinstance(progress, Unavailable):
             return progress
         status = JobStatus.PENDING
         if isinstance(progress, Item):
-            status = ProgressRecord.decode(progress.value).status
+            known = decode_progress(progress.value)
+            if isinstance(known, Unreadable):
+                return Unavailable(f"its progress can't be read: {known.reason}")
+            status = known.status
         if record.cancelled and not status.is_final:
             status = JobStatus.CANCELLED
         return JobView(status, record.spec.tenant, record.spec.queue.name)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/tenure.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/tenure.py
@@ -8,6 +8,7 @@
 import trio
 from heronthread_coordination import Unavailable, Unknown
 
+from .clock import lasting_time
 from .events import log_event
 from .keystore import (
     Committed,
@@ -20,6 +21,7 @@
     Put,
     Transaction,
 )
+from .record import MALFORMED, Unreadable
 
 LEASE_S = 2.4
 RENEWALS_PER_LEASE = 4
@@ -49,11 +51,14 @@
         return json.dumps(value).encode()
 
     @classmethod
-    def decode(cls, data: bytes) -> Presence:
+    def decode(cls, data: bytes) -> Presence | Unreadable:
         """Read the stored form; an older host tells no strength."""
-        value = json.loads(data)
-        strength = Strength(value.get("cores", 1.0), value.get("link_mbps", 0.0))
-        return cls(value["host"], value["address"], strength)
+        try:
+            value = json.loads(data)
+            strength = Strength(float(value.get("cores", 1)), float(value.get("link_mbps", 0)))
+            return cls(str(value["host"]), str(value["address"]), strength)
+        except MALFORMED as error:
+            return Unreadable(repr(error))
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,8 +72,8 @@
 class Tenure:
     """This process's lease, its member key, and its attempts to own the cell.
 
-    The holder counts its lease from before it sent the renewal, on the steady clock, and
-    relies on it no longer than `MARGIN_S` before its end.
+    The holder counts its lease from before it sent the renewal, on a clock that a suspended
+    machine does not stop, and relies on it no longer than `MARGIN_S` before its end.
     """
 
     def __init__(self, store: KeyStore, presence: Presence, cell: str = "0") -> None:
@@ -87,7 +92,7 @@
     @property
     def is_valid(self) -> bool:
         """Whether the lease holds for certain."""
-        return self.lease is not None and trio.current_time() < self.until
+        return self.lease is not None and lasting_time() < self.until
 
     async def run(self) -> None:
         """Keep a lease, and a new one after each loss, until cancelled."""
@@ -100,7 +105,7 @@
             await self._renew()
 
     async def _enter(self) -> bool:
-        sent = trio.current_time()
+        sent = lasting_time()
         granted = await self._store.grant(LEASE_S)
         if not isinstance(granted, LeaseHeld):
             return False
@@ -124,7 +129,7 @@
         lease = self.lease
         if lease is None:
             return
-        sent = trio.current_time()
+        sent = lasting_time()
         outcome = await self._store.renew(lease)
         if self.lease != lease:
             return
@@ -150,6 +155,8 @@
     def is_own(self, held: Item) -> bool:
         """Whether an owner key names this host: this process, or an earlier life of it."""
         found = Presence.decode(held.value)
+        if isinstance(found, Unreadable):
+            return False
         return (found.host, found.address) == (self.presence.host, self.presence.address)
 
     async def try_own(self, held: Item | None = None) -> Term | None:
--- /dev/null
+++ b/packages/heronthread-dispatch/tests/test_record.py
@@ -0,0 +1,109 @@
+"""Stored forms: what can't be read is set aside, and ends no process that reads it.
+
+A record that ends its reader would end each owner that loads it, one after the other.
+"""
+
+import json
+import random
+
+import trio
+from heronthread_dispatch.model import ApprovalTerms, JobSpec, Queue, Resources, Schedule, StepSpec
+from heronthread_dispatch.owned import job_key
+from heronthread_dispatch.owner import decode_used
+from heronthread_dispatch.record import (
+    JobRecord,
+    JobStatus,
+    Unreadable,
+    decode_job,
+    decode_progress,
+)
+from heronthread_dispatch.recorder import progress_key
+from heronthread_dispatch.tenure import Presence
+from heronthread_emulator import EmulatedSite, captured_events
+from hypothesis import given
+from hypothesis import strategies as st
+
+Clock = trio.testing.MockClock
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(max_size=8), inner),
+    max_leaves=12,
+)
+QUEUE = Queue("q", "host", "/q/", "pool", 1, 4, 3.0, 1.0, False, ApprovalTerms(0.2, 0.1, 5.0))
+STEPS = (StepSpec(2, Resources(1, 1, 1), 1.0), StepSpec(1, Resources(1, 1, 0), 1.0, after=(0,)))
+EXAMPLE = JobRecord(JobSpec("a", QUEUE, "first", "text", STEPS, 1.0, Schedule(2, 1.0, 1.0)))
+READERS = (decode_job, decode_progress, decode_used, Presence.decode)
+
+
+def _change_one(value: object, source: random.Random, other: object) -> object:
+    """Return a value of which one part, at any depth, is another."""
+    if isinstance(value, dict) and value and source.random() < 0.9:
+        key = source.choice(sorted(value))
+        return {**value, key: _change_one(value[key], source, other)}
+    if isinstance(value, list) and value and source.random() < 0.9:
+        place = source.randrange(len(value))
+        changed = _change_one(value[place], source, other)
+        return [*value[:place], changed, *value[place + 1 :]]
+    return other
+
+
+@given(data=st.binary() | JSON.map(lambda value: json.dumps(value).encode()))
+def test_any_bytes_are_read_or_set_aside(data: bytes) -> None:
+    for read in READERS:
+        read(data)
+
+
+@given(seed=st.integers(0, 10_000), other=JSON)
+def test_a_job_of_which_a_part_is_wrong_is_read_or_set_aside(seed: int, other: object) -> None:
+    whole = json.loads(EXAMPLE.encode())
+    changed = _change_one(whole, random.Random(seed), other)
+    found = decode_job(json.dumps(changed).encode())
+    if isinstance(found, JobRecord):
+        assert isinstance(decode_job(found.encode()), JobRecord)
+
+
+async def test_what_cannot_be_read_is_set_aside_and_the_rest_goes_on(autojump_clock: Clock) -> None:
+    """Of six jobs, one has no readable form and one no readable progress; owners come and go."""
+    async with EmulatedSite.open(hosts=3) as site:
+        await site.wait_for_owner()
+        for number in range(6):
+            record = site.make_job(f"j{number}", work_s=6.0)
+            await site.hosts["h1"].requests.accept(record, 2.0)
+        await trio.sleep(1.0)
+        site.store.put(job_key("j0"), b'{"id": 3}')
+        site.store.put(progress_key("j1"), b"\xff")
+        site.store.put("cell/0/host/h9", b"[]")
+        with captured_events() as events:
+            for _ in range(2):
+                name = site.owner_name()
+                assert name is not None
+                site.kill_host(name)
+                site.start_host(name)
+                await trio.sleep(0.5)
+                await site.wait_for_owner()
+            await trio.sleep(30.0)
+        for number in range(2, 6):
+            view = await site.hosts["h1"].requests.find_job(f"j{number}")
+            assert getattr(view, "status", None) is JobStatus.SUCCEEDED
+        told = {event["key"] for event in events if event["message_type"] == "record.unreadable"}
+        assert {job_key("j0"), progress_key("j1"), "cell/0/host/h9"} <= told
+
+
+async def test_an_owner_waits_where_it_can_not_read_which_executors_are_in_use(
+    autojump_clock: Clock,
+) -> None:
+    async with EmulatedSite.open(hosts=2) as site:
+        await site.wait_for_owner()
+        await site.hosts["h0"].requests.accept(site.make_job("a", work_s=4.0), 2.0)
+        await trio.sleep(0.5)
+        site.store.put("used/0", b"[1]")
+        name = site.owner_name()
+        assert name is not None
+        site.kill_host(name)
+        await trio.sleep(30.0)
+        view = await next(iter(site.hosts.values())).requests.find_job("a")
+        assert getattr(view, "status", None) is JobStatus.SUCCEEDED
+
+
+def test_a_record_of_another_job_is_not_taken_for_its_progress() -> None:
+    assert isinstance(decode_progress(b'{"status":"done","steps":[]}'), Unreadable)
