Follow capacity that changes while an executor runs

An executor's room was followed already; what failed: a pool whose room shrank was taken to hold no wide job, so one that fits after it grows was refused as impossible (test failed first). The largest room that an executor has had counts now. The emulated site learns executors that change their capacity and such that do not guard it.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/sizes.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/sizes.py
@@ -4,7 +4,7 @@
 
 from collections import Counter
 from collections.abc import Container, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from .model import Executor, JobSpec, Resources
@@ -48,6 +48,11 @@
 
     def keep(self, executor: Executor, now: float) -> None:
         """Take in that an executor's entry is there."""
+        known = self._seen.get(executor.id)
+        if known is not None:
+            # Its room may have shrunk for a while: what fits it at its largest waits.
+            most = Resources(*map(max, known.executor.capacity, executor.capacity))
+            executor = replace(executor, capacity=most)
         self.drop(executor.id, now)
         self._seen[executor.id] = _Seen(executor)
         pool = executor.pool
--- a/packages/heronthread-dispatch/tests/test_sizes.py
+++ b/packages/heronthread-dispatch/tests/test_sizes.py
@@ -36,6 +36,14 @@
     return sum(kind.count for kind in sizes.list_kinds(pool, now))
 
 
+def test_room_that_shrank_for_a_while_still_counts() -> None:
+    sizes = PoolSizes()
+    sizes.keep(_make_executor("e0", LARGE), 0.0)
+    sizes.keep(_make_executor("e0", SMALL), 5.0)
+    assert [kind.capacity for kind in sizes.list_kinds("pool", 100.0)] == [LARGE]
+    assert _count_held(sizes, 100.0) == 1
+
+
 @pytest.mark.parametrize(
     ("spec", "fits"),
     [
--- a/packages/heronthread-emulator/src/heronthread_emulator/executors.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/executors.py
@@ -87,7 +87,8 @@
     not answered, `late_s` later if that is set; of starts alone `lose_starts` are. After
     those `shed` starts and stops are turned away, each after `shed_s`. `fails_all`;
     `stands_still`; `slowness` times as long; `is_sick` turns starts away; `is_unreachable`
-    takes no connection for a start; `is_down` takes none at all; `is_gone` is another life.
+    takes no connection for a start; `is_down` takes none at all; `is_gone` is another life. One
+    that does not guard its capacity (`guards`) starts what it is told to.
     """
 
     executor: Executor
@@ -101,6 +102,7 @@
     is_held: bool = False
     is_cut: bool = False
     is_down: bool = False
+    guards: bool = True
     is_gone: bool = False
     is_sick: bool = False
     is_unreachable: bool = False
@@ -134,7 +136,8 @@
     reported for all runs if it is set, as of lasting ones that are at work. With an `approver`
     every start needs its ticket. With `hides_ends` reports say that more ended than they name.
     A task in `crashing` crashes each executor that starts it, so many seconds later;
-    `on_crash` is then called with the executor's name.
+    `on_crash` is then called with the executor's name. `overfull` are the starts (when, where) that
+    went over a capacity that is not guarded.
     """
 
     def __init__(self) -> None:
@@ -145,6 +148,7 @@
         self.approver: EmulatedApprover | None = None
         self.hides_ends = False
         self.crashing: dict[TaskKey, float] = {}
+        self.overfull: list[tuple[float, str]] = []
         self.on_crash: Callable[[str], None] = self.crash
         self.events: list[Event] = []
         self.taken_note: set[tuple[str, int]] = set()
@@ -360,7 +364,9 @@
             return Refused(Refusal.NOT_APPROVED)
         work = self.specs.get(order.task.job, {}).get(order.task.step, DEFAULT_WORK)
         if not work.need.fits_in(place.executor.capacity.minus(place.used())):
-            return Refused(Refusal.NO_ROOM)
+            if place.guards:
+                return Refused(Refusal.NO_ROOM)
+            self.overfull.append((trio.current_time(), place.executor.id))
         place.running[order.task, order.run] = Run(
             order.task,
             order.run,
--- a/packages/heronthread-emulator/src/heronthread_emulator/site.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/site.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import trio
 from heronthread_dispatch.configuring import ConfigurationFormat
@@ -78,7 +79,7 @@
         value.get("zone", "zone"),
         value["rack"],
         ("kind", value["rack"]),
-        CAPACITY,
+        Resources(*value.get("capacity", CAPACITY)),
         value.get("leaves_in_s"),
     )
 
@@ -197,6 +198,19 @@
         value = json.dumps(entry).encode()
         self.store.put(f"executors/{name}", value)
 
+    def resize_executor(self, name: str, capacity: Resources, said_after_s: float = 0.0) -> None:
+        """Give an executor another capacity, which it says of itself some time later."""
+        place = self.executors.by_id[name]
+        executor = replace(place.executor, capacity=capacity)
+        place.executor = executor
+        entry = {"rack": executor.rack, "zone": executor.zone, "capacity": list(capacity)}
+
+        async def say() -> None:
+            await trio.sleep(said_after_s)
+            self.store.put(f"executors/{name}", json.dumps(entry).encode())
+
+        self.nursery.start_soon(say)
+
     def remove_executor(self, name: str) -> None:
         """End an executor's life; its address answers no more."""
         self.executors.crash(name)
--- a/tests/platform/test_executors.py
+++ b/tests/platform/test_executors.py
@@ -116,6 +116,24 @@
     assert report.ended[0].task == TaskKey("5c0e7a21d94b36f8", 1, 9)
 
 
+@pytest.mark.parametrize(
+    "capacity",
+    [
+        None,
+        {},
+        {"cpu": 1},
+        {"cpu": -1, "mem-mb": 2, "gpus": 3},
+        {"cpu": 1, "mem-mb": 2, "gpus": -3},
+        {"cpu": "much", "mem-mb": 2, "gpus": 3},
+        {"cpu": 1e400, "mem-mb": 2, "gpus": 3},
+        [1, 2, 3],
+    ],
+)
+def test_entry_without_a_sound_capacity_is_none(capacity: object) -> None:
+    entry = {"service": "s", "address": "1.2.3.4:5", "capacity": capacity}
+    assert DIRECTORY.parse("i-1", json.dumps(entry).encode()) is None
+
+
 def test_entry_of_a_draining_executor() -> None:
     entry = {
         "service": "s",
