--- a/packages/heronthread-dispatch/src/heronthread_dispatch/crashes.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/crashes.py
@@ -25,8 +25,9 @@
 """A run that had worked for so long crashes nothing by being started."""
 AT_ONCE_S = 1.0
 MANY_AT_ONCE = 2
-"""Where so many other executors fall silent within `AT_ONCE_S`, a rack, a switch or a failure
-domain is as likely a cause as any task."""
+MANY_OF_A_RACK = 4
+"""Where so many other executors fall silent within `AT_ONCE_S` though nothing had just begun there,
+or so many of one rack whatever had, power or a switch is as likely a cause as any task."""
 MOST_SILENCES = 256
 
 
@@ -51,6 +52,7 @@
 
     at: float
     executor: str
+    rack: str
     young_jobs: frozenset[str]
 
 
@@ -64,14 +66,13 @@
     return young or [run for run in runs if not run.seen]
 
 
-def judge_crash(runs: Iterable[RunThere], lost_beside: int) -> dict[TaskKey, Blame]:
+def judge_crash(runs: Iterable[RunThere], is_alone: bool) -> dict[TaskKey, Blame]:
     """Return who may have crashed an executor; the runs that are left out did not.
 
-    `lost_beside` is how many other executors fell silent with it for no reason of these runs.
+    It `is_alone` unless others fell silent with it for no reason that these runs could be.
     """
     runs = list(runs)
     young = list_young(runs)
-    is_alone = lost_beside < MANY_AT_ONCE
     if young:
         doubtful = [run for run in young if not run.works] or young
         is_sure = is_alone and len({run.task.job for run in doubtful}) == 1
@@ -124,7 +125,7 @@
         state.at_silence = tuple(state.attempts.values())
         young = list_young(self._describe(state))
         jobs = frozenset(run.task.job for run in young)
-        self._silences.append(Silence(now, state.id, jobs))
+        self._silences.append(Silence(now, state.id, state.executor.rack, jobs))
 
     def note_down(self, state: ExecutorState) -> None:
         """Note that an executor which fell silent may have crashed, until it reports again."""
@@ -158,18 +159,23 @@
         if state.leaves_at is not None or not state.listed_at_silence:
             return {}
         runs = self._describe(state)
-        return judge_crash(runs, self._count_beside(state, {run.task.job for run in runs}))
+        beside = self._list_beside(state)
+        unexplained = sum(not silence.young_jobs for silence in beside)
+        of_rack = sum(silence.rack == state.executor.rack for silence in beside)
+        return judge_crash(runs, unexplained < MANY_AT_ONCE and of_rack < MANY_OF_A_RACK)
 
-    def _count_beside(self, state: ExecutorState, jobs: set[str]) -> int:
-        """Return how many executors fell silent at the same time without a run of these jobs."""
+    def _list_beside(self, state: ExecutorState) -> list[Silence]:
+        """Return the others that fell silent at the same time without a run of the same jobs."""
         at = state.silent_since
         assert at is not None
-        return sum(
-            silence.executor != state.id
+        jobs = {attempt.task.job for attempt in state.at_silence}
+        return [
+            silence
+            for silence in self._silences
+            if silence.executor != state.id
             and abs(silence.at - at) <= AT_ONCE_S
             and jobs.isdisjoint(silence.young_jobs)
-            for silence in self._silences
-        )
+        ]
 
     def _note(self, state: ExecutorState, blames: dict[TaskKey, Blame]) -> None:
         """Have exactly these tasks blamed for an executor."""
@@ -203,7 +209,7 @@
             executor=state.id,
             runs=len(runs),
             silent_s=round(now - (state.silent_since or now), 3),
-            beside=self._count_beside(state, {task.job for task in runs}),
+            beside=len(self._list_beside(state)),
             leaves=state.leaves_at is not None,
             listed=state.listed_at_silence,
             blamed=[
--- a/packages/heronthread-dispatch/tests/test_blame.py
+++ b/packages/heronthread-dispatch/tests/test_blame.py
@@ -14,53 +14,53 @@
 
 def test_the_only_run_that_had_just_begun_is_blamed() -> None:
     runs = [_run(GOOD, 0.8), _run(BAD, 0.014, seen=False), _run(OTHER, 7.0)]
-    assert judge_crash(runs, 0) == {BAD: Blame.BLAMED}
+    assert judge_crash(runs, is_alone=True) == {BAD: Blame.BLAMED}
 
 
 def test_two_jobs_that_had_just_begun_are_both_suspected() -> None:
     runs = [_run(GOOD, 0.1), _run(BAD, 0.014)]
-    assert judge_crash(runs, 0) == {GOOD: Blame.SUSPECTED, BAD: Blame.SUSPECTED}
+    assert judge_crash(runs, is_alone=True) == {GOOD: Blame.SUSPECTED, BAD: Blame.SUSPECTED}
 
 
 def test_of_two_that_had_just_begun_the_one_that_works_elsewhere_is_cleared() -> None:
     runs = [_run(GOOD, 0.1, works=True), _run(BAD, 0.014)]
-    assert judge_crash(runs, 0) == {BAD: Blame.BLAMED}
+    assert judge_crash(runs, is_alone=True) == {BAD: Blame.BLAMED}
 
 
 def test_a_task_that_has_worked_before_is_only_suspected() -> None:
-    assert judge_crash([_run(GOOD, 0.1, works=True)], 0) == {GOOD: Blame.SUSPECTED}
+    assert judge_crash([_run(GOOD, 0.1, works=True)], is_alone=True) == {GOOD: Blame.SUSPECTED}
 
 
 def test_members_of_one_job_are_blamed_together() -> None:
     mate = BAD._replace(member=1)
-    assert judge_crash([_run(BAD, 0.01), _run(mate, 0.01)], 0) == {
+    assert judge_crash([_run(BAD, 0.01), _run(mate, 0.01)], is_alone=True) == {
         BAD: Blame.BLAMED,
         mate: Blame.BLAMED,
     }
 
 
 def test_nobody_is_blamed_for_certain_where_a_rack_goes() -> None:
-    assert judge_crash([_run(GOOD, 0.1)], 7) == {GOOD: Blame.SUSPECTED}
-    assert judge_crash([_run(GOOD, 3.0)], 7) == {}
+    assert judge_crash([_run(GOOD, 0.1)], is_alone=False) == {GOOD: Blame.SUSPECTED}
+    assert judge_crash([_run(GOOD, 3.0)], is_alone=False) == {}
 
 
 def test_what_worked_side_by_side_is_cleared() -> None:
-    assert judge_crash([_run(GOOD, 3.0), _run(OTHER, 4.0)], 0) == {}
+    assert judge_crash([_run(GOOD, 3.0), _run(OTHER, 4.0)], is_alone=True) == {}
 
 
 def test_the_only_job_there_is_suspected_unless_it_had_worked_for_long() -> None:
-    assert judge_crash([_run(GOOD, 3.0)], 0) == {GOOD: Blame.SUSPECTED}
-    assert judge_crash([_run(GOOD, 30.0)], 0) == {}
+    assert judge_crash([_run(GOOD, 3.0)], is_alone=True) == {GOOD: Blame.SUSPECTED}
+    assert judge_crash([_run(GOOD, 30.0)], is_alone=True) == {}
 
 
 def test_a_late_owner_goes_by_what_no_report_has_named() -> None:
     """Its own delay makes the run look 2 s old."""
     runs = [_run(GOOD, 9.0), _run(BAD, 2.0, seen=False)]
-    assert judge_crash(runs, 0) == {BAD: Blame.BLAMED}
+    assert judge_crash(runs, is_alone=True) == {BAD: Blame.BLAMED}
 
 
 def test_nothing_ran_there() -> None:
-    assert judge_crash([], 0) == {}
+    assert judge_crash([], is_alone=True) == {}
 
 
 def test_a_task_is_given_up_at_its_second_blame_or_its_fourth_crash() -> None:
