Tell which executors crashed under a task: cell job, trace, a gauge of suspects

heronthread cell job names the executors and the verdict of each task and why the job failed; trace shows a crash in the story of each job that is blamed for it; tasks_suspected counts the tasks under watch.

--- a/packages/heronthread-cli/src/heronthread_cli/cell.py
+++ b/packages/heronthread-cli/src/heronthread_cli/cell.py
@@ -74,12 +74,14 @@
         show_rows(_ask(host, Operation.CELL_OVERVIEW, {})["guarantees"], as_json=json)
 
     def job(self, job: str, host: str | None = None, json: bool = False) -> None:
-        """Tell where a job's tasks are and how far they have come."""
+        """Tell where a job's tasks are, how far they are, and which executors crashed there."""
         found = _ask(host, Operation.JOB_STORY, {"job": str(job)})
         if not json:
             print_line(
                 f"{found['job']} of {found['tenant']} in {found['queue']}: {found['status']}"
             )
+            if found.get("why"):
+                note(found["why"])
         show_rows(found["tasks"], as_json=json)
 
 
--- a/packages/heronthread-cli/src/heronthread_cli/trace.py
+++ b/packages/heronthread-cli/src/heronthread_cli/trace.py
@@ -8,6 +8,8 @@
 from typing import Any
 
 ID_FIELDS = ("job", "task", "request")
+RUN_LISTS = ("blamed", "youngest")
+"""Fields that list runs, as of an executor that crashed under them."""
 HIDDEN_FIELDS = frozenset({"timestamp", "message_type", "host", "job"})
 
 
@@ -35,7 +37,7 @@
     found = []
     for log in logs:
         for message in _read_messages(log, request, trace):
-            if any(request in str(message.get(name, "")) for name in ID_FIELDS):
+            if _concerns(message, request):
                 found.append(message)
     found.sort(key=lambda message: float(message.get("timestamp", 0.0)))
     first = float(found[0].get("timestamp", 0.0)) if found else 0.0
@@ -43,6 +45,13 @@
     return trace
 
 
+def _concerns(message: dict[str, Any], request: str) -> bool:
+    if any(request in str(message.get(name, "")) for name in ID_FIELDS):
+        return True
+    rows = [row for name in RUN_LISTS for row in message.get(name) or ()]
+    return any(isinstance(row, dict) and request in str(row.get("job", "")) for row in rows)
+
+
 def _read_messages(log: Iterable[str], request: str, trace: Trace) -> Iterator[dict[str, Any]]:
     for line in log:
         if request not in line:
--- a/packages/heronthread-cli/tests/test_cell.py
+++ b/packages/heronthread-cli/tests/test_cell.py
@@ -6,6 +6,7 @@
 from heronthread_cli.cell import Cell
 from heronthread_cli.commands import Heronthread
 from heronthread_cli.exits import BadInput, CommandError, HostUnreachable
+from heronthread_dispatch.model import TaskKey
 from heronthread_dispatch.peer import serve_peers
 from heronthread_emulator import EmulatedSite
 
@@ -48,6 +49,24 @@
         assert [task["state"] for task in tasks] == ["running"] * 3
 
 
+async def test_executors_that_crashed_under_a_job_are_told(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    async with EmulatedSite.open(hosts=1, executors=4) as site:
+        await site.wait_for_owner()
+        address = await _serve(site, "h0")
+        site.back_after_s = 0.5
+        site.executors.crashing[TaskKey("bad", 0, 0)] = 0.01
+        await site.hosts["h0"].requests.accept(site.make_job("bad"), 2)
+        while site.hosts["h0"].owner.cell.active:  # type: ignore[union-attr]
+            await trio.sleep(0.1)
+        await trio.to_thread.run_sync(lambda: Cell().job("bad", host=address))
+        told = capsys.readouterr()
+        assert told.err.strip().endswith("executors crashed under a task")
+        assert "e0 (blamed), e1 (blamed)" in told.out
+        assert "tasks_suspected 0" in site.hosts["h0"].render_statistics()
+
+
 async def test_domain_is_evacuated_shown_and_taken_back(
     capsys: pytest.CaptureFixture[str],
 ) -> None:
--- a/packages/heronthread-cli/tests/test_trace.py
+++ b/packages/heronthread-cli/tests/test_trace.py
@@ -14,3 +14,12 @@
     assert [line.at for line in trace.lines] == [0.0, 0.5, 1.0]
     assert trace.lines[1].fields == {"run": 1}
     assert trace.unreadable == 1
+
+
+def test_a_crash_under_the_job_belongs_to_its_story() -> None:
+    blamed = '[{"job":"ab","step":0,"index":0,"blame":"blamed"}]'
+    log = [
+        f'{{"message_type":"executor.crashed","executor":"e0","timestamp":1,"blamed":{blamed}}}',
+        '{"message_type":"executor.crashed","executor":"ab","timestamp":2,"blamed":[]}',
+    ]
+    assert [line.fields["executor"] for line in trace_request("ab", [log]).lines] == ["e0"]
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -277,6 +277,7 @@
         if self.owner is not None:
             gauges["term"] = self.owner.cell.term.number
             gauges["jobs_active"] = len(self.owner.cell.active)
+            gauges["tasks_suspected"] = self.owner.cell.count_suspects()
             gauges["executors"] = len(self.owner.cell.executors)
         for call, count in self.store.calls.items():
             gauges[f"store_{call}_calls"] = count
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/overview.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/overview.py
@@ -112,6 +112,7 @@
                     "run": task.last_run,
                     "percent": attempt.percent if attempt else 0,
                     "failed runs": len(task.failed_runs),
+                    "crashed": ", ".join(f"{name} ({why})" for name, why in task.crashes.items()),
                 }
             )
     return {
@@ -119,10 +120,22 @@
         "queue": job.spec.queue.name,
         "tenant": job.spec.tenant,
         "status": job.shown.value,
+        "why": _find_why(job),
         "tasks": tasks,
     }
 
 
+def _find_why(job: JobState) -> str:
+    """Return why a job is failed, or why tasks of it run apart; empty if neither holds."""
+    tasks = [task for step in job.steps for task in step.tasks if task.crashes]
+    if job.failed:
+        is_given_up = any(task.is_given_up for task in tasks)
+        return "executors crashed under a task" if is_given_up else "the runs of a task failed"
+    if tasks:
+        return f"{len(tasks)} tasks run apart from others: executors crashed under them"
+    return ""
+
+
 def _state_of(done: bool, has_attempt: bool) -> str:
     if done:
         return "done"
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
@@ -194,6 +194,11 @@
             if job is not None:
                 self._give_up_job(job)
 
+    def count_suspects(self) -> int:
+        """Return how many tasks of active jobs there are under which executors have crashed."""
+        steps = (s for job in self.active.values() for s in job.steps if s.has_suspects)
+        return sum(bool(task.crashes) for step in steps for task in step.tasks)
+
     def _give_up_job(self, job: JobState) -> None:
         for step in job.steps:
             for task in step.tasks if step.has_suspects else ():
