--- a/packages/heronthread-dispatch/src/heronthread_dispatch/crashes.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/crashes.py
@@ -122,15 +122,23 @@
     def note_silence(self, state: ExecutorState, now: float) -> None:
         """Take in that an executor gives no answer any more, with what is there."""
         state.silent_since = now
+        state.listed_at_silence = state.listed
         state.at_silence = tuple(state.attempts.values())
         young = list_young(self._describe(state))
         jobs = frozenset(run.task.job for run in young)
         self._silences.append(Silence(now, state.id, state.executor.rack, jobs))
 
-    def note_down(self, state: ExecutorState) -> None:
-        """Note that an executor which fell silent may have crashed, until it reports again."""
-        if state.id not in self._noted:
-            self._note(state, self._judge(state))
+    def note_down(self, state: ExecutorState, is_refusing: bool) -> None:
+        """Note that an executor which fell silent may have crashed, until it reports again.
+
+        One that is not `is_refusing` connections may as well be cut off, so nobody is blamed.
+        """
+        if state.id in self._noted:
+            return
+        blames = self._judge(state)
+        if not is_refusing:
+            blames = dict.fromkeys(blames, Blame.SUSPECTED)
+        self._note(state, blames)
 
     def withdraw(self, state: ExecutorState) -> None:
         """Take back what was noted of an executor: the same life has reported again."""
@@ -196,7 +204,7 @@
         for attempt in state.at_silence:
             task = self._find_task(attempt.task)
             if task is not None and _may_have_begun(attempt):
-                age_s = state.silent_since - attempt.ordered_at
+                age_s = _find_age_s(attempt, state.silent_since)
                 there = RunThere(attempt.task, attempt.run, age_s, attempt.seen, task.works)
                 found.append(there)
         return found
@@ -221,6 +229,11 @@
         )
 
 
+def _find_age_s(attempt: Attempt, now: float) -> float:
+    """Return how long ago (s) a run was last told to start; a run taken over is as old as any."""
+    return now - attempt.sent_at if attempt.sends else float("inf")
+
+
 def _may_have_begun(attempt: Attempt) -> bool:
     """Whether any send of its start was, or may have been, carried out."""
     is_open = attempt.sends > attempt.refused_sends
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
@@ -72,6 +72,7 @@
         """Whether new runs may be started here."""
         return (
             self.heard
+            and self.silent_since is None
             and self.recorded
             and self.listed
             and not self.dead
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/gangs.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/gangs.py
@@ -51,9 +51,11 @@
         if count >= self._too_large.get(key, count + 1):
             return []
         avoided = self._avoided_by_any(candidate)
+        best = None
         if candidate.step.has_suspects:
-            avoided |= {r.state.id for r in usable.rooms if began_lately(r.state, self._now)}
-        best = self._best_fit(candidate, scopes, avoided, held)
+            young = {r.state.id for r in usable.rooms if began_lately(r.state, self._now)}
+            best = self._best_fit(candidate, scopes, avoided | young, held)
+        best = best or self._best_fit(candidate, scopes, avoided, held)
         if best is None:
             if not avoided and not held:
                 self._too_large[key] = count
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
@@ -105,6 +105,7 @@
                 self.cell.approvals.find_ticket(attempt.task._replace(member=0), state.id) or "",
             )
             attempt.sends += 1
+            attempt.sent_at = now
             outcome = await self.cell.parts.link.start(state.executor, order)
             self._log_send("start", attempt, attempt.sends, now, outcome)
             if not isinstance(outcome, Unanswered):
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
@@ -184,12 +184,15 @@
         for job in list(self.active.values()):
             self._give_up_job(job)
 
-    def confirm_crash(self, state: ExecutorState) -> None:
-        """Take in that an executor's life is over, and give up the tasks that did it again."""
-        jobs = {attempt.task.job for attempt in state.at_silence}
-        jobs |= {attempt.task.job for attempt in state.list_held()}
-        self.crashes.confirm(state, trio.current_time())
-        for name in jobs:
+    def note_life_over(self, state: ExecutorState) -> None:
+        """Take in that an executor is no more, and give up the tasks that crashed one again."""
+        if state.dead:
+            self.crashes.confirm(state, trio.current_time())
+        self.give_up_at(state)
+
+    def give_up_at(self, state: ExecutorState) -> None:
+        """Fail the jobs that were at an executor as it fell silent and may not start any more."""
+        for name in {attempt.task.job for attempt in state.at_silence}:
             job = self.active.get(name)
             if job is not None:
                 self._give_up_job(job)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
@@ -31,7 +31,8 @@
     Times are on trio's clock. `settled_at` is when an answer proved that no order for it can
     have an effect any more that a report asked for later does not show: its start or a stop of
     it was obeyed, or it was called old. Of its start, `sends` went out and `unanswered` had no
-    answer; each of those may be carried out seconds later until then. `refused_sends` did nothing.
+    answer; each of those may be carried out seconds later until then. `refused_sends` did nothing;
+    the last went out at `sent_at`.
     `moved_at` is when `percent` last rose.
     `rate` is the last measured speed (percent a second) and `best_rate` the highest one;
     `ratio` is the time that it takes over the time that was estimated. `is_long`: it was
@@ -48,6 +49,7 @@
     sends: int = 0
     unanswered: int = 0
     refused_sends: int = 0
+    sent_at: float = 0.0
     seen: bool = False
     percent: float = 0.0
     moved_at: float = 0.0
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
@@ -54,8 +54,7 @@
             await self._hold_once()
             if self.state.dead or self._may_be_forgotten():
                 break
-        if self.state.dead:
-            self.cell.confirm_crash(self.state)
+        self.cell.note_life_over(self.state)
         self._close_all("the executor is gone")
         self.cell.executors.pop(self.state.id, None)
 
@@ -63,6 +62,7 @@
         state = self.state
         return (
             state.heard
+            and state.silent_since is None
             and state.listed
             and not state.list_held()
             and state.told_seen == state.noted
@@ -130,13 +130,13 @@
             self._log_silence(outcome, now)
         if isinstance(outcome, Unanswered):
             if self.state.silent_since is None:
-                self.state.listed_at_silence = self.state.listed
                 self.cell.crashes.note_silence(self.state, now)
             if outcome.unsent:
-                self.cell.crashes.note_down(self.state)
+                self.cell.crashes.note_down(self.state, is_refusing=True)
         self.state.rest_until = max(self.state.rest_until, now + LONGEST_PAUSE_S)
         if now > self.state.lapse_by and self.state.heard:
-            self.cell.crashes.note_down(self.state)
+            self.cell.crashes.note_down(self.state, is_refusing=False)
+            self.cell.give_up_at(self.state)
             self._close_all("the holding time has run out")
         await trio.sleep(min(LONGEST_PAUSE_S, PAUSE_S * 2 ** min(self._silent, 4)))
 
--- a/packages/heronthread-dispatch/tests/test_crashes.py
+++ b/packages/heronthread-dispatch/tests/test_crashes.py
@@ -110,3 +110,69 @@
                 site.crash_executor(busy[0])
         await trio.sleep(40.0)
         await _check(site, told, set())
+
+
+async def test_task_is_given_up_where_executors_come_back_elsewhere(autojump_clock: Clock) -> None:
+    """No other life ever answers at the address: the entry goes, and the holding time runs out."""
+    told: dict[str, Told] = {}
+    task = TaskKey("bad", 0, 0)
+    async with EmulatedSite.open(hosts=2, executors=8) as site:
+        site.back_after_s = 300.0
+        await site.wait_for_owner()
+        await _hand_in(site, told, "bad", crashing=0)
+        for number in range(8):
+            await trio.sleep(10.0)
+            site.store.remove(f"executors/e{number}")
+        await _check(site, told, {"bad"})
+        assert _count_crashes(site, task) == 2
+
+
+async def test_cut_off_executors_blame_nobody(autojump_clock: Clock) -> None:
+    """The same task has just begun as its executor is cut off, twice; both work on."""
+    told: dict[str, Told] = {}
+    async with EmulatedSite.open(hosts=2, executors=6) as site:
+        await site.wait_for_owner()
+        await _hand_in(site, told, "good", work_s=3.0)
+        for runs in (1, 2):
+            while len(site.executors.starts()) < runs:
+                await trio.sleep(0.02)
+            site.executors.by_id[site.executors.starts()[-1].executor].is_cut = True
+        await trio.sleep(40.0)
+        await _check(site, told, set())
+
+
+async def test_runs_taken_over_are_as_old_as_any(autojump_clock: Clock) -> None:
+    """An executor crashes 0.2 s after a new owner has found what runs there."""
+    told: dict[str, Told] = {}
+    async with EmulatedSite.open(hosts=2, executors=2) as site:
+        name = await site.wait_for_owner()
+        await _hand_in(site, told, "good", work_s=30.0)
+        await trio.sleep(5.0)
+        site.kill_host(name)
+        await trio.sleep(0.1)
+        await site.wait_for_owner()
+        owner = next(iter(site.hosts.values())).owner
+        assert owner is not None
+        while not owner.cell.jobs["good"].has_attempts:
+            await trio.sleep(0.02)
+        site.crash_executor(site.executors.starts()[0].executor)
+        await trio.sleep(5.0)
+        assert not owner.cell.jobs["good"].steps[0].has_suspects
+
+
+async def test_executor_that_left_unsaid_blames_nobody(autojump_clock: Clock) -> None:
+    """Its entry goes first, it works on for a while, and then another life is at its address."""
+    told: dict[str, Told] = {}
+    async with EmulatedSite.open(hosts=2, executors=4) as site:
+        await site.wait_for_owner()
+        await _hand_in(site, told, "good", work_s=5.0)
+        await trio.sleep(0.1)
+        name = site.executors.starts()[0].executor
+        site.store.remove(f"executors/{name}")
+        await trio.sleep(0.3)
+        site.crash_executor(name)
+        await trio.sleep(30.0)
+        await _check(site, told, set())
+        assert all(
+            not host.owner.cell.count_suspects() for host in site.hosts.values() if host.owner
+        )
