Count no start that never began, and keep each crash in the store before the next trial

A task under which executors have crashed now starts only while the store answers and has all its crashes. Where an address never refused a connection only suspicion is noted. The soak learns task_crashes_executors and capacity_changes, drawn apart from other faults, with three planted defects; the emulated executors may leave their room unguarded.

--- a/benchmarks/crashes.py
+++ b/benchmarks/crashes.py
@@ -10,15 +10,14 @@
 
 import random
 import sys
-from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import eliot
 import trio
-import trio.testing
 from heronthread_dispatch.model import TaskKey
 from heronthread_dispatch.record import JobStatus
 from heronthread_emulator import EmulatedSite
+from heronthread_emulator.soak import run_seeded
 
 SEEDS = 20
 EXECUTORS, RACKS, HOSTS = 24, 3, 4
@@ -166,16 +165,12 @@
 
 def play(day: Day, seed: int) -> Cost:
     """Play one day in simulated time."""
-    costs: list[Cost] = []
+    return run_seeded(seed, _play, day, seed)
 
-    async def run() -> None:
-        async with EmulatedSite.open(hosts=HOSTS, executors=EXECUTORS, racks=RACKS) as site:
-            costs.append(await Play(site, day, seed).run())
 
-    run_day: Callable[[], Awaitable[None]] = run
-    random.seed(seed)
-    trio.run(run_day, clock=trio.testing.MockClock(autojump_threshold=0))
-    return costs[0]
+async def _play(day: Day, seed: int) -> Cost:
+    async with EmulatedSite.open(hosts=HOSTS, executors=EXECUTORS, racks=RACKS) as site:
+        return await Play(site, day, seed).run()
 
 
 def main(seeds: int) -> None:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/crashes.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/crashes.py
@@ -128,21 +128,24 @@
         jobs = frozenset(run.task.job for run in young)
         self._silences.append(Silence(now, state.id, state.executor.rack, jobs))
 
-    def note_down(self, state: ExecutorState, is_refusing: bool) -> None:
+    def note_down(self, state: ExecutorState) -> None:
         """Note that an executor which fell silent may have crashed, until it reports again.
 
-        One that is not `is_refusing` connections may as well be cut off, so nobody is blamed.
+        To be called as long as it does not: a start that was on its way then may turn out never to
+        have begun. One that has not refused a connection may as well be cut off, so nobody is
+        blamed. Where this owner had nothing there, what an earlier one noted stands.
         """
-        if state.id in self._noted:
+        if not state.at_silence:
             return
         blames = self._judge(state)
-        if not is_refusing:
+        if not state.has_refused:
             blames = dict.fromkeys(blames, Blame.SUSPECTED)
         self._note(state, blames)
 
     def withdraw(self, state: ExecutorState) -> None:
         """Take back what was noted of an executor: the same life has reported again."""
         state.silent_since = None
+        state.has_refused = False
         state.at_silence = ()
         self._silences = deque(
             (s for s in self._silences if s.executor != state.id), maxlen=MOST_SILENCES
@@ -155,7 +158,9 @@
         Where this owner had nothing there, what an earlier one noted stands.
         """
         if state.silent_since is None:
+            # Another life was there before this one was missed, so what is on its way never began.
             self.note_silence(state, now)
+            state.at_silence = tuple(a for a in state.at_silence if not a.is_on_its_way)
         if not state.at_silence:
             return
         blames = self._judge(state)
@@ -236,5 +241,4 @@
 
 def _may_have_begun(attempt: Attempt) -> bool:
     """Whether any send of its start was, or may have been, carried out."""
-    is_open = attempt.sends > attempt.refused_sends
-    return attempt.seen or is_open
+    return attempt.seen or attempt.sends > attempt.refused_sends
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -219,6 +219,7 @@
             self.parts.approver,
             self.settings.policy,
             lambda: self.store.returned_at,
+            lambda: self.store.is_answering,
             self.evacuations,
         )
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
@@ -106,7 +106,9 @@
             )
             attempt.sends += 1
             attempt.sent_at = now
+            attempt.is_on_its_way = True
             outcome = await self.cell.parts.link.start(state.executor, order)
+            attempt.is_on_its_way = False
             self._log_send("start", attempt, attempt.sends, now, outcome)
             if not isinstance(outcome, Unanswered):
                 self._settle_start(start, attempt, outcome)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
@@ -90,6 +90,7 @@
     approver: Approver = field(default_factory=NoApprover)
     policy: Policy = DEFAULT_POLICY
     store_returned_at: Callable[[], float] = lambda: float("inf")
+    is_store_answering: Callable[[], bool] = lambda: True
     evacuations: Evacuations = field(default_factory=Evacuations)
     random: random.Random = field(default_factory=random.Random)
 
@@ -174,6 +175,7 @@
     def _note_crash(self, key: TaskKey) -> None:
         job = self.jobs.get(key.job)
         if job is not None and job.spec.id in self.active:
+            job.crash_notes += 1
             self._settle(job)
 
     def give_up_crashing(self) -> None:
@@ -272,6 +274,23 @@
 
         return may_run
 
+    def find_withheld(self) -> Callable[[TaskKey], bool] | None:
+        """Return which tasks are not to be started now; None for none.
+
+        Those that may run already; and without the store those under which executors have
+        crashed, as the next crash could not be kept for the next owner.
+        """
+        may_run = self.find_doubt()
+        if self.parts.is_store_answering():
+            return may_run
+
+        def is_withheld(key: TaskKey) -> bool:
+            task = self.find_task(key)
+            is_suspect = task is not None and bool(task.crashes)
+            return is_suspect or (may_run is not None and may_run(key))
+
+        return is_withheld
+
     def silent(self) -> list[ExecutorState]:
         """Return the executors of an earlier owner of which nothing is known yet."""
         now = trio.current_time()
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -452,7 +452,7 @@
             now,
             self.parts.wall_clock(),
             self._urgent.peaks(now),
-            self.cell.find_doubt(),
+            self.cell.find_withheld(),
             self.cell.approvals,
             self.parts.policy,
             self.parts.timing.stop_s,
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -133,7 +133,7 @@
                     continue
                 tasks = self._without_doubt(job, step, step.open_tasks())
                 if step.has_suspects:
-                    tasks = [task for task in tasks if not task.is_given_up]
+                    tasks = [task for task in tasks if job.may_start(task)]
                 if not tasks or (step.spec.gang and len(tasks) < len(step.tasks)):
                     continue
                 yield Candidate(job, step, queue, tasks, *self._rank(job, step, queue))
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
@@ -32,7 +32,7 @@
     have an effect any more that a report asked for later does not show: its start or a stop of
     it was obeyed, or it was called old. Of its start, `sends` went out and `unanswered` had no
     answer; each of those may be carried out seconds later until then. `refused_sends` did nothing;
-    the last went out at `sent_at`.
+    the last went out at `sent_at`, and `is_on_its_way` until it is answered or its time is over.
     `moved_at` is when `percent` last rose.
     `rate` is the last measured speed (percent a second) and `best_rate` the highest one;
     `ratio` is the time that it takes over the time that was estimated. `is_long`: it was
@@ -50,6 +50,7 @@
     unanswered: int = 0
     refused_sends: int = 0
     sent_at: float = 0.0
+    is_on_its_way: bool = False
     seen: bool = False
     percent: float = 0.0
     moved_at: float = 0.0
@@ -217,7 +218,8 @@
 
     `steps` holds those of the first occurrence, then those of the next one, and so on.
     `created` is the store's revision at which it was taken in, 0 if that isn't known yet.
-    `chain_s` is its longest chain of estimated step times.
+    `chain_s` is its longest chain of estimated step times. `crash_notes` counts the changes to what
+    is known of executors that crashed under its tasks, `crash_notes_recorded` those in the store.
     """
 
     spec: JobSpec
@@ -231,6 +233,8 @@
     created: int = 0
     ended_at: float | None = None
     chain_s: float = 0.0
+    crash_notes: int = 0
+    crash_notes_recorded: int = 0
 
     @property
     def is_done(self) -> bool:
@@ -283,6 +287,16 @@
         """Return all attempts that may be anywhere."""
         return [attempt for step in self.steps for attempt in step.attempts()]
 
+    def may_start(self, task: TaskState) -> bool:
+        """Whether a task may be started as far as executors have crashed under it.
+
+        Not before each crash is in the store: an owner that is replaced without it would have the
+        next one begin to count anew.
+        """
+        if not task.crashes:
+            return True
+        return not task.is_given_up and self.crash_notes_recorded == self.crash_notes
+
     @property
     def has_attempts(self) -> bool:
         """Whether any attempt of it may be anywhere."""
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/recorder.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/recorder.py
@@ -76,6 +76,7 @@
     async def _write(self, jobs: list[JobState]) -> None:
         while True:
             records = [job.to_record() for job in jobs]
+            crash_notes = [job.crash_notes for job in jobs]
             conditions = [(progress_key(job.spec.id), job.revision) for job in jobs]
             puts = [
                 Put(progress_key(job.spec.id), record.encode())
@@ -84,9 +85,10 @@
             transaction = Transaction((self.guard, *conditions), tuple(puts))
             outcome = await self.store.commit(transaction)
             if isinstance(outcome, Committed):
-                for job, record in zip(jobs, records, strict=True):
+                for job, record, notes in zip(jobs, records, crash_notes, strict=True):
                     job.revision = outcome.revision
                     job.recorded = record.status
+                    job.crash_notes_recorded = notes
                 return
             if isinstance(outcome, Mismatch):
                 self._take_revisions(jobs, outcome.items)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
@@ -132,10 +132,11 @@
             if self.state.silent_since is None:
                 self.cell.crashes.note_silence(self.state, now)
             if outcome.unsent:
-                self.cell.crashes.note_down(self.state, is_refusing=True)
+                self.state.has_refused = True
+                self.cell.crashes.note_down(self.state)
         self.state.rest_until = max(self.state.rest_until, now + LONGEST_PAUSE_S)
         if now > self.state.lapse_by and self.state.heard:
-            self.cell.crashes.note_down(self.state, is_refusing=False)
+            self.cell.crashes.note_down(self.state)
             self.cell.give_up_at(self.state)
             self._close_all("the holding time has run out")
         await trio.sleep(min(LONGEST_PAUSE_S, PAUSE_S * 2 ** min(self._silent, 4)))
--- a/packages/heronthread-dispatch/tests/test_crashes.py
+++ b/packages/heronthread-dispatch/tests/test_crashes.py
@@ -176,3 +176,37 @@
         assert all(
             not host.owner.cell.count_suspects() for host in site.hosts.values() if host.owner
         )
+
+
+async def test_start_at_an_executor_that_had_crashed_unseen_blames_nobody(
+    autojump_clock: Clock,
+) -> None:
+    """Nothing ran there, so nobody looked; the start is told at once that another life is there."""
+    told: dict[str, Told] = {}
+    async with EmulatedSite.open(hosts=2, executors=2) as site:
+        await site.wait_for_owner()
+        await trio.sleep(1.0)
+        for name in ("e0", "e1"):
+            site.executors.crash(name)
+        await _hand_in(site, told, "good", work_s=2.0)
+        await trio.sleep(0.1)
+        owner = site.hosts[site.owner_name() or ""].owner
+        assert owner is not None
+        assert owner.cell.count_suspects() == 0
+
+
+async def test_start_refused_by_an_executor_that_is_down_blames_nobody(
+    autojump_clock: Clock,
+) -> None:
+    told: dict[str, Told] = {}
+    async with EmulatedSite.open(hosts=2, executors=2) as site:
+        site.back_after_s = 300.0
+        await site.wait_for_owner()
+        await trio.sleep(1.0)
+        for name in ("e0", "e1"):
+            site.crash_executor(name)
+        await _hand_in(site, told, "good", work_s=2.0)
+        await trio.sleep(2.0)
+        owner = site.hosts[site.owner_name() or ""].owner
+        assert owner is not None
+        assert owner.cell.count_suspects() == 0
--- a/packages/heronthread-emulator/src/heronthread_emulator/checker.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/checker.py
@@ -89,6 +89,35 @@
     return found
 
 
+RESIZED_S = 3.0
+"""From what an executor says of its room, or the end of trouble, to the last start over it."""
+
+
+@dataclass(slots=True)
+class ResizedSpan:
+    """From when until when an executor that does not guard its room said that it had shrunk."""
+
+    executor: str
+    said_at: float
+    until: float = float("inf")
+
+
+def check_capacity(
+    executors: EmulatedExecutors, spans: list[ResizedSpan], trouble: list[float]
+) -> list[Violation]:
+    """Return the starts that were ordered over a room known to have shrunk."""
+    found = []
+    for sent_at, name in executors.overfull:
+        for span in spans:
+            if span.executor != name or not span.said_at <= sent_at < span.until:
+                continue
+            before = bisect_right(trouble, sent_at)
+            calm_since = max(span.said_at, trouble[before - 1] if before else span.said_at)
+            if sent_at > calm_since + RESIZED_S:
+                found.append(Violation("no start goes over a room", f"{name} at {sent_at:.2f}"))
+    return found
+
+
 def check_promises(executors: Witness, told: dict[str, Told]) -> list[Violation]:
     """Return every promise that is broken."""
     by_task: dict[TaskKey, list[Event]] = defaultdict(list)
--- a/packages/heronthread-emulator/src/heronthread_emulator/executors.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/executors.py
@@ -136,8 +136,8 @@
     reported for all runs if it is set, as of lasting ones that are at work. With an `approver`
     every start needs its ticket. With `hides_ends` reports say that more ended than they name.
     A task in `crashing` crashes each executor that starts it, so many seconds later;
-    `on_crash` is then called with the executor's name. `overfull` are the starts (when, where) that
-    went over a capacity that is not guarded.
+    `on_crash` is then called with its name. `overfull` are the starts (when ordered, where)
+    that went over a capacity that is not guarded.
     """
 
     def __init__(self) -> None:
@@ -366,7 +366,7 @@
         if not work.need.fits_in(place.executor.capacity.minus(place.used())):
             if place.guards:
                 return Refused(Refusal.NO_ROOM)
-            self.overfull.append((trio.current_time(), place.executor.id))
+            self.overfull.append((sent_at, place.executor.id))
         place.running[order.task, order.run] = Run(
             order.task,
             order.run,
--- a/packages/heronthread-emulator/src/heronthread_emulator/plants.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/plants.py
@@ -4,17 +4,21 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import AbstractContextManager, contextmanager, nullcontext
+from dataclasses import replace
 from typing import Any
 from unittest.mock import patch
 
 import trio
+from heronthread_dispatch.crashes import Crashes
 from heronthread_dispatch.executor_link import EndedRun, EndKind
 from heronthread_dispatch.fleet import ExecutorState
 from heronthread_dispatch.intake import NotTaken, Unsettled
+from heronthread_dispatch.model import Executor
 from heronthread_dispatch.orders import Orders
 from heronthread_dispatch.owned import OwnedCell
 from heronthread_dispatch.owner import ENTRY_BACK_S, Owner
 from heronthread_dispatch.progress import Attempt, JobState
+from heronthread_dispatch.record import ProgressRecord
 from heronthread_dispatch.requests import Requests
 from heronthread_dispatch.watching import ExecutorWatch
 
@@ -144,6 +148,37 @@
     return patch.object(OwnedCell, "is_evacuated", never)
 
 
+def _count_no_crashes() -> Any:
+    """Executors that crash under a task are not counted."""
+
+    def note(self: Crashes, state: ExecutorState, blames: object) -> None:
+        return
+
+    return patch.object(Crashes, "_note", note)
+
+
+def _forget_crashes_at_a_takeover() -> Any:
+    """A new owner knows nothing of the crashes that an earlier one noted."""
+
+    def fits(self: JobState, record: ProgressRecord) -> bool:
+        for step in record.steps:
+            step.crashes = {}
+        return True
+
+    return patch.object(JobState, "fits", fits)
+
+
+def _keep_the_first_capacity() -> Any:
+    """An executor's room counts as it was when its entry was first seen."""
+    original = Owner._renew_entry
+
+    def renew(self: Owner, state: ExecutorState, executor: Executor, now: float) -> None:
+        first = state.executor.capacity if any(state.executor.capacity) else executor.capacity
+        original(self, state, replace(executor, capacity=first), now)
+
+    return patch.object(Owner, "_renew_entry", renew)
+
+
 PLANTS: dict[str, Plant] = {
     "start-before-the-barrier": _start_before_the_barrier,
     "forget-ends-unrecorded": _forget_ends_unrecorded,
@@ -156,6 +191,9 @@
     "take-missing-entries-as-gone": _take_missing_entries_as_gone,
     "forget-cancelled-runs": _forget_cancelled_runs,
     "start-in-evacuated-domains": _start_in_evacuated_domains,
+    "count-no-crashes": _count_no_crashes,
+    "forget-crashes-at-a-takeover": _forget_crashes_at_a_takeover,
+    "keep-the-first-capacity": _keep_the_first_capacity,
 }
 
 
--- a/packages/heronthread-emulator/src/heronthread_emulator/site.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/site.py
@@ -201,13 +201,14 @@
     def resize_executor(self, name: str, capacity: Resources, said_after_s: float = 0.0) -> None:
         """Give an executor another capacity, which it says of itself some time later."""
         place = self.executors.by_id[name]
-        executor = replace(place.executor, capacity=capacity)
-        place.executor = executor
-        entry = {"rack": executor.rack, "zone": executor.zone, "capacity": list(capacity)}
+        place.executor = replace(place.executor, capacity=capacity)
 
         async def say() -> None:
             await trio.sleep(said_after_s)
-            self.store.put(f"executors/{name}", json.dumps(entry).encode())
+            item = self.store.items.get(f"executors/{name}")
+            if item is not None:
+                entry = json.loads(item.value) | {"capacity": list(place.executor.capacity)}
+                self.store.put(item.key, json.dumps(entry).encode())
 
         self.nursery.start_soon(say)
 
--- a/packages/heronthread-emulator/src/heronthread_emulator/soak.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak.py
@@ -15,9 +15,10 @@
 from heronthread_dispatch.owner import JobView
 from trio._core import _run as trio_run
 
-from .checker import Told, Violation, check_evacuations, check_promises
+from .checker import Told, Violation, check_capacity, check_evacuations, check_promises
 from .executors import EmulatedExecutor
 from .site import EmulatedSite
+from .soak_executors import ExecutorTroubles
 
 Played = TypeVar("Played")
 
@@ -59,6 +60,7 @@
         self.operator = random.Random(f"operator {seed}")
         self.told: dict[str, Told] = {}
         self.result = SoakResult(seed)
+        self.troubles = ExecutorTroubles(site, seed, only)
         self._version = 1
         self._next_host = HOSTS
         self._next_executor = EXECUTORS
@@ -89,11 +91,16 @@
         ]
         if only:
             self._faults = [fault for fault in self._faults if fault.__name__ in only]
+            self._faults = self._faults or [self.change_configuration]
 
     async def run(self) -> SoakResult:
         """Play callers and faults, let everything settle, and check."""
         await self.site.wait_for_owner()
+        crashing = self.troubles.plant_crashing_tasks(f"{n:016x}" for n in range(JOBS))
+        self.result.faults["task_crashes_executors"] += crashing
         async with trio.open_nursery() as nursery:
+            until = trio.current_time() + FAULTS_S
+            nursery.start_soon(self.troubles.change_capacity, until)
             nursery.start_soon(self._play_callers)
             nursery.start_soon(self._play_faults)
             nursery.start_soon(self._play_operator)
@@ -102,6 +109,10 @@
         self.result.violations += check_evacuations(
             self.site.executors, self.site.evacuated, self.site.trouble
         )
+        self.result.violations += check_capacity(
+            self.site.executors, self.troubles.resized, self.site.trouble
+        )
+        self.result.faults["capacity_changes"] += len(self.troubles.resized)
         self.result.jobs = len(self.told)
         self.result.starts = len(self.site.executors.starts())
         return self.result
