--- a/packages/heronthread-dispatch/src/heronthread_dispatch/crashes.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/crashes.py
@@ -35,8 +35,8 @@
 class RunThere:
     """A run that was at an executor as it fell silent; `age_s` since it was ordered.
 
-    `seen`: a report of the executor has named it. `works`: a run of its task has shown progress, so
-    starting it crashes nothing by itself.
+    `seen`: a report of the executor has named it. `works`: a run of its task has outlived its start
+    by far, so starting it crashes nothing by itself.
     """
 
     task: TaskKey
@@ -119,11 +119,26 @@
         for executor in state.crashes:
             self._noted.setdefault(executor, set()).add(task)
 
+    def begin_trial(self, task: TaskKey, executor: str) -> None:
+        """Note that a task under which executors crashed is about to be started at another one."""
+        self._set(task, executor, Blame.ON_TRIAL)
+        self._noted.setdefault(executor, set()).add(task)
+
+    def end_trial(self, task: TaskKey, executor: str) -> None:
+        """Take in that a task has ended at an executor, or works there, without crashing it."""
+        state = self._find_task(task)
+        if state is not None and state.crashes.get(executor) is Blame.ON_TRIAL:
+            self._set(task, executor, None)
+            self._noted.get(executor, set()).discard(task)
+
     def note_silence(self, state: ExecutorState, now: float) -> None:
         """Take in that an executor gives no answer any more, with what is there."""
         state.silent_since = now
         state.listed_at_silence = state.listed
-        state.at_silence = tuple(state.attempts.values())
+        state.at_silence = tuple(
+            (attempt, _find_age_s(attempt, now, self._works(attempt)))
+            for attempt in state.attempts.values()
+        )
         young = list_young(self._describe(state))
         jobs = frozenset(run.task.job for run in young)
         self._silences.append(Silence(now, state.id, state.executor.rack, jobs))
@@ -160,7 +175,9 @@
         if state.silent_since is None:
             # Another life was there before this one was missed, so what is on its way never began.
             self.note_silence(state, now)
-            state.at_silence = tuple(a for a in state.at_silence if not a.is_on_its_way)
+            state.at_silence = tuple(
+                (attempt, age_s) for attempt, age_s in state.at_silence if not attempt.is_on_its_way
+            )
         if not state.at_silence:
             return
         blames = self._judge(state)
@@ -181,7 +198,7 @@
         """Return the others that fell silent at the same time without a run of the same jobs."""
         at = state.silent_since
         assert at is not None
-        jobs = {attempt.task.job for attempt in state.at_silence}
+        jobs = {attempt.task.job for attempt, _ in state.at_silence}
         return [
             silence
             for silence in self._silences
@@ -194,25 +211,27 @@
         """Have exactly these tasks blamed for an executor."""
         known = self._noted.pop(state.id, set())
         for key in known | blames.keys():
-            task = self._find_task(key)
-            if task is None or task.crashes.get(state.id) == blames.get(key):
-                continue
-            task.note_crash(state.id, blames.get(key))
-            self._note_change(key)
+            self._set(key, state.id, blames.get(key))
         if blames:
             self._noted[state.id] = set(blames)
 
+    def _set(self, key: TaskKey, executor: str, blame: Blame | None) -> None:
+        task = self._find_task(key)
+        if task is not None and task.crashes.get(executor) != blame:
+            task.note_crash(executor, blame)
+            self._note_change(key)
+
     def _describe(self, state: ExecutorState) -> list[RunThere]:
         """Return what may have run at an executor as it fell silent."""
-        assert state.silent_since is not None
-        found = []
-        for attempt in state.at_silence:
-            task = self._find_task(attempt.task)
-            if task is not None and _may_have_begun(attempt):
-                age_s = _find_age_s(attempt, state.silent_since)
-                there = RunThere(attempt.task, attempt.run, age_s, attempt.seen, task.works)
-                found.append(there)
-        return found
+        return [
+            RunThere(attempt.task, attempt.run, age_s, attempt.seen, self._works(attempt))
+            for attempt, age_s in state.at_silence
+            if _may_have_begun(attempt)
+        ]
+
+    def _works(self, attempt: Attempt) -> bool:
+        task = self._find_task(attempt.task)
+        return task is not None and task.works
 
     def _log(self, state: ExecutorState, blames: dict[TaskKey, Blame], now: float) -> None:
         self._statistics.count("executors_crashed")
@@ -234,9 +253,15 @@
         )
 
 
-def _find_age_s(attempt: Attempt, now: float) -> float:
-    """Return how long ago (s) a run was last told to start; a run taken over is as old as any."""
-    return now - attempt.sent_at if attempt.sends else float("inf")
+def _find_age_s(attempt: Attempt, now: float, works: bool) -> float:
+    """Return how long ago (s) a run was last told to start.
+
+    One that was taken over is as old as any if it has worked for a while, else its age is not
+    known.
+    """
+    if attempt.sends:
+        return now - attempt.sent_at
+    return float("inf") if works else now - attempt.ordered_at
 
 
 def _may_have_begun(attempt: Attempt) -> bool:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
@@ -26,8 +26,8 @@
     `noted` is the highest end taken in, `seen` the highest that is recorded, `told_seen`
     the highest that the executor has been told. `listed`: its entry is there, `was_listed`: it was
     at any time of this term. `silent_since` is when it failed to report, None while it does;
-    `at_silence` what was there then, `listed_at_silence` whether its entry was,
-    and `has_refused` whether its address has taken no connection since. Until `apart_until`
+    `at_silence` what was there then and for how long (s), `listed_at_silence` whether its entry
+    was, and `has_refused` whether its address has taken no connection since. Until `apart_until`
     nothing is started beside a task under which executors have crashed. `recorded`: the store
     names it as in use; `is_inherited`: an earlier owner may have used it; `only_tasks` are those
     that it may have left there, None for any. `strays` are runs that are there beside their tasks'
@@ -46,7 +46,7 @@
     told_seen: int = 0
     heard: bool = False
     silent_since: float | None = None
-    at_silence: tuple[Attempt, ...] = ()
+    at_silence: tuple[tuple[Attempt, float], ...] = ()
     listed_at_silence: bool = True
     has_refused: bool = False
     apart_until: float = 0.0
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
@@ -29,6 +29,7 @@
 RETRY_S = 0.05
 STOP_RETRY_S = 0.25
 NO_ROOM_REST_S = 0.2
+TRIAL_PATIENCE_S = 0.5
 
 
 class Orders:
@@ -84,6 +85,8 @@
     async def _start(self, start: Start, attempt: Attempt, checkpoint: str) -> None:
         state = start.executor
         payload = start.job.spec.payload
+        if start.task.crashes and not await self._record_trial(start, attempt):
+            return
         for _ in range(START_TRIES):
             if attempt.phase is not Phase.STARTING or start.task.attempt is not attempt:
                 return
@@ -121,6 +124,20 @@
             state.note_bad(trio.current_time())
             self._give_up(attempt, "the start was not answered")
 
+    async def _record_trial(self, start: Start, attempt: Attempt) -> bool:
+        """Have the store name the executor that a suspect is started at; False if it does not.
+
+        An owner that is gone before it could note the crash would leave the next one ignorant.
+        """
+        self.cell.crashes.begin_trial(attempt.task, attempt.executor)
+        with trio.move_on_after(TRIAL_PATIENCE_S):
+            await self.cell.recorder.wait_recorded()
+        if start.job.crash_notes_recorded == start.job.crash_notes:
+            return True
+        if start.task.attempt is attempt:
+            self._give_up(attempt, "its trial is not in the store")
+        return False
+
     def _give_up(self, attempt: Attempt, reason: str) -> None:
         """End an attempt whose start came to nothing as far as anybody can tell.
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
@@ -194,7 +194,7 @@
 
     def give_up_at(self, state: ExecutorState) -> None:
         """Fail the jobs that were at an executor as it fell silent and may not start any more."""
-        for name in {attempt.task.job for attempt in state.at_silence}:
+        for name in {attempt.task.job for attempt, _ in state.at_silence}:
             job = self.active.get(name)
             if job is not None:
                 self._give_up_job(job)
@@ -323,6 +323,7 @@
         task = self.find_task(attempt.task)
         if task is not None and task.attempt is attempt:
             task.attempt = None
+        self.crashes.end_trial(attempt.task, attempt.executor)
         log_event(
             "attempt.closed",
             **describe_run(attempt.task, attempt.run, attempt.executor),
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
@@ -69,7 +69,7 @@
     """One task; it has at most one attempt that may be anywhere.
 
     `moves` counts the attempts stopped because others of its step were faster. `crashes` are the
-    executors that crashed under it; `works`: a report has shown progress of a run of it. What
+    executors that crashed under it; `works`: a run of it has outlived its start. What
     changes here is counted in its step, so that no plan has to look at each task.
     """
 
@@ -119,8 +119,8 @@
     @property
     def is_given_up(self) -> bool:
         """Whether so many executors have crashed under it that it is not started any more."""
-        blamed = sum(blame is Blame.BLAMED for blame in self.crashes.values())
-        return blamed >= MOST_BLAMED or len(self.crashes) >= MOST_CRASHES
+        blames = [blame for blame in self.crashes.values() if blame is not Blame.ON_TRIAL]
+        return blames.count(Blame.BLAMED) >= MOST_BLAMED or len(blames) >= MOST_CRASHES
 
     def join(self, step: StepState) -> None:
         """Belong to a step from now on."""
@@ -350,7 +350,8 @@
                 task.failed_runs = set(saved.failures.get(task.index, ()))
                 task.checkpoint = saved.checkpoints.get(task.index, "")
                 for executor, blame in saved.crashes.get(task.index, {}).items():
-                    task.note_crash(executor, blame)
+                    is_open = blame is Blame.ON_TRIAL
+                    task.note_crash(executor, Blame.SUSPECTED if is_open else blame)
 
 
 def make_job(spec: JobSpec, now: float) -> JobState:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
@@ -197,10 +197,15 @@
 
 
 class Blame(StrEnum):
-    """Whether a task crashed an executor: nothing else may have, or something else may."""
+    """Whether a task crashed an executor: nothing else may have, or something else may.
+
+    `ON_TRIAL`: it is about to be started there after others crashed under it. An owner that finds
+    this counts a crash unless that executor reports.
+    """
 
     BLAMED = "blamed"
     SUSPECTED = "suspected"
+    ON_TRIAL = "on trial"
 
 
 @dataclass(slots=True)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
@@ -31,6 +31,9 @@
 LONGEST_PAUSE_S = 0.8
 RECORD_PATIENCE_S = 0.25
 MOST_RUNS_LOGGED = 8
+PROVEN_S = 1.0
+"""A run that a report names so long after its start, or that has done so much, was not what crashes
+its executor by being started: those took 0.016 s."""
 
 
 class ExecutorWatch:
@@ -207,6 +210,9 @@
             return
         self.cell.note_checkpoint(task, run.run, run.checkpoint)
         attempt.seen = True
+        if attempt.sends and received - attempt.sent_at >= PROVEN_S:
+            task.works = True
+            self.cell.crashes.end_trial(run.task, self.state.id)
         if attempt.phase is Phase.STARTING:
             attempt.phase = Phase.RUNNING
             attempt.settled_at = received
@@ -215,7 +221,6 @@
         policy = self.cell.parts.policy
         measure_speed(job, attempt, self.state, run.percent, received, factor, policy)
         if run.percent > attempt.percent:
-            task.works = True
             attempt.percent = run.percent
             attempt.moved_at = received
             if attempt.began_at is None:
@@ -248,6 +253,7 @@
         attempt.percent = run.percent
         attempt.began_at = received
         attempt.began_percent = run.percent
+        task.works |= run.percent / 100 * step.spec.estimate_s >= PROVEN_S
         task.last_run = max(task.last_run, run.run)
         self.cell.note_checkpoint(task, run.run, run.checkpoint)
         self.cell.place(task, attempt, self.state)
--- a/packages/heronthread-dispatch/tests/test_crashes.py
+++ b/packages/heronthread-dispatch/tests/test_crashes.py
@@ -210,3 +210,41 @@
         owner = site.hosts[site.owner_name() or ""].owner
         assert owner is not None
         assert owner.cell.count_suspects() == 0
+
+
+async def test_a_trial_counts_where_its_owner_is_gone_before_the_crash(
+    autojump_clock: Clock,
+) -> None:
+    """The second crash comes 0.2 s after its owner was killed; nobody could note it."""
+    told: dict[str, Told] = {}
+    task = TaskKey("bad", 0, 0)
+    async with EmulatedSite.open(hosts=3, executors=8) as site:
+        await site.wait_for_owner()
+        await _hand_in(site, told, "bad", crashing=0)
+        site.executors.crashing[task] = 0.3
+        while len(site.executors.starts(task)) < 2:
+            await trio.sleep(0.01)
+        await trio.sleep(0.1)
+        site.kill_host(site.owner_name() or "")
+        await trio.sleep(40.0)
+        await _check(site, told, {"bad"})
+        assert _count_crashes(site, task) == 3
+
+
+async def test_no_trial_begins_without_the_store(autojump_clock: Clock) -> None:
+    """The store goes after the first crash; the task waits, and what is sound goes on."""
+    told: dict[str, Told] = {}
+    task = TaskKey("bad", 0, 0)
+    async with EmulatedSite.open(hosts=2, executors=8) as site:
+        await site.wait_for_owner()
+        await _hand_in(site, told, "good", count=6, work_s=2.0)
+        await _hand_in(site, told, "bad", crashing=0)
+        while _count_crashes(site, task) < 1:
+            await trio.sleep(0.01)
+        await trio.sleep(0.1)
+        site.store.is_down = True
+        await trio.sleep(9.0)
+        assert len(site.executors.starts(task)) == 1
+        site.store.is_down = False
+        await trio.sleep(30.0)
+        await _check(site, told, {"bad"})
--- a/packages/heronthread-emulator/tests/test_plants.py
+++ b/packages/heronthread-emulator/tests/test_plants.py
@@ -14,6 +14,9 @@
     "take-missing-entries-as-gone": 0,
     "forget-cancelled-runs": 5,
     "start-in-evacuated-domains": 0,
+    "count-no-crashes": 0,
+    "forget-crashes-at-a-takeover": 10,
+    "keep-the-first-capacity": 6,
 }
 SEEDS_TRIED = 40
 ONLY = {"take-missing-entries-as-gone": ("executor_cut_over_takeover",)}
