--- a/packages/heronthread-emulator/src/heronthread_emulator/executor_server.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/executor_server.py
@@ -32,6 +32,8 @@
 
 CAPACITY = Resources(64_000, 262_144, 8)
 HEARTBEAT_S = 1.0
+BACK_AFTER_S = 3.3
+"""After a crash that a task brought about, until another life is at the address."""
 ENTRY_LEASE_S = 3 * HEARTBEAT_S
 WRITE_S = 0.8
 STOP_S = 0.3
@@ -119,6 +121,7 @@
         self.life = self.begin_life()
         self.keeps_entry = True
         self.is_changed = True
+        self.is_resized = False
         self._lease = 0
         self._sequence = 0
 
@@ -160,6 +163,10 @@
             self._lease, self.is_changed = lease, False
             if executor.is_draining:
                 self.server.sight.note("executor.draining", executor=executor.id)
+            if self.is_resized:
+                room = list(executor.capacity)
+                self.server.sight.note("executor.resized", executor=executor.id, capacity=room)
+                self.is_resized = False
 
     async def _renew(self) -> bool:
         return await self.server.call_store(f"{spelling.RENEW_PATH}{self._lease}", {}) is not None
@@ -179,6 +186,8 @@
         life, order = self.life, _read_order(request)
         if order is None or self.faults.silent:
             return NoResponse.SILENCE if self.faults.silent else Response(404)
+        if life.is_down:
+            return NoResponse.RESET
         if self.faults.slow_s:
             await trio.sleep(self.server.random.uniform(0.2, 1.0) * self.faults.slow_s)
         if not self._is_meant(request, life):
@@ -234,7 +243,11 @@
         if isinstance(order, StartOrder):
             work = spelling.read_work(order.payload)
             self.server.executors.specs.setdefault(order.task.job, {})[order.task.step] = work
-        return self.server.executors.obey(life, order)
+        outcome = self.server.executors.obey(life, order)
+        for _, name in self.server.executors.overfull:
+            self.server.sight.note("executor.overfull", executor=name)
+        self.server.executors.overfull.clear()
+        return outcome
 
     async def _report(self, life: EmulatedExecutor, order: HoldOrder) -> Answer:
         if order.wait_s and not life.ended:
@@ -260,6 +273,7 @@
         self.nursery = nursery
         self.random = random.Random(f"executors {settings.seed}")
         self.executors = SeenExecutors(sight)
+        self.executors.on_crash = self.crash_by_itself
         self.client = HttpClient()
         self.places: dict[int, Place] = {}
         self._scopes: dict[int, trio.CancelScope] = {}
@@ -304,12 +318,34 @@
         for name, value in values["set"].items():
             setattr(self._find(values).life, name, value)
 
+    async def set_crashing(self, values: dict[str, Any]) -> None:
+        """Have the first task of each of some jobs crash the executors that start it."""
+        for job in values["jobs"]:
+            self.executors.crashing[TaskKey(job, 0, 0)] = values["after_s"]
+            self.sight.note("executor.crashing", executor="", job=job, after_s=values["after_s"])
+
+    def crash_by_itself(self, name: str) -> None:
+        """End a life that a task has crashed; a new one is there seconds later."""
+        place = next(place for place in self.places.values() if place.life.executor.id == name)
+        place.life.is_down = True
+        self.nursery.start_soon(self._crash, place, BACK_AFTER_S)
+
+    async def resize(self, values: dict[str, Any]) -> None:
+        """Let the room of an executor that does not guard it shrink or grow."""
+        place = self._find(values)
+        room = Resources(*(int(amount * values["share"]) for amount in CAPACITY))
+        place.life.executor = replace(place.life.executor, capacity=room)
+        place.life.guards = False
+        place.is_resized = place.is_changed = True
+
     async def crash(self, values: dict[str, Any]) -> None:
         """End a life without a word; a new one is at the same address `after_s` later."""
-        place = self._find(values)
+        await self._crash(self._find(values), values["after_s"])
+
+    async def _crash(self, place: Place, after_s: float) -> None:
         self.executors.crash(place.life.executor.id)
         place.keeps_entry = False
-        await trio.sleep(values["after_s"])
+        await trio.sleep(after_s)
         place.begin_life()
         place.keeps_entry = place.is_changed = True
 
@@ -374,6 +410,8 @@
         "faults": server.set_faults,
         "life": server.set_life,
         "crash": server.crash,
+        "crashing": server.set_crashing,
+        "resize": server.resize,
         "drain": server.drain,
         "vanish": server.vanish,
         "add": server.add,
--- a/packages/heronthread-emulator/src/heronthread_emulator/soak_checks.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak_checks.py
@@ -44,6 +44,7 @@
     found += _check_cancelled(history, slack_s)
     found += _check_draining(history, slack_s)
     found += _check_gangs(history, slack_s)
+    found += _check_room(history, slack_s)
     found += _check_versions(history, slack_s)
     found += _check_reverting(history)
     found += _check_foreign(history)
@@ -53,6 +54,17 @@
     return found
 
 
+def _check_room(history: SoakHistory, slack_s: float) -> list[Violation]:
+    """Nothing starts over a room once its executor has said for long enough that it is smaller."""
+    found = []
+    for executor, at in history.overfull:
+        said = [when for name, when in history.resized if name == executor and when <= at]
+        known_since = max(said, default=NOT_ENDED) + IN_TOUCH_S + slack_s
+        if at > known_since and history.is_calm(known_since, at):
+            found.append(Violation("no start goes over a room", f"{executor} at {at:.2f}"))
+    return found
+
+
 def _list_runs(history: SoakHistory) -> Iterator[_Run]:
     open_runs: dict[tuple[str, TaskKey, int], Event] = {}
     for event in history.events:
--- a/packages/heronthread-emulator/src/heronthread_emulator/soak_faults.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak_faults.py
@@ -19,8 +19,18 @@
 MOST_AT_ONCE = 4
 LATE_FROM_S = 2.0
 LATE_TO_S = 12.0
+APART_SHARE = 0.4
+"""Of the seeds, those that have each of the faults that are drawn apart."""
 PLANNED = frozenset(
-    {"stop_owner", "stop_any", "reload_settings", "change_configuration", "executor_drains"}
+    {
+        "stop_owner",
+        "stop_any",
+        "reload_settings",
+        "change_configuration",
+        "executor_drains",
+        "task_crashes_executors",
+        "capacity_changes",
+    }
 )
 """These are no disruptions: promises hold on beside them."""
 
@@ -69,17 +79,23 @@
             self.executor_slow,
             self.change_configuration,
         ]
+        self._apart: list[Fault] = [self.task_crashes_executors, self.capacity_changes]
+        """Drawn apart from the others, which stay what they were for each seed without them."""
+        self.apart = random.Random(f"executors {site.settings.seed}")
         if only:
             wanted = only.split(",")
             unknown = set(wanted) - set(self.names)
             if unknown:
                 raise ValueError(f"{', '.join(sorted(unknown))}: no such fault")
             self._all = [fault for fault in self._all if fault.__name__ in wanted]
+            self._apart = [fault for fault in self._apart if fault.__name__ in wanted]
+        else:
+            self._apart = [f for f in self._apart if self.apart.random() < APART_SHARE]
 
     @property
     def names(self) -> list[str]:
         """Return the names of the faults that may be drawn."""
-        return list(dict.fromkeys(fault.__name__ for fault in self._all))
+        return list(dict.fromkeys(fault.__name__ for fault in [*self._all, *self._apart]))
 
     def draw(self) -> Fault:
         """Return the next fault."""
@@ -93,7 +109,11 @@
         ends_at = trio.current_time() + self.site.settings.faults_s
         limit = trio.CapacityLimiter(self.at_once)
         async with trio.open_nursery() as nursery:
-            while trio.current_time() < ends_at:
+            for place, fault in enumerate(self._apart):
+                alone = trio.CapacityLimiter(1)
+                await nursery.start(self._play_one, fault, -1 - place, alone)
+                self.played += not self._all
+            while self._all and trio.current_time() < ends_at:
                 await trio.sleep(self.random.uniform(*PAUSE_S))
                 fault = self.draw()
                 self.played += 1
@@ -375,6 +395,26 @@
         after_s = self.random.choice([0.0, 0.5, 4.0])
         await self.site.steer(EXECUTORS, "crash", executor=self._any_executor(), after_s=after_s)
 
+    async def task_crashes_executors(self) -> None:
+        """The first tasks of some jobs crash each executor that starts them."""
+        jobs = range(self.site.settings.jobs)
+        chosen = self.apart.sample(jobs, min(len(jobs), self.apart.randint(1, 3)))
+        after_s = self.apart.choice([0.01, 0.01, 0.1, 0.3])
+        names = [f"{number:016x}" for number in chosen]
+        await self.site.steer(EXECUTORS, "crashing", jobs=names, after_s=after_s)
+
+    async def capacity_changes(self) -> None:
+        """Rooms that are not guarded shrink and grow again."""
+        ends_at = trio.current_time() + self.site.settings.faults_s
+        while trio.current_time() < ends_at:
+            await trio.sleep(self.apart.uniform(0.5, 3.0))
+            number = self.apart.choice(sorted(self.site.executors))
+            share = self.apart.choice([0.25, 0.5, 0.75])
+            await self.site.steer(EXECUTORS, "resize", executor=number, share=share)
+            await trio.sleep(self.apart.uniform(2.0, 8.0))
+            if number in self.site.executors:
+                await self.site.steer(EXECUTORS, "resize", executor=number, share=1.0)
+
     async def executor_drains(self) -> None:
         """An executor says that it leaves, serves on, and ends; another joins."""
         await self._leave("drain", left_s=2.0, longer_s=self.random.uniform(0.2, 5.0))
--- a/packages/heronthread-emulator/src/heronthread_emulator/soak_history.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak_history.py
@@ -19,6 +19,8 @@
 from .soak_site import CALLERS, EXECUTORS, LINKS, MODULES, STORE
 
 SOAK_LOG = "soak.log"
+CRASH_DISTURBS_S = 4.5
+"""Until the crashed executor's entry has lapsed, and another life is there."""
 IN_TOUCH_S = 3.0
 """So long after a disruption its effects may last (`contact-ms` of the platform's rules)."""
 NOT_ENDED = float("inf")
@@ -44,6 +46,8 @@
     crashing: dict[TaskKey, float] = field(default_factory=dict)
     lapses: list[tuple[str, float]] = field(default_factory=list)
     draining: dict[str, float] = field(default_factory=dict)
+    resized: list[tuple[str, float]] = field(default_factory=list)
+    overfull: list[tuple[str, float]] = field(default_factory=list)
     told: dict[str, Told] = field(default_factory=dict)
     calls: list[dict[str, Any]] = field(default_factory=list)
     probes: list[dict[str, Any]] = field(default_factory=list)
@@ -109,10 +113,20 @@
         history.lapses.append((executor, at))
     elif what == "draining":
         history.draining.setdefault(executor, at)
+    elif what == "crashing":
+        history.crashing[TaskKey(line["job"], 0, 0)] = line["after_s"]
+    elif what == "resized":
+        history.resized.append((executor, at))
+    elif what == "overfull":
+        history.overfull.append((executor, at))
     else:
         task = TaskKey(line["job"], line["step"], line["index"], line["occurrence"])
         event = Event(at, what, task, line["run"], executor, line["token"], line["number"])
         history.events.append(event)
+        if what == "gone" and task in history.crashing:
+            crash = Disruption(f"{executor} crashed under {task.job}", at)
+            crash.ended = at + CRASH_DISTURBS_S
+            history.disruptions.append(crash)
         if what == "start" and line["late"]:
             history.late.add((executor, task, line["run"]))
 
