--- a/packages/heronthread-emulator/src/heronthread_emulator/soak_faults.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak_faults.py
@@ -89,8 +89,7 @@
                 raise ValueError(f"{', '.join(sorted(unknown))}: no such fault")
             self._all = [fault for fault in self._all if fault.__name__ in wanted]
             self._apart = [fault for fault in self._apart if fault.__name__ in wanted]
-        else:
-            self._apart = [f for f in self._apart if self.apart.random() < APART_SHARE]
+        self._apart_share = 1.0 if only else APART_SHARE
 
     @property
     def names(self) -> list[str]:
@@ -101,6 +100,10 @@
         """Return the next fault."""
         return self.random.choice(self._all)
 
+    def draw_apart(self) -> list[Fault]:
+        """Return the faults, of those drawn apart, that go on beside all others."""
+        return [fault for fault in self._apart if self.apart.random() < self._apart_share]
+
     async def play(self) -> None:
         """Begin faults until the time for them is over, then wait until they end.
 
@@ -109,7 +112,7 @@
         ends_at = trio.current_time() + self.site.settings.faults_s
         limit = trio.CapacityLimiter(self.at_once)
         async with trio.open_nursery() as nursery:
-            for place, fault in enumerate(self._apart):
+            for place, fault in enumerate(self.draw_apart()):
                 alone = trio.CapacityLimiter(1)
                 await nursery.start(self._play_one, fault, -1 - place, alone)
                 self.played += not self._all
--- a/packages/heronthread-emulator/tests/test_executor_server.py
+++ b/packages/heronthread-emulator/tests/test_executor_server.py
@@ -151,3 +151,22 @@
     await site.server.places[0].remove_entry()
     assert key not in site.store.items
     assert await site.start() == Obeyed()
+
+
+async def test_task_that_crashes_its_executor(site, monkeypatch):
+    monkeypatch.setattr("heronthread_emulator.executor_server.BACK_AFTER_S", 0.3)
+    await site.server.set_crashing({"jobs": [TASK.job], "after_s": 0.0})
+    first = site.life
+    assert await site.start() == Obeyed()
+    while not first.is_gone:
+        await trio.sleep(0.01)
+    assert isinstance(await site.link.hold(first.executor, HoldOrder(1, 0, None, 0.0)), Unanswered)
+    while site.life is first:
+        await trio.sleep(0.01)
+    assert await site.link.hold(first.executor, HoldOrder(1, 0, None, 0.0)) == OtherLife()
+
+
+async def test_room_that_is_not_guarded_is_written_down_when_it_is_overrun(site):
+    await site.server.resize({"executor": 0, "share": 0.0})
+    assert await site.start() == Obeyed()
+    assert len(site.lines("executor.overfull")) == 1
--- a/packages/heronthread-emulator/tests/test_soak_checks.py
+++ b/packages/heronthread-emulator/tests/test_soak_checks.py
@@ -180,3 +180,32 @@
 def test_lateness_of_the_soak_itself_widens_bounds():
     history = make_cancelled(start(9.0), end(15.0, "stopped"), late_s=1.0)
     assert find_broken(history) == []
+
+
+def test_task_that_crashes_executors_is_started_twice_after_three_crashes():
+    def crash(at, run):
+        return [start(at, run, f"e{run}"), end(at + 0.1, "gone", run, f"e{run}")]
+
+    five = [event for run in range(1, 6) for event in crash(5.0 * run, run)]
+    history = make_history(*five, crashing={TASK: 0.1})
+    history.told[JOB].shown = JobStatus.FAILED
+    assert find_broken(history) == []
+    history = make_history(*five, *crash(30.0, 6), crashing={TASK: 0.1})
+    history.told[JOB].shown = JobStatus.FAILED
+    assert find_broken(history) == ["crashes are bounded"]
+
+
+def test_job_is_not_given_up_for_one_crash():
+    history = make_history(start(1.0), end(2.0, "gone"))
+    history.told[JOB].shown = JobStatus.FAILED
+    assert find_broken(history) == ["failed only for cause"]
+
+
+def test_start_over_a_room_that_shrank_long_ago():
+    events = [start(1.0), end(2.0)]
+    early = make_history(*events, resized=[("e0", 10.0)], overfull=[("e0", 12.0)])
+    assert find_broken(early) == []
+    late = make_history(*events, resized=[("e0", 10.0)], overfull=[("e0", 20.0)])
+    assert find_broken(late) == ["no start goes over a room"]
+    late.disruptions.append(Disruption("store_silent 1", 14.0, 19.0))
+    assert find_broken(late) == []
--- a/packages/heronthread-emulator/tests/test_soak_history.py
+++ b/packages/heronthread-emulator/tests/test_soak_history.py
@@ -80,3 +80,18 @@
     assert not history.is_calm(14.9, 20.0)
     assert history.is_calm(15.1, 79.0)
     assert not history.is_calm(200.0, 201.0)
+
+
+def test_crashes_and_rooms_become_history(tmp_path):
+    fields = {"job": JOB, "step": 0, "index": 0, "occurrence": 0, "run": 7, "executor": "e0"}
+    others = [
+        line("executor.crashing", 5.0, executor="", job=JOB, after_s=0.1),
+        line("executor.gone", 6.0, **fields, token=3, number=0, late=False),
+        line("executor.resized", 7.0, executor="e1", capacity=[1, 1, 1]),
+        line("executor.overfull", 8.0, executor="e1"),
+    ]
+    history = read(tmp_path, others=others)
+    assert history.crashing == {TaskKey(JOB, 0, 0): 0.1}
+    assert (history.resized, history.overfull) == ([("e1", 7.0)], [("e1", 8.0)])
+    assert not history.is_calm(6.5, 7.0)
+    assert history.is_calm(20.0, 21.0)
