--- a/benchmarks/crashes.py
+++ b/benchmarks/crashes.py
@@ -150,18 +150,11 @@
                 need = self.site.executors.specs[event.task.job][event.task.step].need
                 cost.lost_core_s += (event.at - starts[event.task, event.run]) * need.cores
         for job in self.innocent:
-            status = await self._find_status(job)
+            status = await self.site.find_status(job)
             cost.given_up += status is JobStatus.FAILED
             cost.not_done += status is not JobStatus.SUCCEEDED
         return cost
 
-    async def _find_status(self, job: str) -> JobStatus | None:
-        for host in self.site.hosts.values():
-            view = await host.requests.find_job(job)
-            if hasattr(view, "status"):
-                return JobStatus(view.status)
-        return None
-
 
 def play(day: Day, seed: int) -> Cost:
     """Play one day in simulated time."""
--- a/packages/heronthread-dispatch/tests/test_capacity.py
+++ b/packages/heronthread-dispatch/tests/test_capacity.py
@@ -12,14 +12,6 @@
 BEAT_S = 1.5
 
 
-async def _find_status(site: EmulatedSite, job: str) -> JobStatus | None:
-    for host in site.hosts.values():
-        view = await host.requests.find_job(job)
-        if hasattr(view, "status"):
-            return view.status
-    return None
-
-
 async def _hand_in(site: EmulatedSite, job: str, **more: object) -> object:
     host = next(iter(site.hosts.values()))
     record = site.make_job(job, **more)  # type: ignore[arg-type]
@@ -43,7 +35,7 @@
         await trio.sleep(60.0)
         late = [at for at, _ in site.executors.overfull if at > shrunk_at + BEAT_S + 0.5]
         assert late == []
-        assert await _find_status(site, "b") is JobStatus.SUCCEEDED
+        assert await site.find_status("b") is JobStatus.SUCCEEDED
         assert check_promises(site.executors, {}) == []
 
 
@@ -91,4 +83,4 @@
         assert not site.executors.starts()
         site.resize_executor("e0", WHOLE)
         await trio.sleep(4.0)
-        assert await _find_status(site, "wide") is JobStatus.SUCCEEDED
+        assert await site.find_status("wide") is JobStatus.SUCCEEDED
--- a/packages/heronthread-dispatch/tests/test_crashes.py
+++ b/packages/heronthread-dispatch/tests/test_crashes.py
@@ -19,14 +19,6 @@
 CRASH_S = 0.01
 
 
-async def _find_status(site: EmulatedSite, job: str) -> JobStatus | None:
-    for host in site.hosts.values():
-        view = await host.requests.find_job(job)
-        if hasattr(view, "status"):
-            return view.status
-    return None
-
-
 async def _hand_in(
     site: EmulatedSite, told: dict[str, Told], job: str, crashing: int | None = None, **more: object
 ) -> None:
@@ -46,7 +38,7 @@
 async def _check(site: EmulatedSite, told: dict[str, Told], failed: set[str]) -> None:
     """Check the promises, and that the jobs in `failed` and no others were given up."""
     for job, known in told.items():
-        known.shown = await _find_status(site, job)
+        known.shown = await site.find_status(job)
     assert check_promises(site.executors, told) == []
     assert {job for job, known in told.items() if known.shown is JobStatus.FAILED} == failed
 
--- a/packages/heronthread-emulator/src/heronthread_emulator/checker.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/checker.py
@@ -69,6 +69,12 @@
     until: float = float("inf")
 
 
+def _find_calm_since(since: float, at: float, trouble: list[float]) -> float:
+    """Return `since`, or the last time of trouble before `at` if that is later."""
+    before = bisect_right(trouble, at)
+    return max(since, trouble[before - 1] if before else since)
+
+
 def check_evacuations(
     executors: EmulatedExecutors, spans: list[EvacuatedSpan], trouble: list[float]
 ) -> list[Violation]:
@@ -82,8 +88,7 @@
         for span in spans:
             if span.domain != zone or not span.since <= event.sent_at < span.until:
                 continue
-            before = bisect_right(trouble, event.sent_at)
-            calm_since = max(span.since, trouble[before - 1] if before else span.since)
+            calm_since = _find_calm_since(span.since, event.sent_at, trouble)
             if event.sent_at > calm_since + EVACUATE_S:
                 found.append(Violation("nothing starts in an evacuated domain", str(event)))
     return found
@@ -111,8 +116,7 @@
         for span in spans:
             if span.executor != name or not span.said_at <= sent_at < span.until:
                 continue
-            before = bisect_right(trouble, sent_at)
-            calm_since = max(span.said_at, trouble[before - 1] if before else span.said_at)
+            calm_since = _find_calm_since(span.said_at, sent_at, trouble)
             if sent_at > calm_since + RESIZED_S:
                 found.append(Violation("no start goes over a room", f"{name} at {sent_at:.2f}"))
     return found
--- a/packages/heronthread-emulator/src/heronthread_emulator/site.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/site.py
@@ -24,9 +24,10 @@
     Tenant,
 )
 from heronthread_dispatch.owned import DirectoryFormat, Timing
+from heronthread_dispatch.owner import JobView
 from heronthread_dispatch.peer import PeerUnreachable
 from heronthread_dispatch.policy import DEFAULT_POLICY, Policy
-from heronthread_dispatch.record import JobRecord
+from heronthread_dispatch.record import JobRecord, JobStatus
 from heronthread_dispatch.tenure import Strength
 from heronthread_dispatch.wire.ttypes import Frame
 
@@ -305,6 +306,14 @@
                 return name
         return None
 
+    async def find_status(self, job: str) -> JobStatus | None:
+        """Return what callers are told of a job, by the first host that can tell."""
+        for host in list(self.hosts.values()):
+            found = await host.requests.find_job(job)
+            if isinstance(found, JobView):
+                return found.status
+        return None
+
     def any_host(self, source: random.Random) -> Host | None:
         """Return one of the hosts that take callers, if there is any."""
         ready = [host for _, host in sorted(self.hosts.items()) if host.is_ready]
