--- a/packages/heronthread-dispatch/src/heronthread_dispatch/crashes.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/crashes.py
@@ -29,6 +29,7 @@
 """Where so many other executors fall silent within `AT_ONCE_S` though nothing had just begun there,
 or so many of one rack whatever had, power or a switch is as likely a cause as any task."""
 MOST_SILENCES = 256
+"""Bounds what is remembered: more than fall silent within `AT_ONCE_S` but for a failure domain."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
@@ -30,6 +30,7 @@
 STOP_RETRY_S = 0.25
 NO_ROOM_REST_S = 0.2
 TRIAL_PATIENCE_S = 0.5
+"""For the store to name an executor before a trial there: a slow store answers in 0.3 s."""
 
 
 class Orders:
