Suspend the owner's machine in the soak of processes

The process is stopped; on waking its steady clock stands where it stood, its boot-time clock has gone on.

--- a/packages/heronthread-emulator/src/heronthread_emulator/soak_faults.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak_faults.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from .soak_plan import draw_apart
 from .soak_site import EXECUTORS, LINKS, STORE, SoakSite
 
 Fault = Callable[[], Awaitable[None]]
@@ -19,8 +20,6 @@
 MOST_AT_ONCE = 4
 LATE_FROM_S = 2.0
 LATE_TO_S = 12.0
-APART_SHARE = 0.4
-"""Of the seeds, those that have each of the faults that are drawn apart."""
 PLANNED = frozenset(
     {
         "stop_owner",
@@ -79,8 +78,11 @@
             self.executor_slow,
             self.change_configuration,
         ]
-        self._apart: list[Fault] = [self.task_crashes_executors, self.capacity_changes]
-        """Drawn apart from the others, which stay what they were for each seed without them."""
+        self._apart: list[Fault] = [
+            self.task_crashes_executors,
+            self.capacity_changes,
+            self.host_suspended,
+        ]
         self.apart = random.Random(f"executors {site.settings.seed}")
         if only:
             wanted = only.split(",")
@@ -89,7 +91,6 @@
                 raise ValueError(f"{', '.join(sorted(unknown))}: no such fault")
             self._all = [fault for fault in self._all if fault.__name__ in wanted]
             self._apart = [fault for fault in self._apart if fault.__name__ in wanted]
-        self._apart_share = 1.0 if only else APART_SHARE
 
     @property
     def names(self) -> list[str]:
@@ -102,7 +103,8 @@
 
     def draw_apart(self) -> list[Fault]:
         """Return the faults, of those drawn apart, that go on beside all others."""
-        return [fault for fault in self._apart if self.apart.random() < self._apart_share]
+        drawn = draw_apart(self.site.settings.seed, self.site.settings.only)
+        return [fault for fault in self._apart if fault.__name__ in drawn]
 
     async def play(self) -> None:
         """Begin faults until the time for them is over, then wait until they end.
@@ -418,6 +420,15 @@
             if number in self.site.executors:
                 await self.site.steer(EXECUTORS, "resize", executor=number, share=1.0)
 
+    async def host_suspended(self) -> None:
+        """The owner's machine is suspended now and then: its steady clock does not count that."""
+        ends_at = trio.current_time() + self.site.settings.faults_s
+        while trio.current_time() < ends_at:
+            await trio.sleep(self.apart.uniform(2.0, 8.0))
+            owner = await self.site.find_owner()
+            if owner is not None and owner not in self.site.frozen:
+                await self.site.suspend_host(owner, self.apart.uniform(0.5, 6.0))
+
     async def executor_drains(self) -> None:
         """An executor says that it leaves, serves on, and ends; another joins."""
         await self._leave("drain", left_s=2.0, longer_s=self.random.uniform(0.2, 5.0))
--- a/packages/heronthread-emulator/src/heronthread_emulator/soak_plan.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak_plan.py
@@ -20,6 +20,10 @@
 CANCELLED_FACTOR = 5.0
 """Cancelled work is long, so that it shows if it is not ended."""
 GUARANTEED = 16
+APART = ("task_crashes_executors", "capacity_changes", "host_suspended")
+"""Faults that are drawn apart from the others, which stay what they were for each seed."""
+APART_SHARE = 0.4
+"""Of the seeds, those that have each of them."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +92,15 @@
     )
 
 
+def draw_apart(seed: int, only: str = "") -> list[str]:
+    """Return which faults of `APART` a seed has beside all others; those of `only` if given."""
+    if only:
+        wanted = only.split(",")
+        return [name for name in APART if name in wanted]
+    source = random.Random(f"apart {seed}")
+    return [name for name in APART if source.random() < APART_SHARE]
+
+
 def make_version(version: int) -> DesiredState:
     """Return a configuration with one route that only this version has."""
     state = make_state(version, GUARANTEED)
--- a/packages/heronthread-emulator/src/heronthread_emulator/soak_site.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak_site.py
@@ -23,7 +23,7 @@
     Network,
 )
 from .sight import Sight
-from .soak_plan import make_version
+from .soak_plan import draw_apart, make_version
 from .soak_processes import Processes
 from .standin import StandinSettings
 
@@ -89,6 +89,11 @@
         """How many hosts there may be in all, one after another."""
         return min(MOST_HOSTS, self.settings.hosts + SPARE_HOSTS)
 
+    @property
+    def holds_clocks(self) -> bool:
+        """Whether hosts are started so that their machines can be shown as suspended."""
+        return "host_suspended" in draw_apart(self.settings.seed, self.settings.only)
+
     @property
     def most_executors(self) -> int:
         """How many executors there may be in all, one after another."""
@@ -171,10 +176,12 @@
         """Start the process of a host whose last one is gone."""
         name = f"h{host}"
         path = self.write_settings(host)
+        self._held_file(host).unlink(missing_ok=True)
         program = str(self.settings.root / PROGRAM)
         command = [program]
-        if self.settings.plant:
-            command = ["-m", f"{__package__}.planted_host", self.settings.plant, program]
+        if self.settings.plant or self.holds_clocks:
+            held = [str(self._held_file(host))] if self.holds_clocks else []
+            command = ["-m", f"{__package__}.planted_host", self.settings.plant, program, *held]
         variables = {spelling.SETTINGS_VARIABLE: str(path)}
         self.processes.start(name, command, variables)
         self.hosts.add(host)
@@ -182,6 +189,24 @@
         pid = self.processes.running[name].pid
         self.sight.note("host.started", process=pid, to=name)
 
+    def _held_file(self, host: int) -> Path:
+        return self.processes.folder / f"h{host}.suspended"
+
+    async def suspend_host(self, host: int, for_s: float) -> None:
+        """Have a host's process stand still for a while, and its steady clock with it."""
+        name, began = f"h{host}", time.time()
+        self.frozen.add(host)
+        self.processes.send(name, signal.SIGSTOP)
+        await trio.sleep(for_s)
+        if host not in self.hosts:
+            return
+        path = self._held_file(host)
+        before_s = float(path.read_text(encoding="utf-8")) if path.exists() else 0.0
+        path.write_text(str(before_s + time.time() - began), encoding="utf-8")
+        self.processes.send(name, signal.SIGUSR1)
+        self.processes.send(name, signal.SIGCONT)
+        self.frozen.discard(host)
+
     def write_settings(self, host: int, cores: float = 1.0) -> Path:
         """Write a host's settings file as the platform fills it."""
         network = self.network
--- a/packages/heronthread-emulator/tests/test_soak_faults.py
+++ b/packages/heronthread-emulator/tests/test_soak_faults.py
@@ -6,7 +6,7 @@
 
 
 def make_faults(only="", seed=1):
-    site = SoakSite(SiteSettings(seed, Path(".")), None, None, None)
+    site = SoakSite(SiteSettings(seed, Path("."), only=only), None, None, None)
     return SoakFaults(site, only)
 
 
