Use one list of what reading malformed bytes may raise

Cause: record.py wrote again a list that peering.py had, and left out the recursion error, so stored bytes nested too deep ended each owner that read them (trial: decode_job of 200,000 brackets raised; the new test asks it of all four readers). One list now, in record.py; peering, host and host_state use it. Ruled out: peers' bodies, whose list was whole.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -31,7 +31,6 @@
 from .peering import (
     BAD_REQUEST,
     CALL_S,
-    MALFORMED,
     NOT_HERE,
     NOT_TAKEN,
     OK,
@@ -45,7 +44,7 @@
     encode_record,
     make_reply,
 )
-from .record import Unreadable
+from .record import MALFORMED, Unreadable
 from .requests import Requests
 from .sizes import encode_kinds
 from .succession import RANK_DELAY_S, find_stronger, rank
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host_state.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host_state.py
@@ -18,8 +18,9 @@
 from .owned import DirectoryFormat, Timing
 from .owner import Owner
 from .peer import Peers, PeerUnreachable
-from .peering import CALL_S, MALFORMED, MalformedReply, PeerReply, call_peer
+from .peering import CALL_S, MalformedReply, PeerReply, call_peer
 from .policy import DEFAULT_POLICY, Policy
+from .record import MALFORMED
 from .statistics import Statistics
 from .tenure import Presence, Strength, Tenure
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/peering.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/peering.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from .peer import Peers, PeerUnreachable
-from .record import JobRecord
+from .record import MALFORMED, JobRecord
 from .wire.ttypes import Forward, ForwardReply, Frame, Operation
 
 CALL_S = 0.8
@@ -19,17 +19,6 @@
 UNSETTLED = 504
 BAD_REQUEST = 400
 
-MALFORMED = (
-    KeyError,
-    IndexError,
-    TypeError,
-    ValueError,
-    AttributeError,
-    OverflowError,
-    RecursionError,
-)
-"""What reading a body raises that is not as agreed."""
-
 
 @dataclass(frozen=True, slots=True)
 class News:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
@@ -9,7 +9,15 @@
 
 from .model import ApprovalTerms, JobSpec, Queue, Resources, Schedule, StepSpec
 
-MALFORMED = (KeyError, IndexError, TypeError, ValueError, AttributeError, OverflowError)
+MALFORMED = (
+    KeyError,
+    IndexError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 """What reading bytes that are not as agreed may raise."""
 MOST_TASKS = 1_000_000
 """More than any caller may ask for; a job that names more is no job."""
--- a/packages/heronthread-dispatch/tests/test_record.py
+++ b/packages/heronthread-dispatch/tests/test_record.py
@@ -53,6 +53,11 @@
         read(data)
 
 
+def test_bytes_nested_deeper_than_can_be_read_are_set_aside() -> None:
+    for read in READERS:
+        assert isinstance(read(b"[" * 200_000), Unreadable)
+
+
 @given(seed=st.integers(0, 10_000), other=JSON)
 def test_a_job_of_which_a_part_is_wrong_is_read_or_set_aside(seed: int, other: object) -> None:
     whole = json.loads(EXAMPLE.encode())
