--- /dev/null
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/directory.py
@@ -0,0 +1,218 @@
+"""The executors' entries in the store as one owner has read them, and those that name none to use.
+
+Anybody may write there. An entry that is not as agreed changes one thing only: its executor gets no
+new work until a good one is there. What runs there is watched on and its ends are taken in.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import trio
+
+from .entries import BadEntry, DirectoryFormat, EntryFault
+from .events import RepeatedEvents, log_event
+from .fleet import ExecutorState, make_executor
+from .keystore import Gone, Item, Listing
+from .model import DesiredState, Executor, Resources
+from .owned import OwnedCell
+from .sizes import PoolSizes
+
+MOST_UNNAMED = 2_000
+"""Entries kept to be read again once a configuration names their pool; twice the 1,000 executors of
+the largest site played. An executor beyond them is taken in at its next heartbeat."""
+TOLD_EVERY_S = 5.0
+"""Entries of ids without an executor are logged so often for each reason: a storm of them would
+push the lines of requests out of a record."""
+
+
+class Directory:
+    """Takes entries into a cell; `begin` is told of each new executor, `note_use` of each change.
+
+    `sizes` counts what good entries offer.
+    """
+
+    def __init__(
+        self,
+        cell: OwnedCell,
+        directory: DirectoryFormat,
+        begin: Callable[[ExecutorState], None],
+        note_use: Callable[[], None],
+    ) -> None:
+        self.sizes = PoolSizes()
+        self._cell = cell
+        self._format = directory
+        self._begin = begin
+        self._note_use = note_use
+        self._bad: dict[str, BadEntry] = {}
+        self._unnamed: dict[str, Item] = {}
+        self._desired: DesiredState | None = None
+        self._told = RepeatedEvents(TOLD_EVERY_S)
+
+    @property
+    def bad_count(self) -> int:
+        """How many entries name no executor to use."""
+        return len(self._bad)
+
+    def take_listing(self, listing: Listing) -> None:
+        """Take in everything that stands under the prefix."""
+        present = set()
+        for item in listing.items:
+            self.take(item)
+            present.add(item.key.removeprefix(self._format.prefix))
+        self.sizes.drop_others(present, trio.current_time())
+        for executor_id in self._bad.keys() - present:
+            self._forget(executor_id)
+        for state in self._cell.executors.values():
+            if state.id not in present:
+                _delist(state)
+
+    def take(self, event: Item | Gone) -> None:
+        """Take in one change."""
+        executor_id = event.key.removeprefix(self._format.prefix)
+        if isinstance(event, Gone):
+            self._forget(executor_id)
+            self.sizes.drop(executor_id, trio.current_time())
+            state = self._cell.executors.get(executor_id)
+            if state is not None:
+                _delist(state)
+            return
+        found = self._read(executor_id, event)
+        if isinstance(found, BadEntry):
+            self._set_aside(executor_id, found)
+        else:
+            self._accept(found)
+
+    def read_again(self) -> None:
+        """Read the entries again whose pool the configuration did not name, if it has changed."""
+        desired = self._cell.parts.desired()
+        if desired is self._desired:
+            return
+        self._desired = desired
+        for item in list(self._unnamed.values()):
+            self.take(item)
+
+    def _read(self, executor_id: str, item: Item) -> Executor | BadEntry:
+        self._unnamed.pop(executor_id, None)
+        found = self._format.parse(executor_id, item.value)
+        if isinstance(found, BadEntry):
+            return found
+        state = self._cell.executors.get(executor_id)
+        if state is not None and _may_hold_work(state):
+            return _compare_place(state, found)
+        if not self._is_named(found.pool):
+            if len(self._unnamed) < MOST_UNNAMED:
+                self._unnamed[executor_id] = item
+            return BadEntry(EntryFault.UNKNOWN_POOL, found.pool)
+        return found
+
+    def _is_named(self, pool: str) -> bool:
+        """Whether work may be sent to a pool: by the configuration, or for a job taken in before.
+
+        Without a configuration that can't be told, and nothing is sent to a pool nobody names.
+        """
+        desired = self._cell.parts.desired()
+        if desired.version == 0 or pool in desired.pools:
+            return True
+        return any(job.spec.queue.pool == pool for job in self._cell.active.values())
+
+    def _accept(self, executor: Executor) -> None:
+        now = trio.current_time()
+        self._note_good(executor.id)
+        self.sizes.keep(executor, now)
+        state = self._cell.executors.get(executor.id)
+        if state is None:
+            self._add(executor, now)
+        else:
+            self._renew(state, executor, now)
+        self._note_use()
+        self._cell.wake_planner()
+
+    def _add(self, executor: Executor, now: float) -> None:
+        state = make_executor(executor, now)
+        self._cell.executors[executor.id] = state
+        state.evacuated = self._cell.is_evacuated(state)
+        log_event(
+            "executor.found",
+            executor=executor.id,
+            pool=executor.pool,
+            rack=executor.rack,
+            accelerators=executor.capacity.accelerators,
+        )
+        self._begin(state)
+
+    def _renew(self, state: ExecutorState, executor: Executor, now: float) -> None:
+        used = Resources()
+        for attempt in state.list_held():
+            used = used.plus(attempt.need)
+        if executor.capacity != state.executor.capacity:
+            log_event(
+                "executor.resized",
+                executor=state.id,
+                before=list(state.executor.capacity),
+                now=list(executor.capacity),
+                used=list(used),
+            )
+        state.executor = executor
+        state.free = executor.capacity.minus(used)
+        state.listed = state.was_listed = True
+        state.is_set_aside = False
+        state.evacuated = self._cell.is_evacuated(state)
+        if executor.leaves_in_s is not None and state.leaves_at is None:
+            state.leaves_at = now + executor.leaves_in_s
+            log_event("executor.draining", executor=state.id, leaves_in_s=executor.leaves_in_s)
+
+    def _set_aside(self, executor_id: str, bad: BadEntry) -> None:
+        """Give an executor no new work; something is there under its id, so it is not gone."""
+        self.sizes.drop(executor_id, trio.current_time())
+        state = self._cell.executors.get(executor_id)
+        if state is not None:
+            state.listed = state.was_listed = True
+            state.is_set_aside = True
+        if self._bad.get(executor_id) != bad:
+            self._bad[executor_id] = bad
+            self._tell(executor_id, bad, state)
+
+    def _tell(self, executor_id: str, bad: BadEntry, state: ExecutorState | None) -> None:
+        """Log an entry once while it is bad in one way, and count it by its fault."""
+        self._cell.parts.statistics.count("bad_entries", bad.fault.value)
+        fields = {"executor": executor_id, "fault": bad.fault.value, "detail": bad.detail}
+        if state is None:
+            self._told.log("entry.refused", (bad.fault,), known=False, **fields)
+        else:
+            log_event("entry.refused", known=True, runs=len(state.list_held()), **fields)
+
+    def _note_good(self, executor_id: str) -> None:
+        if executor_id in self._bad:
+            self._forget(executor_id)
+            log_event("entry.good_again", executor=executor_id)
+
+    def _forget(self, executor_id: str) -> None:
+        self._bad.pop(executor_id, None)
+        self._unnamed.pop(executor_id, None)
+
+
+def _delist(state: ExecutorState) -> None:
+    state.listed = False
+    state.wake.set()
+
+
+def _may_hold_work(state: ExecutorState) -> bool:
+    """Whether it is known where an executor is: it was heard there, or an owner has used it."""
+    return state.heard or state.is_inherited or bool(state.list_held())
+
+
+def _compare_place(state: ExecutorState, executor: Executor) -> Executor | BadEntry:
+    """Return the executor unless its entry names another place than the one where it is.
+
+    One life stays at its address, in its pool and its failure domain. Asked at another address,
+    somebody else answers for it, and its runs would count as ended while they go on.
+    """
+    known = state.executor
+    if executor.address != known.address:
+        return BadEntry(EntryFault.OTHER_PLACE, f"address {executor.address}")
+    if executor.pool != known.pool:
+        return BadEntry(EntryFault.OTHER_PLACE, f"pool {executor.pool}")
+    if known.zone and executor.zone != known.zone:
+        return BadEntry(EntryFault.OTHER_PLACE, f"failure domain {executor.zone}")
+    return executor
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
@@ -32,7 +32,7 @@
     names it as in use; `is_inherited`: an earlier owner may have used it; `only_tasks` are those
     that it may have left there, None for any. `strays` are runs that are there beside their tasks'
     own attempts, or of no job that is known, until each is stopped. `evacuated`: its failure domain
-    is to take no new work.
+    is to take no new work. `is_set_aside`: its entry names no executor to use now.
     """
 
     executor: Executor
@@ -57,6 +57,7 @@
     only_tasks: frozenset[TaskKey] | None = None
     dead: bool = False
     evacuated: bool = False
+    is_set_aside: bool = False
     leaves_at: float | None = None
     rest_until: float = 0.0
     bad_streak: int = 0
@@ -77,6 +78,7 @@
             and self.silent_since is None
             and self.recorded
             and self.listed
+            and not self.is_set_aside
             and not self.dead
             and not self.evacuated
             and self.leaves_at is None
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -279,6 +279,7 @@
             gauges["jobs_active"] = len(self.owner.cell.active)
             gauges["tasks_suspected"] = self.owner.cell.count_suspects()
             gauges["executors"] = len(self.owner.cell.executors)
+            gauges["entries_set_aside"] = self.owner.directory.bad_count
         for call, count in self.store.calls.items():
             gauges[f"store_{call}_calls"] = count
         for call, count in self.store.failures.items():
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host_state.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host_state.py
@@ -10,12 +10,13 @@
 
 from .approval import Approver, NoApprover
 from .configuring import ConfigurationFormat, ConfigurationInForce
+from .entries import DirectoryFormat
 from .evacuation import Evacuations
 from .events import RepeatedEvents
 from .executor_link import ExecutorLink
 from .keystore import KeyStore
 from .observed import ObservedStore
-from .owned import DirectoryFormat, Timing
+from .owned import Timing
 from .owner import Owner
 from .peer import Peers, PeerUnreachable
 from .peering import CALL_S, MalformedReply, PeerReply, call_peer
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/model.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/model.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -166,7 +167,10 @@
 
 @dataclass(frozen=True, slots=True)
 class DesiredState:
-    """One whole configuration; versions only rise."""
+    """One whole configuration; versions only rise.
+
+    `pools` are those that it names, whether or not a queue sends work there.
+    """
 
     version: int
     queues: tuple[Queue, ...] = ()
@@ -174,14 +178,20 @@
     max_body_bytes: int = 262_144
     by_key: dict[str, Tenant] = field(default_factory=dict)
     by_name: dict[str, Queue] = field(default_factory=dict)
+    pools: frozenset[str] = frozenset()
     _by_prefix: dict[str, dict[str, Queue]] = field(default_factory=dict)
     _lengths: dict[str, tuple[int, ...]] = field(default_factory=dict)
 
     @classmethod
     def build(
-        cls, version: int, queues: list[Queue], tenants: list[Tenant], max_body_bytes: int
+        cls,
+        version: int,
+        queues: list[Queue],
+        tenants: list[Tenant],
+        max_body_bytes: int,
+        pools: Iterable[str] = (),
     ) -> DesiredState:
-        """Return a configuration with its indexes."""
+        """Return a configuration with its indexes; the queues' pools need not be given."""
         by_key = {key: tenant for tenant in tenants for key in tenant.keys}
         by_name = {queue.name: queue for queue in queues}
         by_prefix: dict[str, dict[str, Queue]] = {}
@@ -198,6 +208,7 @@
             max_body_bytes,
             by_key,
             by_name,
+            frozenset(pools) | {queue.pool for queue in queues},
             by_prefix,
             lengths,
         )
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
@@ -96,6 +96,9 @@
             if self.cell.is_evacuated(state):
                 self._give_up(attempt, "its domain is evacuated")
                 return
+            if state.is_set_aside:
+                self._give_up(attempt, "its entry names no executor to use")
+                return
             now = trio.current_time()
             until = state.deadline_ms(now, self.cell.parts.timing.hold_s)
             assert until is not None, "an executor that was heard has a clock"
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/overview.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/overview.py
@@ -55,6 +55,7 @@
                 "free accelerators": state.free.accelerators,
                 "heard": state.heard,
                 "listed": state.listed,
+                "set aside": state.is_set_aside,
                 "resting": state.rest_until > now,
                 "slow": state.slow_until > now,
                 "leaves in s": leaves_in_s,
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
@@ -11,12 +11,13 @@
 
 from .approval import Approvals, Approver, NoApprover
 from .crashes import Crashes
+from .entries import DirectoryFormat
 from .evacuation import Evacuations
 from .events import describe_run, log_event
 from .executor_link import EndedRun, EndKind, ExecutorLink
 from .fleet import ExecutorState
 from .keystore import KeyStore
-from .model import NOTHING, DesiredState, Executor, TaskKey
+from .model import NOTHING, DesiredState, TaskKey
 from .policy import DEFAULT_POLICY, Policy
 from .progress import (
     UNSETTLED,
@@ -50,14 +51,6 @@
     return round(state.silent_since - attempt.ordered_at, 3)
 
 
-@dataclass(frozen=True, slots=True)
-class DirectoryFormat:
-    """Where executors register in the store, and how an entry is read (None: not one)."""
-
-    prefix: str
-    parse: Callable[[str, bytes], Executor | None]
-
-
 @dataclass(frozen=True, slots=True)
 class Timing:
     """Times in seconds that the deployment sets.
--- a/packages/heronthread-emulator/src/heronthread_emulator/__init__.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/__init__.py
@@ -1,6 +1,14 @@
 """Stand-ins of the platform that run in the test's process, on trio's clock."""
 
-from .checker import EvacuatedSpan, Told, Violation, check_evacuations, check_promises
+from .checker import (
+    EvacuatedSpan,
+    ForeignSpan,
+    Told,
+    Violation,
+    check_evacuations,
+    check_foreign,
+    check_promises,
+)
 from .executors import EmulatedExecutor, EmulatedExecutors
 from .experiment import Difference, Pair, compare_policies, sum_up, switch_off
 from .records import captured_events
@@ -18,8 +26,10 @@
     "Told",
     "Violation",
     "EvacuatedSpan",
+    "ForeignSpan",
     "captured_events",
     "check_evacuations",
+    "check_foreign",
     "check_promises",
     "run_soak",
     "EmulatedExecutor",
--- a/packages/heronthread-emulator/src/heronthread_emulator/checker.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/checker.py
@@ -122,6 +122,33 @@
     return found
 
 
+FOREIGN_S = 3.0
+"""From when an entry turns bad, or the end of trouble with the store, to the last start there."""
+
+
+@dataclass(slots=True)
+class ForeignSpan:
+    """From when until when an executor's entry was another writer's and named none to use."""
+
+    executor: str
+    since: float
+    until: float = float("inf")
+
+
+def check_foreign(
+    executors: EmulatedExecutors, spans: list[ForeignSpan], trouble: list[float]
+) -> list[Violation]:
+    """Return the starts at executors whose entries named none to use."""
+    found = []
+    for event in executors.starts():
+        for span in spans:
+            if span.executor != event.executor or not span.since <= event.sent_at < span.until:
+                continue
+            if event.sent_at > _find_calm_since(span.since, event.sent_at, trouble) + FOREIGN_S:
+                found.append(Violation("nothing starts where no entry says so", str(event)))
+    return found
+
+
 def check_promises(executors: Witness, told: dict[str, Told]) -> list[Violation]:
     """Return every promise that is broken."""
     by_task: dict[TaskKey, list[Event]] = defaultdict(list)
--- a/packages/heronthread-emulator/src/heronthread_emulator/plants.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/plants.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Callable, Iterator
 from contextlib import AbstractContextManager, contextmanager, nullcontext
 from dataclasses import replace
@@ -10,15 +11,18 @@
 
 import trio
 from heronthread_dispatch.crashes import Crashes
+from heronthread_dispatch.directory import Directory
+from heronthread_dispatch.entries import BadEntry, EntryFault
 from heronthread_dispatch.executor_link import EndedRun, EndKind
 from heronthread_dispatch.fleet import ExecutorState
 from heronthread_dispatch.intake import NotTaken, Unsettled
+from heronthread_dispatch.keystore import Item
 from heronthread_dispatch.model import Executor
 from heronthread_dispatch.orders import Orders
 from heronthread_dispatch.owned import OwnedCell
 from heronthread_dispatch.owner import ENTRY_BACK_S, Owner
 from heronthread_dispatch.progress import Attempt, JobState
-from heronthread_dispatch.record import ProgressRecord
+from heronthread_dispatch.record import MALFORMED, ProgressRecord
 from heronthread_dispatch.requests import Requests
 from heronthread_dispatch.watching import ExecutorWatch
 
@@ -170,13 +174,30 @@
 
 def _keep_the_first_capacity() -> Any:
     """An executor's room counts as it was when its entry was first seen."""
-    original = Owner._renew_entry
+    original = Directory._renew
 
-    def renew(self: Owner, state: ExecutorState, executor: Executor, now: float) -> None:
+    def renew(self: Directory, state: ExecutorState, executor: Executor, now: float) -> None:
         first = state.executor.capacity if any(state.executor.capacity) else executor.capacity
         original(self, state, replace(executor, capacity=first), now)
 
-    return patch.object(Owner, "_renew_entry", renew)
+    return patch.object(Directory, "_renew", renew)
+
+
+def _take_a_missing_state_as_ready() -> Any:
+    """An entry without a state names an executor that is ready."""
+    original = Directory._read
+
+    def read(self: Directory, executor_id: str, item: Item) -> Executor | BadEntry:
+        found = original(self, executor_id, item)
+        if not isinstance(found, BadEntry) or found.fault is not EntryFault.MISSING_FIELD:
+            return found
+        try:
+            value = json.dumps(json.loads(item.value) | {"state": "ready"}).encode()
+        except MALFORMED:
+            return found
+        return original(self, executor_id, replace(item, value=value))
+
+    return patch.object(Directory, "_read", read)
 
 
 PLANTS: dict[str, Plant] = {
@@ -194,6 +215,7 @@
     "count-no-crashes": _count_no_crashes,
     "forget-crashes-at-a-takeover": _forget_crashes_at_a_takeover,
     "keep-the-first-capacity": _keep_the_first_capacity,
+    "take-a-missing-state-as-ready": _take_a_missing_state_as_ready,
 }
 
 
--- a/packages/heronthread-emulator/src/heronthread_emulator/soak.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak.py
@@ -15,9 +15,16 @@
 from heronthread_dispatch.owner import JobView
 from trio._core import _run as trio_run
 
-from .checker import Told, Violation, check_capacity, check_evacuations, check_promises
+from .checker import (
+    Told,
+    Violation,
+    check_capacity,
+    check_evacuations,
+    check_foreign,
+    check_promises,
+)
 from .executors import EmulatedExecutor
-from .site import EmulatedSite
+from .site import ENTRIES, EmulatedSite
 from .soak_executors import ExecutorTroubles
 
 Played = TypeVar("Played")
@@ -101,6 +108,7 @@
         async with trio.open_nursery() as nursery:
             until = trio.current_time() + FAULTS_S
             nursery.start_soon(self.troubles.change_capacity, until)
+            nursery.start_soon(self.troubles.overwrite_entries, until)
             nursery.start_soon(self._play_callers)
             nursery.start_soon(self._play_faults)
             nursery.start_soon(self._play_operator)
@@ -112,6 +120,10 @@
         self.result.violations += check_capacity(
             self.site.executors, self.troubles.resized, self.site.trouble
         )
+        self.result.violations += check_foreign(
+            self.site.executors, self.site.foreign, self.site.trouble
+        )
+        self.result.faults["foreign_entries"] += self.troubles.foreign_count
         self.result.faults["capacity_changes"] += len(self.troubles.resized)
         self.result.jobs = len(self.told)
         self.result.starts = len(self.site.executors.starts())
@@ -326,15 +338,15 @@
         self.site.nursery.start_soon(self._delist, place, self.random.uniform(4.0, 12.0))
 
     async def _delist(self, place: EmulatedExecutor, for_s: float) -> None:
-        key = f"executors/{place.executor.id}"
-        entry = self.site.store.items.get(key)
+        key = ENTRIES + place.executor.id
+        is_listed = key in self.site.store.items
         await trio.sleep(self.random.uniform(*ENTRY_LAPSE_S))
         self.site.store.remove(key)
         await trio.sleep(for_s)
-        if place.is_gone or entry is None:
+        if place.is_gone or not is_listed:
             return
         place.is_cut = False
-        self.site.store.put(key, entry.value)
+        self.site.say(place.executor.id)
 
     async def executor_cut_over_takeover(self) -> None:
         """Cut an executor off from everything shortly before the owner is gone."""
@@ -346,7 +358,7 @@
         """Take an executor's entry away; it serves on for a while, then leaves."""
         name = self._any_executor()
         executor = self.site.executors.by_id[name].executor
-        self.site.store.remove(f"executors/{name}")
+        self.site.store.remove(ENTRIES + name)
         await trio.sleep(self.random.uniform(2.0, 6.0))
         self.site.remove_executor(name)
         self._add_executor(executor)
@@ -358,7 +370,7 @@
         self.site.executors.crash(name)
         self._add_executor(left)
         await trio.sleep(2.0)
-        self.site.store.remove(f"executors/{name}")
+        self.site.store.remove(ENTRIES + name)
 
     def _add_executor(self, left: Executor) -> None:
         """Start an executor where another one was."""
--- a/packages/heronthread-emulator/src/heronthread_emulator/soak_executors.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak_executors.py
@@ -1,4 +1,6 @@
-"""Faults of the soak that tasks and rooms bring: crashes under a task, capacity that changes.
+"""Faults of the soak that tasks, rooms and entries bring, beside those that hosts bring.
+
+Executors crash under a task, their capacity changes, and another writer overwrites their entries.
 
 They are drawn apart from a seed's other faults, so that those stay what they were without these.
 """
@@ -11,13 +13,34 @@
 import trio
 from heronthread_dispatch.model import Resources, TaskKey
 
-from .checker import ResizedSpan
+from .checker import ForeignSpan, ResizedSpan
 from .site import CAPACITY, EmulatedSite
 
 CRASHING_SHARE = 0.4
 """Of the seeds; each has one or two jobs of which a task crashes executors."""
 RESIZING_SHARE = 0.4
 CRASH_AFTER_S = (0.005, 0.3)
+FOREIGN_SHARE = 0.4
+FOREIGN_FORMS = (
+    b"",
+    b"\xff\xfe{",
+    b"[]",
+    b"{}",
+    b'{"pool": "pool", "zone": "z0", "rack": "r0", "capacity": [64000, 262144, 8],'
+    b' "leaves_in_s": null}',
+    b'{"state": "paused", "pool": "pool", "zone": "z0", "rack": "r0",'
+    b' "capacity": [64000, 262144, 8], "leaves_in_s": null}',
+    b'{"state": "ready", "pool": "nobody", "zone": "z0", "rack": "r0",'
+    b' "capacity": [64000, 262144, 8], "leaves_in_s": null}',
+    b'{"state": "ready", "pool": "pool", "zone": "z0", "rack": "r0", "capacity": 8,'
+    b' "leaves_in_s": null}',
+)
+"""What another writer puts under an executor's id."""
+WITHOUT_STATE = FOREIGN_FORMS[4]
+WITHOUT_STATE_SHARE = 0.4
+"""Drawn so often of itself: it is whole but for one field, so that a lax reader would use it."""
+STORM = 1_000
+"""Entries of new ids at once, as many as a whole fleet's."""
 SAID_AFTER_S = 1.5
 """An executor says what it holds with its next heartbeat."""
 
@@ -32,6 +55,11 @@
         self.crashes = self._is_drawn("task_crashes_executors", CRASHING_SHARE, only)
         self.resizes = self._is_drawn("capacity_changes", RESIZING_SHARE, only)
 
+        self.entries = random.Random(f"entries {seed}")
+        is_foreign = self.entries.random() < FOREIGN_SHARE
+        self.is_foreign = "foreign_entries" in only if only else is_foreign
+        self.foreign_count = 0
+
     def _is_drawn(self, name: str, share: float, only: Collection[str]) -> bool:
         is_drawn = self.random.random() < share
         return name in only if only else is_drawn
@@ -64,3 +92,32 @@
             span.until = trio.current_time()
             if not place.is_gone:
                 self.site.resize_executor(name, CAPACITY)
+
+    async def overwrite_entries(self, until: float) -> None:
+        """Let another writer overwrite entries of executors, and write some of its own."""
+        while self.is_foreign and trio.current_time() < until:
+            await trio.sleep(self.entries.uniform(0.5, 4.0))
+            self.foreign_count += 1
+            if self.entries.random() < 0.2:
+                self.site.nursery.start_soon(self._storm)
+                continue
+            names = [n for n, place in self.site.executors.by_id.items() if not place.is_gone]
+            name = self.entries.choice(sorted(names))
+            span = self.site.write_foreign(name, self._choose_form())
+            self.site.nursery.start_soon(self._write_back, span, self.entries.uniform(1.5, 9.0))
+
+    def _choose_form(self) -> bytes:
+        if self.entries.random() < WITHOUT_STATE_SHARE:
+            return WITHOUT_STATE
+        return self.entries.choice(FOREIGN_FORMS)
+
+    async def _write_back(self, span: ForeignSpan, after_s: float) -> None:
+        await trio.sleep(after_s)
+        self.site.write_back(span)
+
+    async def _storm(self) -> None:
+        form = self._choose_form()
+        spans = [self.site.write_foreign(f"x{number}", form) for number in range(STORM)]
+        await trio.sleep(self.entries.uniform(1.0, 5.0))
+        for span in spans:
+            self.site.write_back(span)
--- a/packages/heronthread-emulator/src/heronthread_emulator/spelling.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/spelling.py
@@ -126,6 +126,7 @@
         "slots": 8,
         "state": "draining" if executor.is_draining else "ready",
         "cold-remaining-ms": 0,
+        "clock-ms": 0,
         "seq": sequence,
         "labels": list(executor.labels),
         "capacity": {"cpu": room.cpu, "mem-mb": room.memory_mb, "gpus": room.accelerators},
@@ -135,6 +136,50 @@
     return json.dumps(value).encode()
 
 
+def write_foreign_entries(executor: Executor, sequence: int) -> dict[str, bytes]:
+    """Return what another writer may put under an executor's id, by a name for each form.
+
+    None of them names an executor to use.
+    """
+    good: dict[str, Any] = json.loads(write_entry(executor, sequence))
+    found = {name: json.dumps(value).encode() for name, value in _OTHER_VALUES.items()}
+    found |= {"no bytes": b"", "no text": b"\xff\xfe{", "half": json.dumps(good).encode()[:-9]}
+    for field in good:
+        rest = {name: value for name, value in good.items() if name != field}
+        found[f"without {field}"] = json.dumps(rest).encode()
+    for room in good["capacity"]:
+        rest = {name: value for name, value in good["capacity"].items() if name != room}
+        found[f"without {room}"] = json.dumps(good | {"capacity": rest}).encode()
+    for field, values in _WRONG_FIELDS.items():
+        for value in values:
+            found[f"{field} {value!r}"] = json.dumps(good | {field: value}).encode()
+    return found
+
+
+_OTHER_VALUES: dict[str, Any] = {"a text": "ready", "a list": [], "nothing": None, "a number": 7}
+_WRONG_FIELDS: dict[str, list[Any]] = {
+    "service": ["", 7, None, ["pool"], "nobody"],
+    "address": ["", "nowhere", "10.128.0.9", "10.128.0.9:", "10.128.0.9:0", "10.128.0.9:99999", 7],
+    "zone": ["", "nowhere", 7, None],
+    "version": ["", 7, None],
+    "slots": ["8", -3, 8.5, None, True],
+    "state": ["", "paused", "READY", 1, None, ["ready"], "draining"],
+    "cold-remaining-ms": ["0", -1, None, True],
+    "clock-ms": ["0", -1, None],
+    "seq": ["4", -1, 1.5, None],
+    "capacity": [
+        None,
+        {},
+        [1, 2, 3],
+        {"cpu": "1", "mem-mb": 2, "gpus": 3},
+        {"cpu": 1, "mem-mb": 2, "gpus": -3},
+        {"cpu": 1, "mem-mb": 2.5, "gpus": 3},
+        {"cpu": 10**12, "mem-mb": 2, "gpus": 3},
+    ],
+    "labels": [None, "kind", [], ["kind"], [1, 2], ["kind", ""]],
+}
+
+
 # Store
 
 
@@ -234,7 +279,7 @@
     value = {
         "version": state.version,
         "routes": routes,
-        "services": {},
+        "services": [{"name": pool} for pool in sorted(state.pools)],
         "tenants": tenants,
         "limits": {"max-body-bytes": state.max_body_bytes},
     }
@@ -293,6 +338,7 @@
         "node": name,
         "ip": ip,
         "zone": "local-a",
+        "zones": {"local-a": "local"},
         "listen": {"front": front, "readiness": readiness},
         "platform": {"address": store},
         "internal-ports": [peer_port, peer_port + 15],
