--- a/packages/heronthread-cli/src/heronthread_cli/losses.py
+++ b/packages/heronthread-cli/src/heronthread_cli/losses.py
@@ -16,6 +16,8 @@
 LATE = "late"
 REFUSED = "never taken"
 UNFINISHED = "not finished"
+UNKNOWN = "not known"
+"""Its end is in no line, and lines are missing."""
 FAILED = "failed"
 CANCELLED = "cancelled"
 WORK = "work"
@@ -70,6 +72,7 @@
     refusals: list[str] = field(default_factory=list)
     ended_at: float | None = None
     status: str = ""
+    is_known: bool = False
     ready_at: dict[StepId, float] = field(default_factory=dict)
     runs: dict[StepId, dict[int, list[tuple[int, _Attempt]]]] = field(
         default_factory=lambda: defaultdict(lambda: defaultdict(list))
@@ -79,13 +82,15 @@
 def list_losses(messages: Iterable[Message]) -> list[Loss]:
     """Return the requests that were lost or late, in the order in which they came."""
     stories: dict[str, _Story] = defaultdict(_Story)
-    last = 0.0
+    last, dropped_at = 0.0, float("-inf")
     for message in messages:
         last = max(last, message["timestamp"])
+        if message["message_type"] == "log.dropped":
+            dropped_at = message["timestamp"]
         job = message.get("job")
         if isinstance(job, str):
             _take_in(stories[job], message)
-    losses = [_judge(job, story, last) for job, story in stories.items()]
+    losses = [_judge(job, story, last, dropped_at) for job, story in stories.items()]
     return sorted((loss for loss in losses if loss is not None), key=lambda loss: loss.at)
 
 
@@ -99,6 +104,7 @@
     if kind == "job.accept":
         _take_answer(story, message, at)
     elif kind == "job.known":
+        story.is_known = True
         story.priority = message.get("priority", story.priority)
         story.chain_s = message.get("chain_s", story.chain_s)
         story.stretch = message.get("stretch", story.stretch)
@@ -146,12 +152,14 @@
         return
 
 
-def _judge(job: str, story: _Story, last: float) -> Loss | None:
+def _judge(job: str, story: _Story, last: float, dropped_at: float) -> Loss | None:
     if story.asked_at is None or story.status == CANCELLED:
         return None
     if story.taken_at is None:
         refusal = story.refusals[-1] if story.refusals else "no answer is logged"
         return _make(job, story, REFUSED, None, (refusal, 0.0))
+    if story.ended_at is None and (not story.is_known or dropped_at >= story.asked_at):
+        return _make(job, story, UNKNOWN, None, ("lines are missing", 0.0))
     took = (last if story.ended_at is None else story.ended_at) - story.asked_at
     if story.status == "failed":
         return _make(job, story, FAILED, took, ("its tasks failed too often", 0.0))
--- a/packages/heronthread-cli/tests/test_losses.py
+++ b/packages/heronthread-cli/tests/test_losses.py
@@ -1,7 +1,15 @@
 import json
 
 from heronthread_cli.day import describe_day
-from heronthread_cli.losses import FAILED, LATE, REFUSED, UNFINISHED, Loss, count_causes
+from heronthread_cli.losses import (
+    FAILED,
+    LATE,
+    REFUSED,
+    UNFINISHED,
+    Loss,
+    count_causes,
+    list_losses,
+)
 
 
 def _line(at: float, kind: str, **fields: object) -> str:
@@ -96,3 +104,20 @@
     )
     assert (loss.outcome, loss.objective_s) == (LATE, 3.5)
     assert (loss.cause, loss.cause_s) == ("running slower than its step can", 6.0)
+
+
+def test_a_request_whose_lines_are_missing_is_not_known() -> None:
+    """A busy host's pipe lost lines: jobs that had ended were called unfinished."""
+    accepted = {"job": "ab", "queue": "q", "outcome": "Taken", "took_s": 0.0}
+    log = [
+        {"timestamp": 1.0, "message_type": "job.accept", **accepted},
+        {"timestamp": 9.0, "message_type": "job.ended", "job": "other", "status": "succeeded"},
+    ]
+    (loss,) = list_losses(log)
+    assert (loss.outcome, loss.cause) == ("not known", "lines are missing")
+    known = {"timestamp": 1.1, "message_type": "job.known", "job": "ab", "priority": 1}
+    (loss,) = list_losses([log[0], known, log[1]])
+    assert loss.outcome == "not finished"
+    dropped = {"timestamp": 5.0, "message_type": "log.dropped", "lines": 3, "kinds": {"x": 3}}
+    (loss,) = list_losses([log[0], known, dropped, log[1]])
+    assert loss.outcome == "not known"
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
@@ -33,6 +33,10 @@
 """For the store to name an executor before a trial there: a slow store answers in 0.3 s."""
 
 
+STARTS_A_LINE = 64
+"""Tasks that one log line names: with ids of 36 characters it is below what a pipe takes whole."""
+
+
 class Orders:
     """Carries out plans: one task for each order."""
 
@@ -69,17 +73,23 @@
                 job.spec.tenant, job.spec.queue.name, Measure.WAITING, waited
             )
         self.cell.parts.statistics.count("starts", amount=len(group))
+        for first in range(0, len(group), STARTS_A_LINE):
+            self._log_starts(group, group[first : first + STARTS_A_LINE], run, now)
+
+    def _log_starts(self, group: list[Start], part: list[Start], run: int, now: float) -> None:
+        step = group[0].step
         log_event(
             "start.decided",
             job=group[0].job.spec.id,
-            step=group[0].step.number,
-            occurrence=group[0].step.occurrence,
-            tasks=[start.task.index for start in group],
+            step=step.number,
+            occurrence=step.occurrence,
+            tasks=[start.task.index for start in part],
+            of=len(group),
             run=run,
-            executors=[start.executor.id for start in group],
-            accelerators=group[0].step.spec.need.accelerators,
+            executors=[start.executor.id for start in part],
+            accelerators=step.spec.need.accelerators,
             version=self.cell.parts.desired().version,
-            waited_s=round(now - (group[0].step.ready_at or now), 3),
+            waited_s=round(now - (step.ready_at or now), 3),
             term=self.cell.term.number,
         )
 
--- a/packages/heronthread-dispatch/tests/test_crashes.py
+++ b/packages/heronthread-dispatch/tests/test_crashes.py
@@ -255,7 +255,7 @@
     Where executors went dark, with their machines, the gangs were started for ever: 420 crashes in
     240 s, and of 24 other jobs 5 to 24 were done. An executor that fell silent and whose entry went
     before its holding time was over was forgotten without a word: `attempt.closed` "the executor is
-    gone" came at 7.0 s with no `job.failed` after it, and `start.decided` of the next run 1 s after.
+    gone" came at 7.0 s with no `job.failed` after it, and the next `start.decided` 1 s after.
     """
     told: dict[str, Told] = {}
     draw = random.Random(seed)
