Compare ways of deciding on modelled loads, and put the order of waiting into a module of its own

`order.py` holds who waits. Switches `hopeless_last` and `spare_taken` (off) and a wait for what ends by itself (0 s) are there to be compared; nothing is decided otherwise yet. The soak of real processes plays `foreign_entries` too.

--- a/packages/heronthread-cli/src/heronthread_cli/commands.py
+++ b/packages/heronthread-cli/src/heronthread_cli/commands.py
@@ -28,6 +28,7 @@
 from .demo import DemoResult, run_demo
 from .emulation import Emulation
 from .exits import BadInput, CommandError, HostUnreachable
+from .experiment import Experiment
 from .output import note, print_line, show_rows
 from .soak import Soak
 from .table import format_table
@@ -251,7 +252,7 @@
         note(f"wrote {out}")
 
 
-class Heronthread(Queries, Soak):
+class Heronthread(Queries, Soak, Experiment):
     """Operate heronthread: check and apply files, follow events, explain decisions.
 
     Exit codes: 0 good, 1 refused or failed, 2 bad input, 3 no host answered, 4 another
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/plan.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/plan.py
@@ -7,6 +7,7 @@
 from .approval import Question
 from .fleet import ExecutorState
 from .model import Queue, TaskKey
+from .order import Turn
 from .progress import Attempt, JobState, StepState, TaskState
 
 
@@ -32,18 +33,14 @@
 
 @dataclass(slots=True, eq=False)
 class Candidate:
-    """A step that has tasks to start, with what decides its turn.
-
-    `latest` is when (trio's clock) it must start to be on time.
-    """
+    """A step that has tasks to start, with its turn."""
 
     job: JobState
     step: StepState
     queue: Queue
     tasks: list[TaskState]
     guaranteed: bool
-    order: tuple[float, ...]
-    latest: float
+    turn: Turn
 
     @property
     def key(self) -> TaskKey:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -15,9 +15,10 @@
 from .headroom import Headroom
 from .losses import Losses
 from .model import URGENT, DesiredState, Queue, Resources, TaskKey
+from .order import rank_step
 from .plan import Candidate, Plan, Start
 from .policy import DEFAULT_POLICY, Policy
-from .progress import Attempt, JobState, Phase, StepState, TaskState, latest_starts
+from .progress import Attempt, JobState, Phase, StepState, TaskState
 from .room import Room, Scope, make_rooms
 from .sharing import Neighbours
 from .victims import Victims
@@ -68,7 +69,15 @@
         self._urgent_missing: dict[str, int] = {}
         self._neighbours = Neighbours(self.jobs)
         self._stopped: set[int] = set()
-        self._losses = Losses(self.jobs, desired, self.guaranteed, now, self._stopped, stop_s)
+        self._losses = Losses(
+            self.jobs,
+            desired,
+            self.guaranteed,
+            now,
+            self._stopped,
+            max(stop_s, policy.wait_s),
+            policy,
+        )
         self._victims = Victims(self._losses, now)
         self._approvals = approvals
         self._waiting: deque[Candidate] | None = None
@@ -89,7 +98,7 @@
         self.plan = Plan()
         self._strays = _count_strays(self._room_of.values())
         if self._waiting is None:
-            self._waiting = deque(sorted(self._candidates(), key=lambda c: c.order))
+            self._waiting = deque(sorted(self._candidates(), key=lambda c: c.turn.order))
         else:
             self._refresh()
         while self._waiting:
@@ -136,7 +145,7 @@
                     tasks = [task for task in tasks if job.may_start(task)]
                 if not tasks or (step.spec.gang and len(tasks) < len(step.tasks)):
                     continue
-                yield Candidate(job, step, queue, tasks, *self._rank(job, step, queue))
+                yield self._rank(job, step, queue, tasks)
 
     def _await_due(self, step: StepState) -> None:
         """Have a plan made when a step's time comes."""
@@ -152,18 +161,11 @@
         return [t for t in tasks if not self._may_run(job.key_of(step, t))]
 
     def _rank(
-        self, job: JobState, step: StepState, queue: Queue
-    ) -> tuple[bool, tuple[float, ...], float]:
+        self, job: JobState, step: StepState, queue: Queue, tasks: list[TaskState]
+    ) -> Candidate:
         guaranteed = job.spec.id in self.guaranteed
-        latest, last_useful = latest_starts(job, step, queue, self.now, self.wall_now)
-        first = 0 if guaranteed else 1
-        if queue.priority == URGENT:
-            return guaranteed, (0, first, latest < self.now, queue.priority, latest), latest
-        if step.spec.fills:
-            return guaranteed, (2, queue.priority, latest), latest
-        lateness = (latest < self.now) + (last_useful < self.now)
-        due = last_useful if lateness else latest
-        return guaranteed, (1, lateness, first, queue.priority, due), latest
+        turn = rank_step(job, step, queue, guaranteed, self.now, self.wall_now, self.policy)
+        return Candidate(job, step, queue, tasks, guaranteed, turn)
 
     def _serve(self, candidate: Candidate) -> None:
         keeps_out = self._keeps_out(candidate)
@@ -191,7 +193,8 @@
             needed = missing * candidate.step.spec.need.accelerators
             self._urgent_missing[pool] = self._urgent_missing.get(pool, 0) + needed
             usable = usable or self._usable(candidate, keeps_out)
-            self._take_back(candidate, missing, usable)
+            if candidate.turn.may_take_back:
+                self._take_back(candidate, missing, usable)
         elif missing and candidate.step.spec.gang:
             usable = usable or self._usable(candidate, keeps_out)
             self._gangs.reserve(candidate, usable)
@@ -261,7 +264,7 @@
             return False
         if candidate.job.has_attempts or candidate.waited_s(self.now) < HEADROOM_PATIENCE_S:
             return True
-        is_due = self.now >= candidate.latest - DUE_MARGIN_S
+        is_due = self.now >= candidate.turn.latest - DUE_MARGIN_S
         return not (is_due or self._headroom.is_mostly_idle(candidate.queue.pool))
 
     def _find_headroom(self) -> frozenset[str]:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/policy.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/policy.py
@@ -25,6 +25,11 @@
     wait_for_data: bool = True
     compare_members: bool = True
     look_early: bool = True
+    spare_taken: bool = False
+    hopeless_last: bool = False
+    most_taken: int = 2
+    by_worth: bool = False
+    wait_s: float = 0.0
 
 
 DEFAULT_POLICY = Policy()
--- a/packages/heronthread-dispatch/tests/test_victims.py
+++ b/packages/heronthread-dispatch/tests/test_victims.py
@@ -14,6 +14,7 @@
     StepSpec,
     TaskKey,
 )
+from heronthread_dispatch.order import Turn
 from heronthread_dispatch.plan import Candidate
 from heronthread_dispatch.progress import Attempt, JobState, Phase, make_job
 from heronthread_dispatch.room import Room, Scope
@@ -48,7 +49,7 @@
     job = make_job(JobSpec("urgent", URGENT_QUEUE, "t", "", (step,), NOW), NOW)
     job.steps[0].ready_at = NOW
     tasks = job.steps[0].tasks
-    return Candidate(job, job.steps[0], URGENT_QUEUE, tasks, False, (0.0,), NOW)
+    return Candidate(job, job.steps[0], URGENT_QUEUE, tasks, False, Turn((0.0,), NOW, True))
 
 
 def _clear(jobs: list[JobState], candidate: Candidate, rooms: list[Room], stop_s: float = 0.9):
--- a/packages/heronthread-emulator/src/heronthread_emulator/executor_server.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/executor_server.py
@@ -61,6 +61,10 @@
     silent: bool = False
 
 
+STORM_PART = 32
+"""Entries that one transaction of the store holds at most."""
+
+
 class SeenExecutors(EmulatedExecutors):
     """Emulated executors that write down all that happens."""
 
@@ -122,6 +126,7 @@
         self.keeps_entry = True
         self.is_changed = True
         self.is_resized = False
+        self.foreign = ""
         self._lease = 0
         self._sequence = 0
 
@@ -153,14 +158,14 @@
         if answer is None:
             return
         executor, lease, self._sequence = self.life.executor, answer["lease"], self._sequence + 1
-        put = Put(
-            spelling.EXECUTOR_PREFIX + executor.id,
-            spelling.write_entry(executor, self._sequence),
-            lease,
-        )
+        put = Put(spelling.EXECUTOR_PREFIX + executor.id, self._choose_entry(), lease)
         body = spelling.write_transaction(Transaction((), (put,)))
         if await self.server.call_store(spelling.COMMIT_PATH, body) is not None:
             self._lease, self.is_changed = lease, False
+            if self.foreign:
+                self.server.sight.note("executor.overwritten", executor=executor.id)
+                return
+            self.server.sight.note("executor.written", executor=executor.id)
             if executor.is_draining:
                 self.server.sight.note("executor.draining", executor=executor.id)
             if self.is_resized:
@@ -168,6 +173,13 @@
                 self.server.sight.note("executor.resized", executor=executor.id, capacity=room)
                 self.is_resized = False
 
+    def _choose_entry(self) -> bytes:
+        """Return what the executor says of itself, or what another writer puts there instead."""
+        executor = self.life.executor
+        if not self.foreign:
+            return spelling.write_entry(executor, self._sequence)
+        return spelling.write_foreign_entries(executor, self._sequence)[self.foreign]
+
     async def _renew(self) -> bool:
         return await self.server.call_store(f"{spelling.RENEW_PATH}{self._lease}", {}) is not None
 
@@ -338,6 +350,26 @@
         place.life.guards = False
         place.is_resized = place.is_changed = True
 
+    async def overwrite(self, values: dict[str, Any]) -> None:
+        """Have another writer's form stand in an entry; an empty name puts the executor's back."""
+        place = self._find(values)
+        forms = sorted(spelling.write_foreign_entries(place.life.executor, 0))
+        place.foreign = self.random.choice(forms) if values["is_foreign"] else ""
+        place.is_changed = True
+
+    async def storm(self, values: dict[str, Any]) -> None:
+        """Put entries of ids that no executor has; they go as leases do."""
+        answer = await self.call_store(spelling.GRANT_PATH, spelling.write_lease(0, ENTRY_LEASE_S))
+        if answer is None:
+            return
+        forms = list(spelling.write_foreign_entries(self.places[0].life.executor, 0).values())
+        keys = [f"{spelling.EXECUTOR_PREFIX}x{number}" for number in range(values["count"])]
+        for first in range(0, len(keys), STORM_PART):
+            part = keys[first : first + STORM_PART]
+            puts = tuple(Put(key, self.random.choice(forms), answer["lease"]) for key in part)
+            body = spelling.write_transaction(Transaction((), puts))
+            await self.call_store(spelling.COMMIT_PATH, body)
+
     async def crash(self, values: dict[str, Any]) -> None:
         """End a life without a word; a new one is at the same address `after_s` later."""
         await self._crash(self._find(values), values["after_s"])
@@ -377,6 +409,7 @@
         """End every fault."""
         for place in self.places.values():
             place.faults = OrderFaults()
+            place.foreign, place.is_changed = "", True
             place.life.fails_all = place.life.stands_still = False
             place.life.slowness = 1.0
 
@@ -412,6 +445,8 @@
         "crash": server.crash,
         "crashing": server.set_crashing,
         "resize": server.resize,
+        "overwrite": server.overwrite,
+        "storm": server.storm,
         "drain": server.drain,
         "vanish": server.vanish,
         "add": server.add,
--- /dev/null
+++ b/packages/heronthread-emulator/src/heronthread_emulator/pool_model.py
@@ -0,0 +1,338 @@
+"""The product's planner, its real code, on a pool of modelled executors in simulated time.
+
+No hosts, store or sockets: what is compared here is which work waits, where it goes and what is
+taken back. Executors report at once, orders are obeyed, and nothing is lost on the way.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Generator
+from dataclasses import dataclass, field
+
+import simpy
+from heronthread_dispatch.fleet import ExecutorState, make_executor
+from heronthread_dispatch.model import (
+    DesiredState,
+    Executor,
+    JobSpec,
+    Queue,
+    Resources,
+    StepSpec,
+    Tenant,
+)
+from heronthread_dispatch.peaks import RecentPeaks
+from heronthread_dispatch.plan import Plan, Start
+from heronthread_dispatch.planner import Planner
+from heronthread_dispatch.policy import Policy
+from heronthread_dispatch.progress import Attempt, JobState, Phase, StepState, make_job
+
+from .load import DrawnJob, LoadPattern
+
+COALESCE_S = 0.015
+RECHECK_S = 0.5
+ORDER_S = 0.005
+MOST_ATTEMPTS = 4
+URGENT_WINDOW_S = 12.0
+DRAIN_FACTOR = 2.5
+"""A play goes on for so many times the pattern's length, so that what was taken in can end."""
+
+
+Steps = Generator[simpy.Event, None, None]
+
+
+@dataclass(slots=True, eq=False)
+class _Run:
+    """One run of a gang, or of a task on its own; works from `began` at `speed` (1: sound)."""
+
+    job: DrawnJob
+    attempts: list[Attempt]
+    began: float
+    takes_s: float
+    saved_s: float
+    process: simpy.Process | None = None
+
+
+@dataclass(slots=True)
+class JobOutcome:
+    """What became of one job; times in seconds of the play, None for never."""
+
+    job: DrawnJob
+    begun_at: float | None = None
+    done_at: float | None = None
+    taken_back: int = 0
+    is_failed: bool = False
+
+
+@dataclass(slots=True)
+class PlayOutcome:
+    """What one play showed; work in core-seconds, an accelerator as eight cores."""
+
+    jobs: list[JobOutcome]
+    starts: int = 0
+    stops: int = 0
+    lost_core_s: float = 0.0
+
+
+@dataclass(slots=True)
+class _Known:
+    """A job with its state, its outcome, and what its tasks have saved (s)."""
+
+    drawn: DrawnJob
+    state: JobState
+    outcome: JobOutcome
+    saved_s: dict[int, float] = field(default_factory=dict)
+    failures: int = 0
+
+
+class PoolModel:
+    """One play of a pattern with a policy."""
+
+    def __init__(self, pattern: LoadPattern, drawn: list[DrawnJob], policy: Policy) -> None:
+        self.pattern = pattern
+        self.policy = policy
+        self.env = simpy.Environment()
+        self.outcome = PlayOutcome([])
+        self._drawn = drawn
+        self._known: dict[str, _Known] = {}
+        self._active: dict[str, JobState] = {}
+        self._runs: dict[int, _Run] = {}
+        self._changed = self.env.event()
+        self._peaks = RecentPeaks(URGENT_WINDOW_S)
+        self._desired = _make_desired(pattern)
+        self._executors = {state.id: state for state in _make_executors(pattern)}
+        source = random.Random(f"slow {pattern.name} {len(drawn)}")
+        count = round(pattern.slow_share * pattern.executors)
+        self._slow = set(source.sample(sorted(self._executors), count))
+
+    def play(self) -> PlayOutcome:
+        """Play the whole pattern."""
+        self.env.process(self._arrive())
+        self.env.process(self._plan_for_ever())
+        self.env.run(until=self.pattern.seconds * DRAIN_FACTOR)
+        return self.outcome
+
+    # Arrivals
+
+    def _arrive(self) -> Steps:
+        for drawn in self._drawn:
+            yield self.env.timeout(drawn.at - self.env.now)
+            queue = self._desired.by_name[drawn.kind.name]
+            state = make_job(_make_spec(drawn, queue), self.env.now)
+            known = _Known(drawn, state, JobOutcome(drawn))
+            self._known[drawn.id] = known
+            self._active[drawn.id] = state
+            self.outcome.jobs.append(known.outcome)
+            if drawn.cancel_after_s is not None:
+                self.env.process(self._cancel(known, drawn.cancel_after_s))
+            self._wake()
+
+    def _cancel(self, known: _Known, after_s: float) -> Steps:
+        yield self.env.timeout(after_s)
+        if known.state.is_active:
+            known.state.cancelled = True
+            for attempt in known.state.attempts():
+                self._stop(attempt)
+            self._active.pop(known.drawn.id, None)
+            self._wake()
+
+    # Deciding
+
+    def _wake(self) -> None:
+        if not self._changed.triggered:
+            self._changed.succeed()
+
+    def _plan_for_ever(self) -> Steps:
+        recheck = RECHECK_S
+        while True:
+            yield self._changed | self.env.timeout(recheck)
+            yield self.env.timeout(COALESCE_S)
+            self._changed = self.env.event()
+            recheck = max(0.02, self._plan())
+
+    def _plan(self) -> float:
+        now = self.env.now
+        self._note_progress(now)
+        planner = Planner(
+            self._active.values(),
+            self._executors.values(),
+            self._desired,
+            now,
+            now,
+            self._peaks.peaks(now),
+            policy=self.policy,
+            stop_s=self.pattern.stop_s,
+        )
+        plan = planner.make()
+        self._peaks.note(now, planner.urgent_demand())
+        self._carry_out(plan)
+        return min(RECHECK_S, plan.recheck_in_s or RECHECK_S)
+
+    def _note_progress(self, now: float) -> None:
+        for run in self._runs.values():
+            if now <= run.began:
+                continue
+            percent = 100 * min(0.99, (run.saved_s + now - run.began) / run.takes_s)
+            for attempt in run.attempts:
+                attempt.percent = percent
+                attempt.moved_at = now
+                attempt.rate = attempt.best_rate = 100 / run.takes_s
+
+    def _carry_out(self, plan: Plan) -> None:
+        for attempt in plan.stops:
+            task = self._known[attempt.task.job].state.task(attempt.task)
+            assert task is not None, "a run is of one of its job's tasks"
+            task.taken_back += 1
+            self._stop(attempt)
+        for attempt in {a.task.job: a for a in plan.stops}.values():
+            self._known[attempt.task.job].outcome.taken_back += 1
+        for group in plan.groups:
+            self._start(group)
+
+    # Runs
+
+    def _start(self, group: list[Start]) -> None:
+        known = self._known[group[0].job.spec.id]
+        attempts = []
+        for start in group:
+            start.task.last_run += 1
+            key = known.state.key_of(start.step, start.task)
+            need = start.step.spec.need
+            attempt = Attempt(key, start.task.last_run, start.executor.id, need, self.env.now)
+            start.task.attempt = attempt
+            start.executor.occupy(attempt)
+            attempts.append(attempt)
+        known.state.begun = True
+        if known.outcome.begun_at is None:
+            known.outcome.begun_at = self.env.now
+        self.outcome.starts += len(group)
+        if group[0].step.spec.gang:
+            self._begin(known, group[0].step, attempts)
+        else:
+            for attempt in attempts:
+                self._begin(known, group[0].step, [attempt])
+
+    def _begin(self, known: _Known, step: StepState, attempts: list[Attempt]) -> None:
+        drawn = known.drawn
+        factor = max(self._find_factor(attempt.executor) for attempt in attempts)
+        racks = {self._executors[attempt.executor].executor.rack for attempt in attempts}
+        if step.spec.same_rack and len(racks) > 1:
+            factor *= self.pattern.far_factor
+        takes_s = factor * max(drawn.works_s[attempt.task.member] for attempt in attempts)
+        saved = min(known.saved_s.get(attempt.task.member, 0.0) for attempt in attempts)
+        run = _Run(drawn, attempts, self.env.now + ORDER_S, takes_s, min(saved, takes_s))
+        for attempt in attempts:
+            attempt.phase = Phase.RUNNING
+            attempt.began_at = run.began
+            attempt.moved_at = run.began
+            attempt.began_percent = 100 * run.saved_s / takes_s
+            self._runs[id(attempt)] = run
+        run.process = self.env.process(self._work(known, run))
+
+    def _find_factor(self, executor: str) -> float:
+        number = int(executor[1:])
+        factor = self.pattern.speeds[number % len(self.pattern.speeds)]
+        since = self.env.now - self.pattern.slow_from
+        is_slow = executor in self._slow and 0 <= since < self.pattern.slow_s
+        return factor * (self.pattern.slow_factor if is_slow else 1.0)
+
+    def _work(self, known: _Known, run: _Run) -> Steps:
+        members = {attempt.task.member for attempt in run.attempts}
+        fails = known.failures == 0 and bool(members & known.drawn.failing)
+        left = run.takes_s - run.saved_s
+        try:
+            yield self.env.timeout(ORDER_S + left * (0.5 if fails else 1.0))
+        except simpy.Interrupt:
+            yield from self._end_stopped(known, run)
+            return
+        self._release(run)
+        if fails:
+            known.failures += 1
+            self.outcome.lost_core_s += self._weigh(run, self.env.now - run.began)
+        else:
+            self._note_done(known, run)
+        self._wake()
+
+    def _end_stopped(self, known: _Known, run: _Run) -> Steps:
+        worked = max(0.0, self.env.now - run.began)
+        kept = 0.0
+        if known.drawn.checkpoints:
+            kept = worked
+            for attempt in run.attempts:
+                known.saved_s[attempt.task.member] = run.saved_s + worked
+        self.outcome.lost_core_s += self._weigh(run, worked - kept)
+        yield self.env.timeout(self.pattern.stop_s)
+        self._release(run)
+        self._wake()
+
+    def _weigh(self, run: _Run, seconds: float) -> float:
+        return seconds * sum(attempt.need.cores for attempt in run.attempts)
+
+    def _release(self, run: _Run) -> None:
+        for attempt in run.attempts:
+            self._runs.pop(id(attempt), None)
+            self._executors[attempt.executor].release(attempt)
+            task = self._known[attempt.task.job].state.task(attempt.task)
+            if task is not None and task.attempt is attempt:
+                task.attempt = None
+
+    def _note_done(self, known: _Known, run: _Run) -> None:
+        for attempt in run.attempts:
+            task = known.state.task(attempt.task)
+            assert task is not None, "a run is of one of its job's tasks"
+            task.done = True
+        if known.state.is_done and known.outcome.done_at is None:
+            known.outcome.done_at = self.env.now
+            self._active.pop(known.drawn.id, None)
+
+    def _stop(self, attempt: Attempt) -> None:
+        run = self._runs.get(id(attempt))
+        if run is None or attempt.phase is Phase.STOPPING:
+            return
+        for member in run.attempts:
+            member.phase = Phase.STOPPING
+        self.outcome.stops += len(run.attempts)
+        if run.process is not None:
+            run.process.interrupt()
+
+
+def _make_desired(pattern: LoadPattern) -> DesiredState:
+    queues = [
+        Queue(
+            kind.name,
+            "host",
+            f"/{kind.name}/",
+            "pool",
+            kind.priority,
+            MOST_ATTEMPTS,
+            kind.stretch,
+            kind.target_s,
+        )
+        for kind in pattern.kinds
+    ]
+    tenants = [Tenant(f"c{n}", (f"key-{n}",), pattern.guaranteed) for n in range(pattern.customers)]
+    return DesiredState.build(1, queues, tenants, 262_144)
+
+
+def _make_executors(pattern: LoadPattern) -> list[ExecutorState]:
+    found = []
+    for number in range(pattern.executors):
+        rack = f"r{number // pattern.rack}"
+        name = f"e{number}"
+        executor = Executor(name, name, "pool", "zone", rack, ("kind", rack), pattern.capacity)
+        state = make_executor(executor, 0.0)
+        state.heard = state.recorded = True
+        found.append(state)
+    return found
+
+
+def _make_spec(drawn: DrawnJob, queue: Queue) -> JobSpec:
+    step = StepSpec(
+        len(drawn.works_s),
+        Resources(drawn.kind.millicores, drawn.kind.memory_mb, drawn.accelerators),
+        drawn.estimate_s,
+        gang=drawn.is_gang,
+        same_rack=drawn.same_rack,
+        checkpointing=drawn.checkpoints,
+    )
+    return JobSpec(drawn.id, queue, f"c{drawn.customer}", "", (step,), drawn.at)
--- a/packages/heronthread-emulator/src/heronthread_emulator/soak_checks.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak_checks.py
@@ -45,6 +45,7 @@
     found += _check_draining(history, slack_s)
     found += _check_gangs(history, slack_s)
     found += _check_room(history, slack_s)
+    found += _check_entries(history, slack_s)
     found += _check_versions(history, slack_s)
     found += _check_reverting(history)
     found += _check_foreign(history)
@@ -65,6 +66,23 @@
     return found
 
 
+def _check_entries(history: SoakHistory, slack_s: float) -> list[Violation]:
+    """Nothing starts at an executor while its entry has long been another writer's."""
+    found = []
+    for run in _list_runs(history):
+        lines = [
+            line for line in history.overwritten.get(run.executor, ()) if line[0] < run.started
+        ]
+        since = None
+        for at, is_foreign in lines:
+            since = (since or at) if is_foreign else None
+        if run.is_late or since is None or run.started <= since + IN_TOUCH_S + slack_s:
+            continue
+        if history.is_calm(since, run.started):
+            found.append(Violation("nothing starts where no entry says so", str(run)))
+    return found
+
+
 def _list_runs(history: SoakHistory) -> Iterator[_Run]:
     open_runs: dict[tuple[str, TaskKey, int], Event] = {}
     for event in history.events:
--- a/packages/heronthread-emulator/src/heronthread_emulator/soak_faults.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak_faults.py
@@ -18,6 +18,8 @@
 LONGEST_S = 7.0
 PAUSE_S = (0.2, 1.5)
 MOST_AT_ONCE = 4
+STORM_SHARE = 0.2
+STORM = 1_000
 LATE_FROM_S = 2.0
 LATE_TO_S = 12.0
 PLANNED = frozenset(
@@ -29,6 +31,7 @@
         "executor_drains",
         "task_crashes_executors",
         "capacity_changes",
+        "foreign_entries",
     }
 )
 """These are no disruptions: promises hold on beside them."""
@@ -82,6 +85,7 @@
             self.task_crashes_executors,
             self.capacity_changes,
             self.host_suspended,
+            self.foreign_entries,
         ]
         self.apart = random.Random(f"executors {site.settings.seed}")
         if only:
@@ -420,6 +424,20 @@
             if number in self.site.executors:
                 await self.site.steer(EXECUTORS, "resize", executor=number, share=1.0)
 
+    async def foreign_entries(self) -> None:
+        """Another writer overwrites entries of executors, and writes a storm of its own."""
+        ends_at = trio.current_time() + self.site.settings.faults_s
+        while trio.current_time() < ends_at:
+            await trio.sleep(self.apart.uniform(0.5, 3.0))
+            if self.apart.random() < STORM_SHARE:
+                await self.site.steer(EXECUTORS, "storm", count=STORM)
+                continue
+            number = self.apart.choice(sorted(self.site.executors))
+            await self.site.steer(EXECUTORS, "overwrite", executor=number, is_foreign=True)
+            await trio.sleep(self.apart.uniform(2.0, 8.0))
+            if number in self.site.executors:
+                await self.site.steer(EXECUTORS, "overwrite", executor=number, is_foreign=False)
+
     async def host_suspended(self) -> None:
         """The owner's machine is suspended now and then: its steady clock does not count that."""
         ends_at = trio.current_time() + self.site.settings.faults_s
--- a/packages/heronthread-emulator/src/heronthread_emulator/soak_history.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak_history.py
@@ -47,6 +47,7 @@
     lapses: list[tuple[str, float]] = field(default_factory=list)
     draining: dict[str, float] = field(default_factory=dict)
     resized: list[tuple[str, float]] = field(default_factory=list)
+    overwritten: dict[str, list[tuple[float, bool]]] = field(default_factory=dict)
     overfull: list[tuple[str, float]] = field(default_factory=list)
     told: dict[str, Told] = field(default_factory=dict)
     calls: list[dict[str, Any]] = field(default_factory=list)
@@ -113,6 +114,10 @@
         history.lapses.append((executor, at))
     elif what == "draining":
         history.draining.setdefault(executor, at)
+    elif what == "overwritten":
+        history.overwritten.setdefault(executor, []).append((at, True))
+    elif what == "written":
+        history.overwritten.setdefault(executor, []).append((at, False))
     elif what == "crashing":
         history.crashing[TaskKey(line["job"], 0, 0)] = line["after_s"]
     elif what == "resized":
--- a/tests/plain_planner/planner.py
+++ b/tests/plain_planner/planner.py
@@ -7,6 +7,7 @@
 from heronthread_dispatch.approval import LARGEST_QUESTION, USUAL_QUESTION, Approvals, Question
 from heronthread_dispatch.fleet import ExecutorState
 from heronthread_dispatch.model import URGENT, DesiredState, Queue, TaskKey
+from heronthread_dispatch.order import Turn
 from heronthread_dispatch.plan import Candidate, Plan, Start
 from heronthread_dispatch.policy import DEFAULT_POLICY, Policy
 from heronthread_dispatch.progress import (
@@ -69,12 +70,14 @@
         self._left_alone: frozenset[str] | None = None
         self._urgent_missing: dict[str, int] = {}
         self._neighbours = Neighbours(self.jobs)
-        self._victims = Victims(self.jobs, desired, self.guaranteed, now, self.plan.stops, stop_s)
+        self._victims = Victims(
+            self.jobs, desired, self.guaranteed, now, self.plan.stops, max(stop_s, policy.wait_s)
+        )
         self._approvals = approvals
 
     def make(self) -> Plan:
         """Return what to start and what to take back now."""
-        for candidate in sorted(self._candidates(), key=lambda c: c.order):
+        for candidate in sorted(self._candidates(), key=lambda c: c.turn.order):
             self._serve(candidate)
         return self.plan
 
@@ -97,7 +100,9 @@
                 tasks = self._without_doubt(job, step, tasks)
                 if not tasks or (step.spec.gang and len(tasks) < len(step.tasks)):
                     continue
-                yield Candidate(job, step, queue, tasks, *self._rank(job, step, queue))
+                guaranteed = job.spec.id in self.guaranteed
+                turn = self._rank(job, step, queue)
+                yield Candidate(job, step, queue, tasks, guaranteed, turn)
 
     def _await_due(self, step: StepState) -> None:
         """Have a plan made when a step's time comes."""
@@ -110,19 +115,18 @@
         """Leave out the tasks that an earlier owner's run may still be working on."""
         return [t for t in tasks if not self._may_run(job.key_of(step, t))]
 
-    def _rank(
-        self, job: JobState, step: StepState, queue: Queue
-    ) -> tuple[bool, tuple[float, ...], float]:
+    def _rank(self, job: JobState, step: StepState, queue: Queue) -> Turn:
         guaranteed = job.spec.id in self.guaranteed
         latest, last_useful = latest_starts(job, step, queue, self.now, self.wall_now)
         first = 0 if guaranteed else 1
-        if queue.priority == URGENT:
-            return guaranteed, (0, first, latest < self.now, queue.priority, latest), latest
+        is_hopeless = self.policy.hopeless_last and last_useful < self.now and not guaranteed
+        if queue.priority == URGENT and not is_hopeless:
+            return Turn((0, first, latest < self.now, queue.priority, latest), latest, True)
         if step.spec.fills:
-            return guaranteed, (2, queue.priority, latest), latest
+            return Turn((2, queue.priority, latest), latest, False)
         lateness = (latest < self.now) + (last_useful < self.now)
         due = last_useful if lateness else latest
-        return guaranteed, (1, lateness, first, queue.priority, due), latest
+        return Turn((1, lateness, first, queue.priority, due), latest, False)
 
     def _serve(self, candidate: Candidate) -> None:
         rooms = self._usable(candidate)
@@ -145,7 +149,8 @@
             pool = candidate.queue.pool
             needed = missing * candidate.step.spec.need.accelerators
             self._urgent_missing[pool] = self._urgent_missing.get(pool, 0) + needed
-            self._take_back(candidate, candidate.tasks[-missing:], rooms)
+            if candidate.turn.may_take_back:
+                self._take_back(candidate, candidate.tasks[-missing:], rooms)
         elif missing and candidate.step.spec.gang:
             self._gangs.reserve(candidate, rooms)
 
@@ -204,7 +209,7 @@
             return False
         if candidate.job.attempts() or candidate.waited_s(self.now) < HEADROOM_PATIENCE_S:
             return True
-        is_due = self.now >= candidate.latest - DUE_MARGIN_S
+        is_due = self.now >= candidate.turn.latest - DUE_MARGIN_S
         return not (is_due or self._headroom.is_mostly_idle(candidate.queue.pool))
 
     def _find_headroom(self) -> frozenset[str]:
