Ask an inherited executor where its entry says it is

Cause: a known executor whose entry names another address was refused as another writer's, also where only an earlier owner had reached it: the soak's hosts reach executors by ways of their own, so each new owner refused all of them and started nothing. Ruled out: crashes and capacity (those executors were heard within 0.02 s). Now an address is compared where this owner has heard the executor; pool and domain always.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/directory.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/directory.py
@@ -206,10 +206,11 @@
     """Return the executor unless its entry names another place than the one where it is.
 
     One life stays at its address, in its pool and its failure domain. Asked at another address,
-    somebody else answers for it, and its runs would count as ended while they go on.
+    somebody else answers for it, and its runs would count as ended while they go on. An address
+    at which this owner has not heard it is what an earlier owner saw: another way may lead there.
     """
     known = state.executor
-    if executor.address != known.address:
+    if state.heard and executor.address != known.address:
         return BadEntry(EntryFault.OTHER_PLACE, f"address {executor.address}")
     if executor.pool != known.pool:
         return BadEntry(EntryFault.OTHER_PLACE, f"pool {executor.pool}")
--- a/packages/heronthread-dispatch/tests/test_directory.py
+++ b/packages/heronthread-dispatch/tests/test_directory.py
@@ -5,6 +5,7 @@
 import trio
 from heronthread_dispatch.intake import Taken
 from heronthread_dispatch.model import TaskKey
+from heronthread_dispatch.owner import USED_KEY
 from heronthread_dispatch.record import JobStatus
 from heronthread_emulator import EmulatedSite, captured_events, check_foreign, check_promises
 from heronthread_emulator.site import ENTRIES
@@ -139,3 +140,23 @@
         await trio.sleep(6.0)
         assert await site.find_status("wide") is JobStatus.SUCCEEDED
         _check(site)
+
+
+async def test_an_inherited_executor_is_asked_where_its_entry_says(autojump_clock: Clock) -> None:
+    """A new owner refused all executors that an earlier one had reached by other addresses.
+
+    Its log had `entry.refused` "another place" for each of them, and no `start.decided` after it.
+    """
+    async with EmulatedSite.open(hosts=2, executors=2) as site:
+        name = await site.wait_for_owner()
+        await trio.sleep(1.0)
+        site.kill_host(name)
+        used = json.loads(site.store.items[USED_KEY].value)
+        seen = {key: ["elsewhere", *more] for key, (_, *more) in used.items()}
+        site.store.put(USED_KEY, json.dumps(seen).encode())
+        await site.wait_for_owner()
+        await trio.sleep(1.0)
+        await _hand_in(site, "a", work_s=1.0)
+        await trio.sleep(4.0)
+        assert await site.find_status("a") is JobStatus.SUCCEEDED
+        _check(site)
