Keep a crash at the first sign of it, also where the executor may as well be cut off

Cause: where an executor gives no answer (and does not refuse a connection) its crash was kept in the store only when its holding time ran out, 6 s later. Not mended: a crash while its owner is suspended. Now it is noted, as suspected, at the first unanswered look, and withdrawn when the same life reports.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
@@ -134,9 +134,10 @@
         if isinstance(outcome, Unanswered):
             if self.state.silent_since is None:
                 self.cell.crashes.note_silence(self.state, now)
-            if outcome.unsent:
-                self.state.has_refused = True
-                self.cell.crashes.note_down(self.state)
+            self.state.has_refused |= outcome.unsent
+            # Kept at once, also where it may as well be cut off: an owner that is gone before the
+            # holding time runs out would take its count of crashes with it.
+            self.cell.crashes.note_down(self.state)
         self.state.rest_until = max(self.state.rest_until, now + LONGEST_PAUSE_S)
         if now > self.state.lapse_by and self.state.heard:
             self.cell.crashes.note_down(self.state)
--- a/packages/heronthread-dispatch/tests/test_crashes.py
+++ b/packages/heronthread-dispatch/tests/test_crashes.py
@@ -273,3 +273,30 @@
         await trio.sleep(150.0)
         await _check(site, told, {"bad0", "bad1", "bad2"})
         assert max(_count_crashes(site, task) for task in site.executors.crashing) <= 4
+
+
+async def test_crashes_in_the_dark_are_counted_over_owners(autojump_clock: Clock) -> None:
+    """Each owner is killed 2.5 s after a crash, while the executor's holding time still runs.
+
+    The crash was kept only when that time was over, so each owner began to count anew. In a soak the
+    owners of terms 4 and 5 were gone 0.6 s and 3.5 s after `executor.silent`, and term 6 started
+    run 5003 of the task, the third start after its third crash.
+    """
+    told: dict[str, Told] = {}
+    task = TaskKey("bad", 0, 0)
+    async with EmulatedSite.open(hosts=4, executors=8) as site:
+        site.crashes_dark = True
+        await site.wait_for_owner()
+        await _hand_in(site, told, "bad", crashing=0)
+        for crashes in range(1, 7):
+            with trio.move_on_after(20.0):
+                while _count_crashes(site, task) < crashes:
+                    await trio.sleep(0.02)
+            await trio.sleep(2.5)
+            name = site.owner_name()
+            if name is not None:
+                site.kill_host(name)
+                site.start_host(name)
+        await trio.sleep(60.0)
+        await _check(site, told, {"bad"})
+        assert _count_crashes(site, task) <= 4
