Serve urgent work that earns nothing any more after all other, and stop nothing for it

Cause: urgent work came before all else also once it was past three times its objective, and had others' work stopped then; those are late for it. A guarantee holds as before, whatever the time is.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/losses.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/losses.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 
 from .model import NOTHING, URGENT, DesiredState, Resources
-from .policy import DEFAULT_POLICY, Policy
 from .progress import Attempt, JobState, Phase
 from .room import Room
 from .sharing import may_be_taken_away
@@ -31,7 +30,6 @@
     members: list[Attempt]
     is_urgent: bool
     is_lasting: bool
-    is_spared: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,7 +63,7 @@
 class Losses:
     """The losses of one plan; `stopped` are the ids of the attempts that it stops already.
 
-    What ends by itself within `stop_s` is not stopped but waited for.
+    What ends by itself within `wait_s` is not stopped but waited for.
     """
 
     def __init__(
@@ -75,16 +73,14 @@
         guaranteed: set[str],
         now: float,
         stopped: set[int],
-        stop_s: float,
-        policy: Policy = DEFAULT_POLICY,
+        wait_s: float,
     ) -> None:
-        self._policy = policy
         self._jobs = {job.spec.id: job for job in jobs}
         self._desired = desired
         self._guaranteed = guaranteed
         self._now = now
         self._stopped = stopped
-        self._stop_s = stop_s
+        self._wait_s = wait_s
         self._known: dict[str, list[Loss]] = {}
         self._of_gang: dict[int, Loss] = {}
         self._ladders: dict[tuple[bool, bool, str], tuple[int, Ladder]] = {}
@@ -98,7 +94,7 @@
         """
         known = self._list_all(room)
         if not guaranteed:
-            known = [loss for loss in known if not (loss.is_urgent or loss.is_spared)]
+            known = [loss for loss in known if not loss.is_urgent]
         if room.stops:
             known = [loss for loss in known if id(loss.attempt) not in self._stopped]
         return known
@@ -117,7 +113,7 @@
 
     def _holds_urgent(self, room: Room) -> bool:
         """Whether a guarantee makes a difference to what may be stopped at an executor."""
-        return any(loss.is_urgent or loss.is_spared for loss in self._list_all(room))
+        return any(loss.is_urgent for loss in self._list_all(room))
 
     def _list_all(self, room: Room) -> list[Loss]:
         """Return the losses at an executor, also of urgent work and of what the plan stops."""
@@ -170,14 +166,14 @@
         return self._sharing[here]
 
     def list_ending(self, room: Room) -> list[Attempt]:
-        """Return what will have ended by itself before a stop would be over."""
+        """Return what will have ended by itself in so short a time that it is waited for."""
         executor = room.state.id
         if executor not in self._ending:
             self._ending[executor] = [
                 attempt
                 for attempt in room.state.attempts.values()
                 if attempt.phase is Phase.RUNNING
-                and expected_end_s(attempt, self._now) <= self._stop_s
+                and expected_end_s(attempt, self._now) <= self._wait_s
             ]
         return self._ending[executor]
 
@@ -235,21 +231,13 @@
         if is_urgent:
             # Urgent work is late if it has to start anew.
             total = (total + URGENT_LEAST_LOSS) * URGENT_LOSS_FACTOR
-        taken = self._count_taken(job, members) if self._policy.spare_taken else 0
-        total *= (1 + taken) ** 2
-        is_spared = self._policy.spare_taken and taken >= self._policy.most_taken
         if len(members) == 1:
-            return Loss(total, attempt, members, is_urgent, spec.lasting, is_spared)
+            return Loss(total, attempt, members, is_urgent, spec.lasting)
         for member in members:
-            loss = Loss(total, member, members, is_urgent, spec.lasting, is_spared)
+            loss = Loss(total, member, members, is_urgent, spec.lasting)
             self._of_gang[id(member)] = loss
         return self._of_gang[id(attempt)]
 
-    def _count_taken(self, job: JobState, members: list[Attempt]) -> int:
-        """Return how often a run of these tasks was taken back before."""
-        tasks = (job.task(member.task) for member in members)
-        return max((task.taken_back for task in tasks if task is not None), default=0)
-
     def _sum_loss(self, attempts: list[Attempt], checkpoints: bool) -> float:
         """Return the core-seconds of attempts since they began, or since their checkpoints."""
         total = LEAST_LOSS
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -21,7 +21,7 @@
 from .progress import Attempt, JobState, Phase, StepState, TaskState
 from .room import Room, Scope, make_rooms
 from .sharing import Neighbours
-from .victims import Victims
+from .victims import ENDS_SOON_S, Victims
 
 REMOTE_PATIENCE_S = 1.2
 HEADROOM_PATIENCE_S = 1.5
@@ -69,15 +69,8 @@
         self._urgent_missing: dict[str, int] = {}
         self._neighbours = Neighbours(self.jobs)
         self._stopped: set[int] = set()
-        self._losses = Losses(
-            self.jobs,
-            desired,
-            self.guaranteed,
-            now,
-            self._stopped,
-            max(stop_s, policy.wait_s),
-            policy,
-        )
+        wait_s = max(stop_s, ENDS_SOON_S) if policy.wait_for_ends else stop_s
+        self._losses = Losses(self.jobs, desired, self.guaranteed, now, self._stopped, wait_s)
         self._victims = Victims(self._losses, now)
         self._approvals = approvals
         self._waiting: deque[Candidate] | None = None
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/policy.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/policy.py
@@ -16,7 +16,9 @@
     `reserve` keeps what is free for a waiting gang; `wait_for_data` waits a while for room near
     a step's data; `compare_members` measures a gang's members against each other instead of
     their caller's estimate; `look_early` reads a gang's progress more often while its run is
-    young.
+    young; `wait_for_ends` (off) has urgent work wait for what ends by itself soon, also where a
+    stop takes less; `hopeless_last` serves urgent work that earns nothing any more after all
+    other, and stops nothing for it.
     """
 
     headroom: bool = True
@@ -25,11 +27,8 @@
     wait_for_data: bool = True
     compare_members: bool = True
     look_early: bool = True
-    spare_taken: bool = False
-    hopeless_last: bool = False
-    most_taken: int = 2
-    by_worth: bool = False
-    wait_s: float = 0.0
+    wait_for_ends: bool = False
+    hopeless_last: bool = True
 
 
 DEFAULT_POLICY = Policy()
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
@@ -85,7 +85,6 @@
         "index",
         "last_run",
         "moves",
-        "taken_back",
         "works",
     )
 
@@ -98,7 +97,6 @@
         self.last_run = 0
         self.avoid: dict[str, float] = {}
         self.moves = 0
-        self.taken_back = 0
         self.works = False
         self._done = False
         self._attempt: Attempt | None = None
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/victims.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/victims.py
@@ -9,6 +9,13 @@
 from .room import Room, Scope
 
 END_PATIENCE_S = 0.8
+ENDS_SOON_S = 0.6
+"""With `wait_for_ends`, what ends by itself within this is waited for where a stop takes less.
+
+It stays below `END_PATIENCE_S`, after which work is stopped whatever ends. On the modelled pool,
+where ends are foreseen exactly, work thrown away fell from 0.091 to 0.053 of what the pool can do;
+on four days with hosts and faults it did not (455,000 to 452,000 core-seconds), so it is off.
+"""
 
 
 class Victims:
--- a/packages/heronthread-dispatch/tests/test_crashes.py
+++ b/packages/heronthread-dispatch/tests/test_crashes.py
@@ -278,9 +278,9 @@
 async def test_crashes_in_the_dark_are_counted_over_owners(autojump_clock: Clock) -> None:
     """Each owner is killed 2.5 s after a crash, while the executor's holding time still runs.
 
-    The crash was kept only when that time was over, so each owner began to count anew. In a soak the
-    owners of terms 4 and 5 were gone 0.6 s and 3.5 s after `executor.silent`, and term 6 started
-    run 5003 of the task, the third start after its third crash.
+    The crash was kept only when that time was over, so each owner began to count anew. In a soak
+    the owners of terms 4 and 5 were gone 0.6 s and 3.5 s after `executor.silent`, and term 6
+    started run 5003 of the task, the third start after its third crash.
     """
     told: dict[str, Told] = {}
     task = TaskKey("bad", 0, 0)
--- a/packages/heronthread-emulator/src/heronthread_emulator/pool_model.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/pool_model.py
@@ -180,9 +180,6 @@
 
     def _carry_out(self, plan: Plan) -> None:
         for attempt in plan.stops:
-            task = self._known[attempt.task.job].state.task(attempt.task)
-            assert task is not None, "a run is of one of its job's tasks"
-            task.taken_back += 1
             self._stop(attempt)
         for attempt in {a.task.job: a for a in plan.stops}.values():
             self._known[attempt.task.job].outcome.taken_back += 1
--- a/tests/plain_planner/planner.py
+++ b/tests/plain_planner/planner.py
@@ -19,6 +19,7 @@
     latest_starts,
 )
 from heronthread_dispatch.sharing import Neighbours
+from heronthread_dispatch.victims import ENDS_SOON_S
 
 from .gangs import SPREAD_PATIENCE_S, Gangs
 from .guarantee import find_guaranteed
@@ -71,7 +72,12 @@
         self._urgent_missing: dict[str, int] = {}
         self._neighbours = Neighbours(self.jobs)
         self._victims = Victims(
-            self.jobs, desired, self.guaranteed, now, self.plan.stops, max(stop_s, policy.wait_s)
+            self.jobs,
+            desired,
+            self.guaranteed,
+            now,
+            self.plan.stops,
+            max(stop_s, ENDS_SOON_S) if policy.wait_for_ends else stop_s,
         )
         self._approvals = approvals
 
