--- a/packages/heronthread-dispatch/tests/test_crashes.py
+++ b/packages/heronthread-dispatch/tests/test_crashes.py
@@ -38,6 +38,21 @@
     return sum(e.what == "gone" for e in site.executors.events if e.task == task)
 
 
+async def _kill_owner_after_crashes(
+    site: EmulatedSite, task: TaskKey, times: int, after_s: float
+) -> None:
+    """Kill the owner some time after each crash under a task; its host starts anew at once."""
+    for crashes in range(1, times + 1):
+        with trio.move_on_after(20.0):
+            while _count_crashes(site, task) < crashes:
+                await trio.sleep(0.02)
+        await trio.sleep(after_s)
+        name = site.owner_name()
+        if name is not None:
+            site.kill_host(name)
+            site.start_host(name)
+
+
 async def _check(site: EmulatedSite, told: dict[str, Told], failed: set[str]) -> None:
     """Check the promises, and that the jobs in `failed` and no others were given up."""
     for job, known in told.items():
@@ -78,15 +93,7 @@
     async with EmulatedSite.open(hosts=4, executors=8) as site:
         await site.wait_for_owner()
         await _hand_in(site, told, "bad", crashing=0)
-        for crashes in (1, 2, 3):
-            with trio.move_on_after(20.0):
-                while _count_crashes(site, task) < crashes:
-                    await trio.sleep(0.02)
-            await trio.sleep(0.3)
-            name = site.owner_name()
-            if name is not None:
-                site.kill_host(name)
-                site.start_host(name)
+        await _kill_owner_after_crashes(site, task, times=3, after_s=0.3)
         await trio.sleep(60.0)
         await _check(site, told, {"bad"})
         assert _count_crashes(site, task) <= 3
@@ -288,15 +295,7 @@
         site.crashes_dark = True
         await site.wait_for_owner()
         await _hand_in(site, told, "bad", crashing=0)
-        for crashes in range(1, 7):
-            with trio.move_on_after(20.0):
-                while _count_crashes(site, task) < crashes:
-                    await trio.sleep(0.02)
-            await trio.sleep(2.5)
-            name = site.owner_name()
-            if name is not None:
-                site.kill_host(name)
-                site.start_host(name)
+        await _kill_owner_after_crashes(site, task, times=6, after_s=2.5)
         await trio.sleep(60.0)
         await _check(site, told, {"bad"})
         assert _count_crashes(site, task) <= 4
--- a/packages/heronthread-emulator/src/heronthread_emulator/checker.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/checker.py
@@ -75,6 +75,13 @@
     return max(since, trouble[before - 1] if before else since)
 
 
+def _is_known(since: float, until: float, at: float, bound_s: float, trouble: list[float]) -> bool:
+    """Whether something that held from `since` to `until` was to be known at a time."""
+    if not since <= at < until:
+        return False
+    return at > _find_calm_since(since, at, trouble) + bound_s
+
+
 def check_evacuations(
     executors: EmulatedExecutors, spans: list[EvacuatedSpan], trouble: list[float]
 ) -> list[Violation]:
@@ -82,16 +89,13 @@
 
     An order that was carried out late counts from when it was given.
     """
-    found = []
-    for event in executors.starts():
-        zone = executors.by_id[event.executor].executor.zone
-        for span in spans:
-            if span.domain != zone or not span.since <= event.sent_at < span.until:
-                continue
-            calm_since = _find_calm_since(span.since, event.sent_at, trouble)
-            if event.sent_at > calm_since + EVACUATE_S:
-                found.append(Violation("nothing starts in an evacuated domain", str(event)))
-    return found
+    return [
+        Violation("nothing starts in an evacuated domain", str(event))
+        for event in executors.starts()
+        for span in spans
+        if span.domain == executors.by_id[event.executor].executor.zone
+        and _is_known(span.since, span.until, event.sent_at, EVACUATE_S, trouble)
+    ]
 
 
 RESIZED_S = 3.0
@@ -111,15 +115,13 @@
     executors: EmulatedExecutors, spans: list[ResizedSpan], trouble: list[float]
 ) -> list[Violation]:
     """Return the starts that were ordered over a room known to have shrunk."""
-    found = []
-    for sent_at, name in executors.overfull:
-        for span in spans:
-            if span.executor != name or not span.said_at <= sent_at < span.until:
-                continue
-            calm_since = _find_calm_since(span.said_at, sent_at, trouble)
-            if sent_at > calm_since + RESIZED_S:
-                found.append(Violation("no start goes over a room", f"{name} at {sent_at:.2f}"))
-    return found
+    return [
+        Violation("no start goes over a room", f"{name} at {sent_at:.2f}")
+        for sent_at, name in executors.overfull
+        for span in spans
+        if span.executor == name
+        and _is_known(span.said_at, span.until, sent_at, RESIZED_S, trouble)
+    ]
 
 
 FOREIGN_S = 3.0
@@ -139,14 +141,13 @@
     executors: EmulatedExecutors, spans: list[ForeignSpan], trouble: list[float]
 ) -> list[Violation]:
     """Return the starts at executors whose entries named none to use."""
-    found = []
-    for event in executors.starts():
-        for span in spans:
-            if span.executor != event.executor or not span.since <= event.sent_at < span.until:
-                continue
-            if event.sent_at > _find_calm_since(span.since, event.sent_at, trouble) + FOREIGN_S:
-                found.append(Violation("nothing starts where no entry says so", str(event)))
-    return found
+    return [
+        Violation("nothing starts where no entry says so", str(event))
+        for event in executors.starts()
+        for span in spans
+        if span.executor == event.executor
+        and _is_known(span.since, span.until, event.sent_at, FOREIGN_S, trouble)
+    ]
 
 
 def check_promises(executors: Witness, told: dict[str, Told]) -> list[Violation]:
