--- a/packages/heronthread-dispatch/src/heronthread_dispatch/order.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/order.py
@@ -36,9 +36,11 @@
 ) -> Turn:
     """Return a step's turn; times are on trio's clock, `wall_now` in seconds since the epoch.
 
-    Urgent work comes first, within a customer's guarantee before other. Past the last moment at
-    which it is of any worth it has lost that: served first it would have more work stopped for
-    nothing, and that work is late then. A guarantee holds whatever the time is.
+    Urgent work comes first, within a customer's guarantee before other. With `hopeless_last` it
+    loses that past the last moment at which it is of any worth, as more work would be stopped for
+    nothing; a guarantee holds whatever the time is. On four days with hosts and faults more work
+    was thrown away with it (455,000 to 504,000 core-seconds), not less as on the modelled pool, so
+    it is off.
     """
     latest, last_useful = latest_starts(job, step, queue, now, wall_now)
     first = 0 if is_guaranteed else 1
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/policy.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/policy.py
@@ -17,8 +17,8 @@
     a step's data; `compare_members` measures a gang's members against each other instead of
     their caller's estimate; `look_early` reads a gang's progress more often while its run is
     young; `wait_for_ends` (off) has urgent work wait for what ends by itself soon, also where a
-    stop takes less; `hopeless_last` serves urgent work that earns nothing any more after all
-    other, and stops nothing for it.
+    stop takes less; `hopeless_last` (off) serves urgent work that earns nothing any more after
+    all other, and stops nothing for it.
     """
 
     headroom: bool = True
@@ -28,7 +28,7 @@
     compare_members: bool = True
     look_early: bool = True
     wait_for_ends: bool = False
-    hopeless_last: bool = True
+    hopeless_last: bool = False
 
 
 DEFAULT_POLICY = Policy()
