Wait for a renewal on its way before a cell is handed over

Cause: a lease handed over while its renewal was under way: the renewal took effect, the release found another revision and did nothing, and the answer made the host an owner again, which renewed for ever; no other host could own the cell. Ruled out: the first standing unseen by the example (it was past that loop), a store that fails (in memory). Now renewals, tries and the hand-over take turns, and what a renewal answers after it changes nothing.

--- a/packages/heronthread-coordination/src/heronthread_coordination/lease.py
+++ b/packages/heronthread-coordination/src/heronthread_coordination/lease.py
@@ -93,6 +93,7 @@
         self._seen_since = 0.0
         self._store_failed = False
         self.changed = trio.Event()
+        self._writing = trio.Lock()
 
     async def __aenter__(self) -> CellLease:
         return self
@@ -124,10 +125,12 @@
         """Renew the lease, or try to get it, until cancelled."""
         while True:
             if self._mine:
-                await self._renew()
+                async with self._writing:
+                    await self._renew()
                 await trio.sleep(self.duration_s / RENEWALS_PER_LEASE)
             else:
-                await self._contend()
+                async with self._writing:
+                    await self._contend()
                 await trio.sleep(self.duration_s / (2 * RENEWALS_PER_LEASE))
 
     def depose(self) -> None:
@@ -139,16 +142,21 @@
             self._notify()
 
     async def hand_over(self) -> None:
-        """Release the cell so that another host may take it at once; contend no more."""
+        """Release the cell so that another host may take it at once; contend no more.
+
+        A renewal that is on its way is waited for: it would else take effect after the release, and
+        the cell would be held for ever by a host that has given it up.
+        """
         self.is_contender = False
-        if not self._mine or self.record is None:
-            return
-        released = self._next_record(self.record.epoch, self.record.sequence + 1, host="")
-        revision = self._revision
-        self.depose()
         with trio.move_on_after(self.duration_s) as scope:
             scope.shield = True
-            await write_settled(self._store, self._key, released.encode(), expect=revision)
+            async with self._writing:
+                if self._mine and self.record is not None:
+                    released = self._next_record(self.record.epoch, self.record.sequence + 1, "")
+                    revision = self._revision
+                    self.depose()
+                    await write_settled(self._store, self._key, released.encode(), expect=revision)
+        self.depose()
 
     @property
     def _key(self) -> str:
@@ -160,13 +168,16 @@
         )
 
     async def _renew(self) -> None:
-        assert self.record is not None
+        if not self._mine or self.record is None:
+            return
         record = self._next_record(self.record.epoch, self.record.sequence + 1, self.host)
         sent = trio.current_time()
         outcome = await write_settled(
             self._store, self._key, record.encode(), expect=self._revision
         )
         self._note_store(outcome)
+        if not self.is_contender and not self._mine:
+            return
         if isinstance(outcome, Written):
             self._grant(record, outcome.revision, sent)
         elif isinstance(outcome, Conflict):
--- a/packages/heronthread-coordination/tests/test_lease.py
+++ b/packages/heronthread-coordination/tests/test_lease.py
@@ -96,3 +96,33 @@
         assert lease.standing is Standing.NOT_OWNER
         assert lease.record.epoch == 9
         nursery.cancel_scope.cancel()
+
+
+async def test_a_renewal_on_its_way_does_not_outlive_the_hand_over(autojump_clock):
+    """A host that had handed its cell over went on to renew it, so nobody else ever owned it.
+
+    Its renewal was under way as it released the cell: the renewal took effect, the release found
+    another revision, and the answer made the host an owner again. An example of the library hung
+    that way beside other processes.
+    """
+    store = MemoryStore()
+    first, second = make_lease(store, "a", duration_s=1.0), make_lease(store, "b", duration_s=1.0)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(first.run)
+        while first.standing is not Standing.OWNER:
+            await trio.sleep(0.01)
+        store.faults.delay_s = 0.1
+        writes = store.writes
+        while store.writes == writes:
+            await trio.sleep(0.01)
+        await first.hand_over()
+        store.faults.delay_s = 0.0
+        assert first.standing is Standing.NOT_OWNER
+        nursery.start_soon(second.run)
+        with trio.fail_after(5.0):
+            while second.standing is not Standing.OWNER:
+                await trio.sleep(0.05)
+        await trio.sleep(3.0)
+        assert first.standing is Standing.NOT_OWNER
+        assert second.standing is Standing.OWNER
+        nursery.cancel_scope.cancel()
