--- a/packages/heronthread-coordination/src/heronthread_coordination/lease.py
+++ b/packages/heronthread-coordination/src/heronthread_coordination/lease.py
@@ -93,7 +93,6 @@
         self._seen_since = 0.0
         self._store_failed = False
         self.changed = trio.Event()
-        self._writing = trio.Lock()
 
     async def __aenter__(self) -> CellLease:
         return self
@@ -125,12 +124,10 @@
         """Renew the lease, or try to get it, until cancelled."""
         while True:
             if self._mine:
-                async with self._writing:
-                    await self._renew()
+                await self._renew()
                 await trio.sleep(self.duration_s / RENEWALS_PER_LEASE)
             else:
-                async with self._writing:
-                    await self._contend()
+                await self._contend()
                 await trio.sleep(self.duration_s / (2 * RENEWALS_PER_LEASE))
 
     def depose(self) -> None:
@@ -142,21 +139,16 @@
             self._notify()
 
     async def hand_over(self) -> None:
-        """Release the cell so that another host may take it at once; contend no more.
-
-        A renewal that is on its way is waited for: it would else take effect after the release, and
-        the cell would be held for ever by a host that has given it up.
-        """
+        """Release the cell so that another host may take it at once; contend no more."""
         self.is_contender = False
+        if not self._mine or self.record is None:
+            return
+        released = self._next_record(self.record.epoch, self.record.sequence + 1, host="")
+        revision = self._revision
+        self.depose()
         with trio.move_on_after(self.duration_s) as scope:
             scope.shield = True
-            async with self._writing:
-                if self._mine and self.record is not None:
-                    released = self._next_record(self.record.epoch, self.record.sequence + 1, "")
-                    revision = self._revision
-                    self.depose()
-                    await write_settled(self._store, self._key, released.encode(), expect=revision)
-        self.depose()
+            await write_settled(self._store, self._key, released.encode(), expect=revision)
 
     @property
     def _key(self) -> str:
@@ -168,17 +160,19 @@
         )
 
     async def _renew(self) -> None:
-        if not self._mine or self.record is None:
-            return
+        assert self.record is not None
         record = self._next_record(self.record.epoch, self.record.sequence + 1, self.host)
         sent = trio.current_time()
         outcome = await write_settled(
             self._store, self._key, record.encode(), expect=self._revision
         )
         self._note_store(outcome)
-        if not self.is_contender and not self._mine:
-            return
-        if isinstance(outcome, Written):
+        if not self._mine and not self.is_contender:
+            # Handed over meanwhile: it undid the release, and would hold the cell for ever.
+            if isinstance(outcome, Written):
+                free = self._next_record(record.epoch, record.sequence + 1, host="")
+                await write_settled(self._store, self._key, free.encode(), expect=outcome.revision)
+        elif isinstance(outcome, Written):
             self._grant(record, outcome.revision, sent)
         elif isinstance(outcome, Conflict):
             await self._settle_conflict(outcome.current)
