--- a/packages/heronthread-dispatch/tests/test_lives.py
+++ b/packages/heronthread-dispatch/tests/test_lives.py
@@ -130,6 +130,34 @@
         assert len({event.run for event in site.executors.starts()}) >= 1
 
 
+async def test_next_life_is_told_of_a_late_start_that_the_life_before_had_stopped(
+    autojump_clock: Clock,
+) -> None:
+    """The start was still on its way as it was stopped, and had no answer once the life was over.
+
+    Two days of a soak ran tasks twice: run 1003 came to a life 1.5 s old, whose owner had heard it
+    0.75 s before, and run 2001 was carried out 0.8 s after its own life began. `run.stale` named
+    the runs as each life first reported, but in the same hundredth of a second `attempt.closed`
+    said "the holding time has run out" with age 0.0 and no sends, and `stop.decided` was followed
+    by no `order.sent`. The stops were noted for the new life before it had any holding time, so its
+    first report closed them as long over, and a stop whose run is closed is not sent.
+    """
+    told: dict[str, Told] = {}
+    async with EmulatedSite.open(hosts=2, executors=2) as site:
+        await site.wait_for_owner()
+        place = site.executors.by_id["e0"]
+        place.lose_starts, place.late_s = 1, 6.0
+        site.executors.by_id["e1"].shed = 1
+        await _hand_in(site, told, "a", count=2, accelerators=8, gang=True, work_s=20.0)
+        await trio.sleep(0.2)
+        ((task, run),) = place.floor.items()
+        site.restart_executor("e0", 1.0)
+        await trio.sleep(2.0)
+        assert site.executors.by_id["e0"].floor.get(task, 0) >= run
+        await trio.sleep(60.0)
+        await _check(site, told, set())
+
+
 async def test_run_of_a_silent_executor_waits_for_its_late_start(autojump_clock: Clock) -> None:
     """The executor is down for 8 s, beyond its holding time, and the start comes after 10 s."""
     told: dict[str, Told] = {}
