Stop late starts at a new life before its first report can close them

What callers saw: a task worked twice at once. A start was still on its way as its life answered a stop of it; the life ended, the start's answer ran out, and the next life, heard 0.75 s before, carried the start out beside the task's next run. Cause: begin_life notes the stops of late starts last, and the new life had no holding time (lapse_by -inf) unless attempts had gone over to it. The same report then closed them as 'the holding time has run out', and a stop whose run is closed is not sent. Ruled out: a late order that nobody could reach (the life was reached); a lost stop (no order.sent at all).

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/lives.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/lives.py
@@ -50,9 +50,11 @@
     for attempt in old.list_held():
         cell.close(attempt, "its executor has started again")
         cell.stop_gang(attempt, "a member's executor has started again")
+    cell.stop_late_starts(new)
     if new.list_held():
+        # Not before the stops are noted: without a holding time a stop counts as long over in the
+        # life's first report and is never sent, so its late start ran beside the task's next run.
         new.lapse_by = now + _find_longest_s(cell, new)
-    cell.stop_late_starts(new)
     return new
 
 
