Show that a start without an answer outlasts the holding time where no other life can come

Where executors say no start of their life, another life has another id, and calls that name the old one are turned away. A start without an answer at an executor that crashed for good still kept its job from free room for 14.24 s after it was lost (emulated, two executors, one well and idle); the holding time allows 7.5 s.

--- a/packages/heronthread-dispatch/tests/test_late_over_takeover.py
+++ b/packages/heronthread-dispatch/tests/test_late_over_takeover.py
@@ -6,6 +6,8 @@
 carried the earlier owner's start of the same task out.
 """
 
+from dataclasses import replace
+
 import pytest
 import trio
 from heronthread_dispatch.model import TaskKey
@@ -160,3 +162,37 @@
         site.restart_executor("e0", 0.1)
         await trio.sleep(30.0)
         assert check_promises(site.executors, {}) == []
+
+
+async def test_start_at_a_life_that_no_other_can_follow_withholds_its_task_for_its_holding_time(
+    autojump_clock: Clock,
+) -> None:
+    """Where executors say no start of their life, another life has another id.
+
+    A start without an answer, at an executor that then crashed for good, kept its job from free
+    room for 12.0 s and more: `attempt.closed` "the holding time has run out" came 14.2 s after the
+    order. The owner went on waiting for a next life that might carry the start out, though each
+    call names the id that is meant and a next life has another one. The holding time alone, from
+    the last send, rules it out.
+    """
+    async with EmulatedSite.open(hosts=2, executors=2) as site:
+        for name, place in site.executors.by_id.items():
+            place.executor = replace(place.executor, born=0)
+            site.say(name)
+        await site.wait_for_owner()
+        await trio.sleep(1.0)
+        site.executors.by_id["e1"].is_sick = True
+        place = site.executors.by_id["e0"]
+        place.lose_starts, place.late_s = 1, 20.0
+        host = next(iter(site.hosts.values()))
+        await host.requests.accept(site.make_job("a", work_s=2.0), 2.0)
+        while place.lose_starts:
+            await trio.sleep(0.005)
+        site.remove_executor("e0")
+        lost_at = trio.current_time()
+        site.executors.by_id["e1"].is_sick = False
+        await trio.sleep(30.0)
+        started = site.executors.starts(TASK)
+        assert [event.executor for event in started] == ["e1"]
+        assert started[0].at <= lost_at + HOLDING_S + PLAN_S
+        assert check_promises(site.executors, {}) == []
