Wait for no other life where an id has one, nor longer for each further send of a start

What callers saw: a job beside free room for 14.2 s after its start went to an executor that crashed for good. Cause: late starts were kept open for 12 s from the last send at every executor, though only where lives say their start may another one have the same id; calls name the id, so elsewhere nothing can carry them out. And each of three sends brought a new deadline. Why it holds: without a start of its life (born) nothing is noted as open, so the holding time alone decides; all sends of a start have one deadline, so that is over 7.5 s after the loss at most. The same elsewhere: after a takeover jobs named at such an executor waited again once it fell silent, though it had heard the new term; idle ones were asked on for 12 s for nothing.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/doubts.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/doubts.py
@@ -35,16 +35,22 @@
         name
         for name in names
         if name not in states
+        or is_last_of_its_id(states[name])
         or (_is_silent(states[name]) and not _is_unsure(states[name], now, hold_s, late_until))
     )
 
 
+def is_last_of_its_id(state: ExecutorState) -> bool:
+    """Whether no other life can have its id, and this one refuses the orders of earlier owners."""
+    return state.heard and not state.life.born
+
+
 def _is_silent(state: ExecutorState) -> bool:
     return not state.heard or state.silent_since is not None
 
 
 def _is_unsure(state: ExecutorState, now: float, hold_s: float, late_until: float) -> bool:
-    if state.dead:
+    if state.dead or is_last_of_its_id(state):
         return False
     is_said = state.announced is not None and state.announced is not state.asked
     if is_said or (state.is_said_anew and not state.heard):
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/late_starts.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/late_starts.py
@@ -1,7 +1,8 @@
 """Starts without an answer, for as long as they may be carried out.
 
 A stop that a life of an executor has answered, or the end of its holding time, rules a late start
-out at that life only: another one that has the same id knows of neither.
+out at that life only: another one that has the same id knows of neither. Where nobody says when a
+life began, another one has another id, which calls for this one do not reach.
 """
 
 from __future__ import annotations
@@ -35,6 +36,9 @@
 
     def note(self, attempt: Attempt) -> None:
         """Take in that a send of an attempt's start has no answer."""
+        if not attempt.life.born:
+            # No other life can carry it out; waiting for one kept tasks from free room for 14 s.
+            return
         self.list_open(attempt.executor)
         start = LateStart(attempt.task, attempt.run)
         self._until[attempt.executor][start] = attempt.sent_at + LATE_ORDER_S
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
@@ -136,6 +136,9 @@
         payload = start.job.spec.payload
         if start.task.crashes and not await self._record_trial(start, attempt):
             return
+        # One for all sends: a later one would put off the time after which none is carried out.
+        until = state.deadline_ms(trio.current_time(), self.cell.parts.timing.hold_s)
+        assert until is not None, "an executor that was heard has a clock"
         for _ in range(START_TRIES):
             if attempt.phase is not Phase.STARTING or start.task.attempt is not attempt:
                 return
@@ -151,8 +154,6 @@
                 self._give_up(attempt, "its entry names no executor to use")
                 return
             now = trio.current_time()
-            until = state.deadline_ms(now, self.cell.parts.timing.hold_s)
-            assert until is not None, "an executor that was heard has a clock"
             order = StartOrder(
                 attempt.task,
                 attempt.run,
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
@@ -11,7 +11,7 @@
 
 from .approval import Approvals, Approver, NoApprover
 from .crashes import Crashes
-from .doubts import list_lapsed, list_unsure
+from .doubts import is_last_of_its_id, list_lapsed, list_unsure
 from .entries import DirectoryFormat
 from .evacuation import Evacuations
 from .events import describe_run, log_event
@@ -314,7 +314,7 @@
 
         If its life ends, that is to be known before such a job is started elsewhere.
         """
-        if trio.current_time() >= self.late_until:
+        if trio.current_time() >= self.late_until or is_last_of_its_id(state):
             return False
         return any(state.id in job.places.earlier for job in self.active.values())
 
