Start a task again only where its start without an answer is refused

What callers saw: a settlement at work twice at once. Cause: a stop fences the life that answered it, not the id. No owner can be at the next life first (it runs the order 0.05 s after its birth), so what decides has to be decided before the next run begins. Change: while a start may be late (12 s), its task is started only at the same executor, once the life there has answered a stop of it or listed an end of that run; a life that ends takes the new run with it. Nowhere while no life there answers. Sends count from when they go out, so one that is stopped before its time is over counts too; a report that names the run uses up its only send. Not where no life says its start, nor at an executor that is evacuated or leaves (it takes none; test_evacuation asks for that). Ruled out: waiting 12 s with each such task (a healthy executor takes it at once); a fence by deadline-ms (each life has a clock).

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
@@ -167,15 +167,16 @@
             attempt.sent_at = now
             attempt.is_on_its_way = True
             state.wake.set()
+            open_until = self.cell.late_starts.note(attempt)
             outcome = await self.cell.parts.link.start(state.executor, order)
             attempt.is_on_its_way = False
             self._log_send("start", attempt, attempt.sends, now, outcome)
+            if not isinstance(outcome, Unanswered) or outcome.unsent:
+                self.cell.late_starts.settle(attempt, open_until)
             if not isinstance(outcome, Unanswered):
                 self._settle_start(start, attempt, outcome)
                 return
-            if not outcome.unsent:
-                attempt.unanswered += 1
-                self.cell.late_starts.note(attempt)
+            attempt.unanswered += not outcome.unsent
             attempt.refused_sends += outcome.unsent
             state.wake.set()
             await trio.sleep(RETRY_S)
@@ -224,6 +225,7 @@
                 attempt.moved_at = now
             return
         attempt.refused_sends += 1
+        self.cell.late_starts.note_turned_away(attempt.task)
         reason = _reason(outcome)
         is_over = isinstance(outcome, Refused) and outcome.reason is Refusal.OLD_RUN
         log_event(
@@ -242,6 +244,7 @@
         if is_over:
             # No send of it has an effect any more. It may have ended done: the next report says so.
             attempt.settled_at = now
+            self.cell.late_starts.note_refused(attempt.life, attempt.task, attempt.run)
             state.wake.set()
         else:
             self._give_up(attempt, f"refused: {reason}")
@@ -311,6 +314,7 @@
     def _settle_stop(self, attempt: Attempt, state: ExecutorState, outcome: OrderOutcome) -> bool:
         if isinstance(outcome, Obeyed):
             attempt.settled_at = trio.current_time()
+            self.cell.late_starts.note_refused(attempt.life, attempt.task, attempt.run)
             state.wake.set()
             if not attempt.seen:
                 state.stop_settled.set()
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
@@ -287,16 +287,13 @@
         silent, unsure = self.silent(), self.list_unsure()
         if not silent and not unsure:
             return None
-        late_tasks = self.late_starts.list_tasks(unsure)
         may_hold_any = any(not s.is_named and s.only_tasks is None for s in silent)
         held = frozenset().union(*(state.only_tasks or () for state in silent))
         named = {state.id for state in silent if state.is_named}
 
         def may_run(task: TaskKey) -> bool:
             job = self.jobs.get(task.job)
-            if job is None or task in late_tasks:
-                return job is not None
-            if job.created > self.term.guard[1]:
+            if job is None or job.created > self.term.guard[1]:
                 return False
             if may_hold_any or task in held or job.places.may_be_at(named):
                 return True
@@ -355,6 +352,10 @@
 
         return is_withheld
 
+    def find_pins(self) -> dict[TaskKey, str]:
+        """Return for each task that has open starts where alone it may be started, if anywhere."""
+        return self.late_starts.find_pins(self.executors)
+
     def silent(self) -> list[ExecutorState]:
         """Return the executors of an earlier owner of which nothing is known yet."""
         now = trio.current_time()
@@ -474,9 +475,12 @@
             log_event("end.unknown", **run, why=end.kind.value)
             return
         task.last_run = max(task.last_run, end.run)
+        self.late_starts.note_refused(state.life, end.task, end.run)
         attempt = task.attempt
         is_current = attempt is not None and attempt.run == end.run
         if is_current and attempt is not None:
+            if not attempt.seen and attempt.is_one_send_open:
+                self.late_starts.settle(attempt)
             self.close(attempt, end.kind.value)
         elif stray is None:
             self._log_end_only(state, end)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -453,6 +453,7 @@
             self.parts.policy,
             self.parts.timing.stop_s,
             self.parts.is_naming(),
+            self.cell.find_pins(),
         )
         recheck = PLAN_EVERY_S
         while True:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/plan.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/plan.py
@@ -36,7 +36,7 @@
     """A step that has tasks to start, with its turn.
 
     `named` are the only executors that may be used, None if all may: those that the store names for
-    the job, while it can name no others.
+    the job, while it can name no others. `pins` names the only executor for some tasks, by index.
     """
 
     job: JobState
@@ -46,6 +46,7 @@
     guaranteed: bool
     turn: Turn
     named: frozenset[str] | None = None
+    pins: dict[int, str] = field(default_factory=dict)
 
     @property
     def key(self) -> TaskKey:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -3,16 +3,18 @@
 from __future__ import annotations
 
 from collections import Counter, deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import replace
 
 import trio
 
 from .approval import LARGEST_QUESTION, USUAL_QUESTION, Approvals, Question
 from .crashes import began_lately, sum_at_stake
-from .fleet import ExecutorState
+from .fleet import ExecutorState, WorkRefusal
 from .gangs import SPREAD_PATIENCE_S, Gangs
 from .guarantee import find_guaranteed
 from .headroom import Headroom
+from .late_starts import NOWHERE
 from .losses import Losses
 from .model import URGENT, DesiredState, Queue, Resources, TaskKey
 from .order import rank_step
@@ -36,7 +38,7 @@
 
     `may_run` tells whether an earlier owner's run of a task may be somewhere; None where no
     such run can be. `is_naming`: the store can name executors for jobs; else each job is started
-    only at those that it names already.
+    only at those that it names already. `pins` has the only executor for some tasks.
     """
 
     def __init__(
@@ -52,15 +54,19 @@
         policy: Policy = DEFAULT_POLICY,
         stop_s: float = USUAL_STOP_S,
         is_naming: bool = True,
+        pins: Mapping[TaskKey, str] | None = None,
     ) -> None:
         self.policy = policy
         self.jobs = list(jobs)
         self.desired = desired
         self._may_run = may_run
         self._is_naming = is_naming
+        self._pins = pins or {}
+        self._pinned_rooms: dict[str, Room] = {}
         self.now = now
         self.wall_now = wall_now
-        self.rooms = make_rooms(executors, now)
+        self._states = {state.id: state for state in executors}
+        self.rooms = make_rooms(self._states.values(), now)
         self._room_of = {room.state.id: room for rooms in self.rooms.values() for room in rooms}
         self.plan = Plan()
         self.guaranteed = find_guaranteed(self.jobs, desired, wall_now)
@@ -110,6 +116,8 @@
         now = trio.current_time()
         for room in self._room_of.values():
             room.shrink(room.state.free if room.state.accepts_work(now) else NO_ROOM)
+        for room in self._pinned_rooms.values():
+            room.shrink(room.state.free if _takes_pinned(room.state, now) else NO_ROOM)
         still = (self._still_waiting(candidate) for candidate in self._waiting)
         self._waiting = deque(candidate for candidate in still if candidate is not None)
 
@@ -152,7 +160,9 @@
     def _without_doubt(
         self, job: JobState, step: StepState, tasks: list[TaskState]
     ) -> list[TaskState]:
-        """Leave out the tasks that an earlier owner's run may still be working on."""
+        """Leave out the tasks that a run that nobody can see may be working on, or may soon."""
+        if self._pins:
+            tasks = [t for t in tasks if self._pins.get(job.key_of(step, t)) != NOWHERE]
         if self._may_run is None:
             return tasks
         return [t for t in tasks if not self._may_run(job.key_of(step, t))]
@@ -163,16 +173,27 @@
         guaranteed = job.spec.id in self.guaranteed
         turn = rank_step(job, step, queue, guaranteed, self.now, self.wall_now, self.policy)
         named = None if self._is_naming else job.places.list_covered()
-        return Candidate(job, step, queue, tasks, guaranteed, turn, named)
+        return Candidate(
+            job, step, queue, tasks, guaranteed, turn, named, self._list_pins(job, step, tasks)
+        )
+
+    def _list_pins(self, job: JobState, step: StepState, tasks: list[TaskState]) -> dict[int, str]:
+        """Return the only executor for those of some tasks that have one, by their index."""
+        if not self._pins:
+            return {}
+        pins = ((task.index, self._pins.get(job.key_of(step, task))) for task in tasks)
+        return {index: name for index, name in pins if name is not None}
 
     def _serve(self, candidate: Candidate) -> None:
         keeps_out = self._keeps_out(candidate)
         usable: Scope | None = None
         if candidate.step.spec.gang and len(candidate.tasks) > 1:
             usable = self._usable(candidate, keeps_out)
-            placed = self._gangs.place(
-                candidate, usable, keeps_out, self._count_by_executor(candidate)
-            )
+            pinned = self._place_pinned(candidate)
+            if len(pinned) < len(candidate.pins):
+                _give_back(candidate, pinned)
+                return
+            placed = self._place_gang(candidate, pinned, usable, keeps_out)
         else:
             placed = self._place_single(candidate, keeps_out)
         if placed:
@@ -319,9 +340,66 @@
                 used[queue.pool] = used.get(queue.pool, 0) + need
         return used
 
+    def _place_gang(
+        self,
+        candidate: Candidate,
+        pinned: list[tuple[TaskState, Room]],
+        usable: Scope,
+        keeps_out: bool,
+    ) -> list[tuple[TaskState, Room]]:
+        """Return the rooms of all members, those of the pinned ones among them, or none."""
+        free = _leave_pinned_out(candidate)
+        if not free.tasks:
+            return pinned
+        placed = self._gangs.place(free, usable, keeps_out, self._count_by_executor(candidate))
+        if not placed:
+            _give_back(candidate, pinned)
+            return []
+        return pinned + placed
+
     # One task at a time
 
+    def _place_pinned(self, candidate: Candidate) -> list[tuple[TaskState, Room]]:
+        """Take room for the tasks that may go to one executor alone, as far as it is there.
+
+        One that rests takes them too: it may be well, and nobody else may.
+        """
+        placed = []
+        need = candidate.step.spec.need
+        for task in candidate.tasks if candidate.pins else ():
+            name = candidate.pins.get(task.index)
+            room = None if name is None else self._find_pinned_room(candidate, name)
+            if room is None or not room.fits(need):
+                continue
+            room.take(need)
+            placed.append((task, room))
+        return placed
+
+    def _find_pinned_room(self, candidate: Candidate, name: str) -> Room | None:
+        """Return the room at an executor that a step may be pinned to, None if it takes none."""
+        state = self._states.get(name)
+        if state is None or not _takes_pinned(state, self.now):
+            return None
+        if candidate.named is not None and name not in candidate.named:
+            return None
+        if candidate.queue.approval is not None and (
+            self._approvals is None
+            or self._approvals.find_ticket(candidate.key, state.life) is None
+        ):
+            return None
+        room = self._room_of.get(name) or self._pinned_rooms.get(name)
+        if room is None:
+            room = self._pinned_rooms[name] = Room(state, state.free, state.room_soon())
+        return room
+
     def _place_single(self, candidate: Candidate, keeps_out: bool) -> list[tuple[TaskState, Room]]:
+        pinned = self._place_pinned(candidate)
+        candidate = _leave_pinned_out(candidate)
+        if not candidate.tasks:
+            return pinned
+        return pinned + self._place_free(candidate, keeps_out)
+
+    def _place_free(self, candidate: Candidate, keeps_out: bool) -> list[tuple[TaskState, Room]]:
         spec = candidate.step.spec
         full_key = (
             candidate.queue.pool,
@@ -449,6 +527,25 @@
             room.await_stop(attempt.need)
 
 
+def _takes_pinned(state: ExecutorState, now: float) -> bool:
+    """Whether tasks that may go nowhere else may be started at an executor."""
+    return state.find_refusal(now) in (None, WorkRefusal.RESTING)
+
+
+def _leave_pinned_out(candidate: Candidate) -> Candidate:
+    """Return a candidate without its tasks that are pinned."""
+    if not candidate.pins:
+        return candidate
+    tasks = [task for task in candidate.tasks if task.index not in candidate.pins]
+    return replace(candidate, tasks=tasks, pins={})
+
+
+def _give_back(candidate: Candidate, placed: list[tuple[TaskState, Room]]) -> None:
+    """Have the room again that was taken for some tasks of a step."""
+    for _, room in placed:
+        room.give_back(candidate.step.spec.need)
+
+
 def _name_step(task: TaskKey) -> tuple[str, int, int]:
     """Return what is the same for all tasks of a step, and of one time of its job."""
     return task.job, task.step, task.occurrence
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
@@ -76,6 +76,12 @@
         open_sends = self.unanswered + self.refused_sends + self.is_on_its_way
         return self.seen or self.sends > open_sends
 
+    @property
+    def is_one_send_open(self) -> bool:
+        """Whether one of its sends alone may have begun it, so that none is left once it has."""
+        open_sends = self.unanswered + self.is_on_its_way
+        return open_sends == 1 and self.sends <= open_sends + self.refused_sends
+
 
 class TaskState:
     """One task; it has at most one attempt that may be anywhere.
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/room.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/room.py
@@ -60,6 +60,12 @@
         self.soon = self.soon.minus(need)
         self.changes.note(weigh_millicores(need))
 
+    def give_back(self, need: Resources) -> None:
+        """Have the room again that was taken for one task."""
+        self.now = self.now.plus(need)
+        self.soon = self.soon.plus(need)
+        self.changes.note(-weigh_millicores(need))
+
     def await_stop(self, need: Resources) -> None:
         """Count on the room of an attempt that the plan stops."""
         self.soon = self.soon.plus(need)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/waiting.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/waiting.py
@@ -30,6 +30,7 @@
 
     EARLIER_RUN = "an earlier owner's run may be at a silent executor"
     OWN_RUN = "its own run is not settled"
+    LATE_START = "a start of it without an answer may yet be carried out"
     CRASHES = "executors crashed under it"
     UNNAMED = "the store is away and names no executor with room"
     REFUSED = "executors with room take no work"
@@ -126,6 +127,8 @@
         keys = [job.key_of(step, task) for task in step.open_tasks()]
         if job.has_attempts:
             cause = WaitCause.OWN_RUN
+        elif not self.cell.find_pins().keys().isdisjoint(keys):
+            cause = WaitCause.LATE_START
         elif withheld is not None and any(map(withheld, keys)):
             doubt = self.cell.find_doubt()
             is_in_doubt = doubt is not None and any(map(doubt, keys))
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
@@ -310,6 +310,8 @@
                 self.cell.stop_astray(self.state, run.task, run.run)
             return
         self.cell.note_checkpoint(task, run.run, run.checkpoint)
+        if not attempt.seen and attempt.is_one_send_open:
+            self.cell.late_starts.settle(attempt)
         attempt.seen = True
         if attempt.sends and received - attempt.sent_at >= PROVEN_S:
             task.works = True
@@ -373,6 +375,8 @@
             return
         for attempt in self.state.list_held():
             if _is_stop_open(attempt) and (attempt.task, attempt.run) not in listed:
+                # It answers, and refuses each send as late: its task waits no longer for its end.
+                self.cell.late_starts.settle(attempt)
                 self.cell.close(attempt, "the holding time has run out")
 
     def _close_vanished(self, listed: set[tuple[TaskKey, int]], sent: float) -> None:
--- a/packages/heronthread-dispatch/tests/test_late_starts.py
+++ b/packages/heronthread-dispatch/tests/test_late_starts.py
@@ -1,8 +1,17 @@
 """Starts without an answer are remembered for as long as they may be carried out, and no longer."""
 
+from dataclasses import replace
+
 import trio
-from heronthread_dispatch.late_starts import LATE_ORDER_S, LateStart, LateStarts
-from heronthread_dispatch.model import NOTHING, Life, TaskKey
+from heronthread_dispatch.fleet import ExecutorState, make_executor
+from heronthread_dispatch.late_starts import (
+    AGAIN_S,
+    LATE_ORDER_S,
+    NOWHERE,
+    LateStart,
+    LateStarts,
+)
+from heronthread_dispatch.model import NOTHING, Executor, Life, Resources, TaskKey
 from heronthread_dispatch.progress import Attempt
 
 Clock = trio.testing.MockClock
@@ -34,3 +43,76 @@
         starts.note(_make_attempt(run))
         await trio.sleep(1.0)
     assert len(starts._until["e0"]) <= LATE_ORDER_S + 1
+
+
+def _make_state(name: str, born: int) -> ExecutorState:
+    executor = Executor(name, name, "pool", "zone", "rack", (), Resources(8, 8, 8), born=born)
+    state = make_executor(executor, trio.current_time())
+    state.heard = True
+    return state
+
+
+async def test_a_task_with_an_open_start_may_go_only_where_that_is_refused(
+    autojump_clock: Clock,
+) -> None:
+    starts, first = LateStarts(), _make_attempt(1)
+    states = {"e0": _make_state("e0", 7), "e1": _make_state("e1", 7)}
+    starts.note(first)
+    assert starts.find_pins(states) == {first.task: NOWHERE}
+    starts.note_refused(Life("e0", 7), first.task, 1)
+    assert starts.find_pins(states) == {first.task: "e0"}
+    starts.note_turned_away(first.task)
+    assert starts.find_pins(states) == {first.task: NOWHERE}
+    await trio.sleep(AGAIN_S)
+    states["e0"].silent_since = trio.current_time()
+    assert starts.find_pins(states) == {first.task: NOWHERE}
+    states["e0"] = _make_state("e0", 9)
+    assert starts.find_pins(states) == {first.task: NOWHERE}
+    starts.note_refused(Life("e0", 9), first.task, 1)
+    assert starts.find_pins(states) == {first.task: "e0"}
+    await trio.sleep(LATE_ORDER_S)
+    assert starts.find_pins(states) == {}
+
+
+async def test_starts_that_are_open_at_two_executors_let_a_task_go_nowhere(
+    autojump_clock: Clock,
+) -> None:
+    starts, first = LateStarts(), _make_attempt(1)
+    states = {"e0": _make_state("e0", 7), "e1": _make_state("e1", 7)}
+    other = replace(_make_attempt(2), life=Life("e1", 7))
+    for attempt in (first, other):
+        starts.note(attempt)
+        starts.note_refused(attempt.life, attempt.task, attempt.run)
+    assert starts.find_pins(states) == {first.task: NOWHERE}
+
+
+async def test_an_executor_that_takes_nothing_more_pins_no_task(autojump_clock: Clock) -> None:
+    starts, first = LateStarts(), _make_attempt(1)
+    states = {"e0": _make_state("e0", 7)}
+    starts.note(first)
+    states["e0"].evacuated = True
+    assert starts.find_pins(states) == {first.task: NOWHERE}
+    starts.note_refused(Life("e0", 7), first.task, 1)
+    assert starts.find_pins(states) == {}
+
+
+async def test_a_send_that_is_answered_leaves_the_ones_before_it_open(
+    autojump_clock: Clock,
+) -> None:
+    starts, first = LateStarts(), _make_attempt(1)
+    assert starts.note(first) == 0.0
+    starts.settle(first)
+    assert not starts.is_open(first)
+    starts.note(first)
+    await trio.sleep(1.0)
+    first.sent_at = trio.current_time()
+    starts.settle(first, starts.note(first))
+    assert starts.is_open(first)
+    await trio.sleep(LATE_ORDER_S - 1.0)
+    assert not starts.is_open(first)
+
+
+async def test_no_other_life_is_feared_where_none_says_its_start(autojump_clock: Clock) -> None:
+    starts = LateStarts()
+    starts.note(replace(_make_attempt(1), life=Life("e0", 0)))
+    assert starts.list_open("e0") == []
