--- a/packages/heronthread-dispatch/tests/test_lives.py
+++ b/packages/heronthread-dispatch/tests/test_lives.py
@@ -23,6 +23,7 @@
     Report,
     Unanswered,
 )
+from heronthread_dispatch.late_starts import LATE_ORDER_S
 from heronthread_dispatch.model import Executor, Resources, TaskKey
 from heronthread_dispatch.owner import decode_used
 from heronthread_dispatch.record import JobStatus
@@ -158,6 +159,49 @@
         await _check(site, told, set())
 
 
+async def test_end_is_taken_note_of_once_no_start_of_its_task_can_be_late(
+    autojump_clock: Clock,
+) -> None:
+    """The second send of a start ran to its end; the first comes to a next life 0.01 s old.
+
+    Days of a soak ran tasks again whose end had been taken note of: run 1 was done 6.26 and noted,
+    and its first send, of 4.23, began at the next life 11.63, with nobody there to refuse it. The
+    executor had been told to forget the end at once. Told only once no send can be late any more
+    (12 s), it still lists the end as long as it lives, and one that starts again had none noted.
+    What the store has is told to callers as before, and the late run is stopped as it is reported.
+    """
+    told: dict[str, Told] = {}
+    async with EmulatedSite.open(hosts=2, executors=1) as site:
+        await site.wait_for_owner()
+        place = site.executors.by_id["e0"]
+        place.lose_starts, place.late_s = 1, 6.0
+        await _hand_in(site, told, "a", work_s=1.0)
+        while place.lose_starts:
+            await trio.sleep(0.005)
+        await trio.sleep(4.0)
+        assert await site.find_status("a") is JobStatus.SUCCEEDED
+        await trio.sleep(1.0)
+        site.restart_executor("e0", 1.0)
+        await trio.sleep(30.0)
+        await _check(site, told, set())
+
+
+async def test_every_end_is_taken_note_of_in_time(autojump_clock: Clock) -> None:
+    """Also those that are kept back for a start that may be late, and those listed after them."""
+    told: dict[str, Told] = {}
+    async with EmulatedSite.open(hosts=2, executors=1) as site:
+        await site.wait_for_owner()
+        place = site.executors.by_id["e0"]
+        place.lose_starts, place.late_s = 1, 6.0
+        for job in ("a", "b", "c"):
+            await _hand_in(site, told, job, work_s=1.0)
+        await trio.sleep(LATE_ORDER_S + 2.0)
+        await _check(site, told, set())
+        ends = {(e.life, e.number) for e in site.executors.events if e.what == "done"}
+        assert len(ends) == 3
+        assert ends <= site.executors.taken_note
+
+
 async def test_run_of_a_silent_executor_waits_for_its_late_start(autojump_clock: Clock) -> None:
     """The executor is down for 8 s, beyond its holding time, and the start comes after 10 s."""
     told: dict[str, Told] = {}
