Take note of an end once no start of its task can be late

What callers saw: a settlement that was done, and told as done, begun once more by a next life of its executor. Change: an end of a task of which a start may be late (12 s from its sending) stays listed until then: last-seen stops before it. The store has it and callers are told as before; the late run is stopped at its first report. While such an end is listed the executor is looked at each 0.25 s, as a hold would not wait. Where the store has the task not as done the check is as strict as before (tested both ways).

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
@@ -42,8 +42,9 @@
     `clock` is (sent, received, its clock in ms) of the reading with the shortest trip.
     `lapse_by` is when everything there has certainly ended unless it is held again.
     `noted` is the highest end taken in, `seen` the highest that is recorded, `told_seen`
-    the highest that the executor has been told. `listed`: its entry is there, `was_listed`: it was
-    at any time of this term. `silent_since` is when it failed to report, None while it does;
+    the highest that the executor has been told; those in `kept_back` not before their times, by
+    number. `listed`: its entry is there, `was_listed`: it was at any time of this term.
+    `silent_since` is when it failed to report, None while it does;
     `at_silence` what was there then and for how long (s), `listed_at_silence` whether its entry
     was, and `has_refused` whether its address has taken no connection since. Until `apart_until`
     nothing is started beside a task under which executors have crashed. `recorded`: the store
@@ -68,6 +69,7 @@
     noted: int = 0
     seen: int = 0
     told_seen: int = 0
+    kept_back: dict[int, float] = field(default_factory=dict)
     heard: bool = False
     silent_since: float | None = None
     at_silence: tuple[tuple[Attempt, float], ...] = ()
@@ -223,6 +225,11 @@
         self.lapse_by = max(self.lapse_by, lapse)
         return until_ms
 
+    def find_tellable(self, now: float) -> int:
+        """Return up to which number the executor may be told to forget its ends."""
+        self.kept_back = {n: until for n, until in self.kept_back.items() if until > now}
+        return min(self.seen, min(self.kept_back, default=self.seen + 1) - 1)
+
     def note_bad(self, now: float, longest_s: float = LONGEST_REST_S) -> None:
         """Keep new work away for a while, longer each time in a row."""
         self.bad_streak += 1
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/late_starts.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/late_starts.py
@@ -114,6 +114,16 @@
         life, floors = self._floors.get(state.id, (state.life, {}))
         return life == state.life and start.run <= floors.get(start.task, 0)
 
+    def find_end(self, task: TaskKey) -> float:
+        """Return until when a start of a task may be carried out, 0.0 if there is none."""
+        ends = (
+            until
+            for starts in self._until.values()
+            for start, until in starts.items()
+            if start.task == task
+        )
+        return max(ends, default=0.0)
+
     def is_open(self, attempt: Attempt) -> bool:
         """Whether a start of an attempt may still be carried out by another life."""
         start = LateStart(attempt.task, attempt.run)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/watching.py
@@ -9,6 +9,7 @@
 from .confirming import give_hold, is_to_be_confirmed
 from .events import describe_life, describe_run, log_event
 from .executor_link import (
+    EndedRun,
     HoldOrder,
     HoldOutcome,
     OtherLife,
@@ -31,6 +32,8 @@
 YOUNG_S = 2.5
 PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.8
+KEPT_BACK_PAUSE_S = 0.25
+"""Between looks while an end is listed that may not be forgotten yet: a hold would not wait."""
 RECORD_PATIENCE_S = 0.25
 MOST_RUNS_LOGGED = 8
 PROVEN_S = 1.0
@@ -53,8 +56,7 @@
         """Hold, read and take note until the executor is gone."""
         while not self.state.dead:
             while self._is_idle():
-                self.state.wake = trio.Event()
-                await self.state.wake.wait()
+                await self._pause(min(self.state.kept_back.values(), default=float("inf")))
             if not self.cell.parts.may_order():
                 await trio.sleep(PAUSE_S)
                 continue
@@ -65,6 +67,12 @@
         self._close_all("the executor is gone")
         self.cell.executors.pop(self.state.id, None)
 
+    async def _pause(self, until: float) -> None:
+        """Wait until there is something to do, or for a time on trio's clock."""
+        self.state.wake = trio.Event()
+        with trio.move_on_at(until):
+            await self.state.wake.wait()
+
     def _is_idle(self) -> bool:
         state = self.state
         return (
@@ -73,8 +81,8 @@
             and state.silent_since is None
             and state.listed
             and not any(map(_may_be_there, state.list_held()))
-            and state.told_seen == state.noted
             and state.seen == state.noted
+            and state.told_seen >= state.find_tellable(trio.current_time())
             and self._find_unasked() is None
             and not self.cell.is_late_start_expected(state)
         )
@@ -102,7 +110,7 @@
         until = self._choose_deadline(sent)
         # Without its entry it is asked until nothing can be there; each look at it has a price.
         is_kept = state.list_held() or not state.listed or self.cell.is_late_start_expected(state)
-        waits = state.heard and is_kept and state.seen == state.noted
+        waits = state.heard and is_kept and state.seen == state.noted and not state.kept_back
         wait_s = self._choose_wait(sent) if waits and said is None else 0.0
         order = HoldOrder(self.cell.term.number, self._choose_seen(), until, wait_s)
         self._asked_at = sent
@@ -111,6 +119,8 @@
             await self._note_report(outcome, order, sent)
             if state is self.state:
                 state.asked = said or state.asked
+            if self.state.kept_back:
+                await self._pause(sent + KEPT_BACK_PAUSE_S)
         elif isinstance(outcome, OtherLife):
             state.note_over()
         elif isinstance(outcome, Refused) and outcome.reason is Refusal.FENCED:
@@ -144,7 +154,8 @@
         state = self.state
         has_reported = state.heard or state.clock is not None
         is_confirmed = has_reported and self._silent == 0
-        return state.seen if is_confirmed and state.seen > state.told_seen else 0
+        seen = state.find_tellable(trio.current_time())
+        return seen if is_confirmed and seen > state.told_seen else 0
 
     async def _note_report(self, report: Report, order: HoldOrder, sent: float) -> None:
         """Take in what an executor reports, and whether it is another life than the one known."""
@@ -268,6 +279,7 @@
         for end in sorted(fresh, key=lambda end: end.number):
             state.noted = end.number
             self.cell.note_end(state, end)
+            self._keep_back(end)
         if report.running and state.lapse_by < received:
             # What another life began for nobody that is known would else be closed as gone with it.
             longest_s = self.cell.parts.timing.longest_hold_s * (1 + CLOCK_DRIFT)
@@ -286,6 +298,16 @@
             self.cell.wake_planner()
         await self._wait_recorded()
 
+    def _keep_back(self, end: EndedRun) -> None:
+        """Have an end listed for as long as another start of its task may come to a next life.
+
+        That life would run again what was taken note of as done. What the store has is told to
+        callers at once all the same.
+        """
+        until = self.cell.late_starts.find_end(end.task)
+        if until > trio.current_time():
+            self.state.kept_back[end.number] = until
+
     async def _wait_recorded(self) -> None:
         """Take note of ends only once they are in the store."""
         state = self.state
--- a/packages/heronthread-emulator/src/heronthread_emulator/standing_site.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/standing_site.py
@@ -4,7 +4,9 @@
 
 import trio
 from heronthread_dispatch.entries import BadEntry
-from heronthread_dispatch.model import Life
+from heronthread_dispatch.model import Life, TaskKey
+from heronthread_dispatch.record import ProgressRecord, decode_progress
+from heronthread_dispatch.recorder import progress_key
 
 from .checker import Told, Violation
 from .executors import MOST_HOLD_S, EmulatedExecutor
@@ -19,7 +21,7 @@
         self.site = site
         self.told = told
         self.clock = StandClock()
-        self._works = Works(self._is_noted, self._is_over)
+        self._works = Works(self._is_noted, self._is_over, self._is_recorded)
         self._taken = 0
         self._silent_since: dict[str, float] = {}
         self._next_at = trio.current_time()
@@ -64,6 +66,15 @@
         place = self.site.executors.by_id[life.id]
         return place.is_gone or place.executor.born != life.born
 
+    def _is_recorded(self, task: TaskKey) -> bool:
+        """Whether the store has a task as done, wherever its end is."""
+        item = self.site.store.items.get(progress_key(task.job))
+        record = None if item is None else decode_progress(item.value)
+        if not isinstance(record, ProgressRecord):
+            return False
+        place = task.occurrence * len(self.told[task.job].record.spec.steps) + task.step
+        return bool(record.steps[place].done >> task.member & 1)
+
     def _is_decided(self) -> bool:
         """Whether an owner decides, and the store answers it."""
         if self.site.store.is_down:
--- a/packages/heronthread-emulator/tests/test_standing.py
+++ b/packages/heronthread-emulator/tests/test_standing.py
@@ -4,9 +4,19 @@
 
 import pytest
 import trio
-from heronthread_dispatch.model import Executor, Resources, Schedule, StepSpec, TaskKey
+from heronthread_dispatch.model import (
+    Executor,
+    JobSpec,
+    Life,
+    Queue,
+    Resources,
+    Schedule,
+    StepSpec,
+    TaskKey,
+)
 from heronthread_emulator import EmulatedSite, Told
-from heronthread_emulator.standing import PROMISE, Able, StandClock, has_room
+from heronthread_emulator.executors import Event
+from heronthread_emulator.standing import PROMISE, Able, StandClock, Works, has_room
 from heronthread_emulator.standing_site import StandingWitness
 
 Clock = trio.testing.MockClock
@@ -236,3 +246,20 @@
     assert [round(stand.counted_s, 1) for stand in clock.stands] == []
     clock.look(8.0, {}, True)
     assert [round(stand.counted_s, 1) for stand in clock.stands] == [4.8]
+
+
+@pytest.mark.parametrize("is_recorded", [False, True])
+def test_work_that_is_done_waits_for_nothing_once_the_store_has_it(is_recorded: bool) -> None:
+    """Its end was not taken note of, and the life that listed it is over.
+
+    A trace of the soak showed jobs that were done, recorded and shown as succeeded counted as
+    standing for up to 7.0 s, as the executors that still listed their ends had started again.
+    """
+    queue = Queue("ordinary", "host", "/ordinary/", "pool", 1, 4, 3.0, 1.0)
+    steps = (StepSpec(1, Resources(1000, 1000, 1), 1.0),)
+    spec = JobSpec("a", queue, "first", "", steps, 0.0)
+    works = Works(lambda life, number: False, lambda life: True, lambda task: is_recorded)
+    key, life = TaskKey(spec.id, 0, 0), Life("e0", 7)
+    for what, number in (("start", 0), ("done", 1)):
+        works.take(Event(1.0, what, key, 1, life.id, number=number, born=life.born))
+    assert (works.find_next(spec, 2.0) is None) is is_recorded
