--- a/packages/heronthread-dispatch/tests/test_late_over_takeover.py
+++ b/packages/heronthread-dispatch/tests/test_late_over_takeover.py
@@ -196,3 +196,24 @@
         assert [event.executor for event in started] == ["e1"]
         assert started[0].at <= lost_at + HOLDING_S + PLAN_S
         assert check_promises(site.executors, {}) == []
+
+
+async def test_start_of_an_earlier_owner_comes_to_a_life_born_after_the_next_run_began(
+    autojump_clock: Clock,
+) -> None:
+    """The next owner has heard the life before, which had nothing of it, and starts it elsewhere.
+
+    In a soak (seed 349) `start.decided` named run 1001 of a task at e5 at 10.31, 0.6 s after the
+    owner of the second term had heard e3; e3 ended, and its next life, born 11.53, carried the
+    first owner's run 1, sent 7.29, out at 12.40. The store named e3 for the job, not which tasks
+    had a start there without an answer, so that a life that was heard counted as proof of none.
+    """
+    async with EmulatedSite.open(hosts=3, executors=1) as site:
+        place = await _lose_start(site, 7.0)
+        lost_at = trio.current_time()
+        place.is_sick = True
+        await trio.sleep(6.5)
+        site.restart_executor("e0", lost_at + 7.0 - 0.01 - trio.current_time())
+        await trio.sleep(40.0)
+        assert check_promises(site.executors, {}) == []
+        assert [event.what for event in site.executors.events].count("done") == 1
