Name starts without an answer in the store, so that the next owner goes by tasks

Cause: the store named for each job its executors, not which tasks had a start there that might be late. So the next owner held whole jobs back while an executor was silent, and none once it was heard. Change: a job's progress lists its starts that go out or have no answer (executor, step, task, time); a start goes out once the store has it, and when all are answered the list is written anew. The next owner treats them like its own for the first 12 s of its term: such a task is started only where a life that has heard the term refuses the older start; its ends stay listed as long. Jobs whose records list starts are not held back as a whole any more by an executor that falls silent after it was heard. Records of versions that list none are treated as before; those versions ignore the list. No list where no life says its start. Left: a start that goes out while the store is away is not listed if its executor was named before. Price: a write more for each group of starts, where lives say their start only.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/late_starts.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/late_starts.py
@@ -8,13 +8,13 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
 import trio
 
 from .fleet import ExecutorState
-from .model import Life, TaskKey
+from .model import Life, OpenStart, TaskKey
 from .progress import Attempt
 
 LATE_ORDER_S = 12.0
@@ -23,11 +23,20 @@
 
 @dataclass(frozen=True, slots=True)
 class LateStart:
-    """A run whose start may be carried out at any life of an executor's id."""
+    """A run whose start may be carried out at any life of an executor's id.
+
+    An earlier owner's has a run that is not known, 0 here: each life that has heard this owner
+    refuses it.
+    """
 
     task: TaskKey
     run: int
 
+    @property
+    def is_inherited(self) -> bool:
+        """Whether it is an earlier owner's."""
+        return not self.run
+
 
 AGAIN_S = 0.25
 """Before a task is offered again to the only executor where it may be started, though it rests."""
@@ -59,6 +68,10 @@
         known[start] = attempt.sent_at + LATE_ORDER_S
         return before
 
+    def inherit(self, executor: str, task: TaskKey, until: float) -> None:
+        """Take in that an earlier owner may have had no answer to a start of a task."""
+        self._until[executor][LateStart(task, 0)] = until
+
     def settle(self, attempt: Attempt, before: float = 0.0) -> None:
         """Take in that the last send was carried out or refused; it was open until `before`."""
         start, known = LateStart(attempt.task, attempt.run), self._until.get(attempt.executor, {})
@@ -84,12 +97,15 @@
         """Take in that an executor has refused to start a task, so that it is not asked at once."""
         self._turned_away[task] = trio.current_time()
 
-    def find_pins(self, executors: Mapping[str, ExecutorState]) -> dict[TaskKey, str]:
+    def find_pins(
+        self, executors: Mapping[str, ExecutorState], unsure: Collection[str] = ()
+    ) -> dict[TaskKey, str]:
         """Return for each task that has open starts the one executor where it may be started.
 
         There the life that refuses them runs it, or takes that run with it when it ends, so the
         next life can carry an older start out beside no other run. `NOWHERE` while none does. An
-        executor that leaves, or is evacuated, takes none and pins none once its life refuses them.
+        executor that leaves, or is evacuated, takes none and pins none once its life refuses them,
+        and an earlier owner's start pins none to one that is silent and not among the `unsure`.
         """
         found: dict[TaskKey, str] = {}
         latest = trio.current_time() - AGAIN_S
@@ -100,6 +116,8 @@
                 is_refused = state is not None and self._is_refused(state, start)
                 if is_refused and state is not None and _takes_none(state):
                     continue
+                if start.is_inherited and not is_refused and name not in unsure:
+                    continue
                 is_free = is_refused and start.task not in self._turned_away
                 is_only = found.get(start.task, name) == name
                 found[start.task] = name if is_free and is_only else NOWHERE
@@ -111,6 +129,8 @@
             return False
         if any(task == start.task for task, _ in state.strays):
             return False
+        if start.is_inherited:
+            return True
         life, floors = self._floors.get(state.id, (state.life, {}))
         return life == state.life and start.run <= floors.get(start.task, 0)
 
@@ -139,6 +159,16 @@
             if any(start.task.job == job and until > now for start, until in starts.items())
         )
 
+    def list_job(self, job: str) -> frozenset[OpenStart]:
+        """Return the starts of a job that may still be carried out."""
+        now = trio.current_time()
+        return frozenset(
+            OpenStart(executor, start.task.step, start.task.member, start.task.occurrence)
+            for executor, starts in self._until.items()
+            for start, until in starts.items()
+            if start.task.job == job and until > now
+        )
+
     def list_open(self, executor: str) -> list[LateStart]:
         """Return the starts that may still be carried out by another life of an executor.
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/model.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/model.py
@@ -53,6 +53,15 @@
     occurrence: int = 0
 
 
+class OpenStart(NamedTuple):
+    """A start of one of a job's tasks that may have had no answer, by the executor's id."""
+
+    executor: str
+    step: int
+    member: int
+    occurrence: int
+
+
 @dataclass(frozen=True, slots=True)
 class StepSpec:
     """`count` equal tasks that become ready once all steps in `after` are done.
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
@@ -23,7 +23,7 @@
 from .fleet import ExecutorState
 from .owned import OwnedCell
 from .plan import Start
-from .progress import Attempt, Phase
+from .progress import Attempt, Phase, list_starts_under_way, open_start
 
 START_TRIES = 3
 RETRY_S = 0.05
@@ -121,13 +121,15 @@
         """
         job = orders[0][0].job
         executors = {attempt.executor for _, attempt in orders}
-        if job.places.covers(executors) and not job.places.inherited:
+        starts = {open_start(attempt) for _, attempt in orders if attempt.life.born}
+        is_named = job.places.covers(executors) and job.places.covers_starts(starts)
+        if is_named and not job.places.inherited:
             return True
         self.cell.recorder.mark(job)
         until = trio.current_time() + NAMING_PATIENCE_S
         while trio.current_time() < until and self.cell.parts.is_naming():
             with trio.move_on_after(NAMING_LOOK_S):
-                await self.cell.recorder.wait_named(job, executors)
+                await self.cell.recorder.wait_named(job, executors, starts)
                 return True
         return job.places.covers(executors)
 
@@ -223,6 +225,9 @@
                 attempt.phase = Phase.RUNNING
                 attempt.settled_at = now
                 attempt.moved_at = now
+            if attempt.life.born and not list_starts_under_way(start.job):
+                # A next owner would hold its tasks to where these starts went.
+                self.cell.recorder.mark(start.job)
             return
         attempt.refused_sends += 1
         self.cell.late_starts.note_turned_away(attempt.task)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
 import trio
@@ -19,7 +19,7 @@
 from .fleet import LONGEST_REST_S, ExecutorState
 from .keystore import KeyStore
 from .late_starts import LATE_ORDER_S, LateStarts
-from .model import NOTHING, DesiredState, TaskKey
+from .model import NOTHING, DesiredState, OpenStart, TaskKey
 from .policy import DEFAULT_POLICY, Policy
 from .progress import (
     UNSETTLED,
@@ -27,6 +27,7 @@
     JobState,
     Phase,
     TaskState,
+    list_starts_under_way,
     longest_chain_s,
     make_job,
 )
@@ -112,9 +113,7 @@
     def __init__(self, parts: OwnerParts, term: Term) -> None:
         self.parts = parts
         self.term = term
-        self.recorder = Recorder(
-            parts.store, term.guard, self.list_silent_ids, self._find_late, parts.relay
-        )
+        self.recorder = Recorder(parts.store, term.guard, self._update_places, parts.relay)
         self.jobs: dict[str, JobState] = {}
         self.active: dict[str, JobState] = {}
         self.executors: dict[str, ExecutorState] = {}
@@ -184,6 +183,13 @@
             term=self.term.number,
         )
 
+    def restore_starts(self, job: JobState, starts: Collection[OpenStart]) -> None:
+        """Take over which starts of a job an earlier owner may have had no answer to."""
+        for executor, step, member, occurrence in starts:
+            task = TaskKey(job.spec.id, step, member, occurrence)
+            if job.task(task) is not None:
+                self.late_starts.inherit(executor, task, self.late_until)
+
     # Crashes
 
     def restore_crashes(self, job: JobState) -> None:
@@ -297,7 +303,7 @@
                 return False
             if may_hold_any or task in held or job.places.may_be_at(named):
                 return True
-            return not job.places.earlier.isdisjoint(unsure)
+            return job.places.may_begin_at(unsure)
 
         return may_run
 
@@ -315,6 +321,17 @@
             return False
         return any(state.id in job.places.earlier for job in self.active.values())
 
+    def _update_places(self, jobs: Collection[JobState]) -> None:
+        """Bring up to date what the store is to name for the next owner of some jobs."""
+        silent = self.list_silent_ids()
+        may_share_ids = any(state.life.born for state in self.executors.values())
+        for job in jobs:
+            job.places.drop_known(silent)
+            job.places.late = self._find_late(job)
+            if may_share_ids:
+                late = self.late_starts.list_job(job.spec.id)
+                job.places.starts = late | list_starts_under_way(job)
+
     def _find_late(self, job: JobState) -> frozenset[str]:
         """Return where a start of a job may yet be carried out, by any owner, or a stray of it is.
 
@@ -354,7 +371,7 @@
 
     def find_pins(self) -> dict[TaskKey, str]:
         """Return for each task that has open starts where alone it may be started, if anywhere."""
-        return self.late_starts.find_pins(self.executors)
+        return self.late_starts.find_pins(self.executors, self.list_unsure())
 
     def silent(self) -> list[ExecutorState]:
         """Return the executors of an earlier owner of which nothing is known yet."""
@@ -437,7 +454,7 @@
         """
         held = {(attempt.task, attempt.run) for attempt in state.list_held()}
         for start in self.late_starts.list_open(state.id):
-            if (start.task, start.run) not in held:
+            if not start.is_inherited and (start.task, start.run) not in held:
                 self.stop_astray(state, start.task, start.run)
 
     def stop_gang(self, attempt: Attempt, reason: str) -> None:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -223,6 +223,7 @@
         if not isinstance(record, Unreadable) and job.fits(record):
             job.restore(record, item.revision)
             self.cell.restore_crashes(job)
+            self.cell.restore_starts(job, record.starts or ())
             return
         reason = record.reason if isinstance(record, Unreadable) else "it is not of this job"
         log_event("record.unreadable", key=item.key, reason=reason)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/places.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/places.py
@@ -11,6 +11,8 @@
 from collections.abc import Collection
 from dataclasses import dataclass
 
+from .model import OpenStart
+
 
 @dataclass(slots=True)
 class JobPlaces:
@@ -23,7 +25,9 @@
     that may be, for starts of this owner too. `inherited` are those that earlier owners named,
     while nothing is known of what is there, None if a run of theirs may be anywhere. `named` is
     what the store has, None if it names none; `on_its_way` what a write without an answer yet
-    names.
+    names. `starts` are those that may have no answer, None where no other life can carry them out;
+    `starts_named` are those that the store has for certain: a next owner begins these tasks again
+    only where an earlier start is refused. `lists_starts`: earlier owners named theirs.
     """
 
     spare: frozenset[str] = frozenset()
@@ -33,6 +37,9 @@
     inherited: frozenset[str] | None = frozenset()
     named: frozenset[str] | None = None
     on_its_way: frozenset[str] | None = None
+    lists_starts: bool = False
+    starts: frozenset[OpenStart] | None = None
+    starts_named: frozenset[OpenStart] = frozenset()
     _left_on_its_way: frozenset[str] = frozenset()
 
     def covers(self, executors: Collection[str]) -> bool:
@@ -41,6 +48,10 @@
             return False
         return self.on_its_way is None or self.on_its_way.issuperset(executors)
 
+    def covers_starts(self, starts: Collection[OpenStart]) -> bool:
+        """Whether the store has these starts, whatever becomes of a write under way."""
+        return self.starts_named.issuperset(starts)
+
     def list_covered(self) -> frozenset[str]:
         """Return all executors that the store names, whatever becomes of a write under way."""
         named = self.named or frozenset()
@@ -50,15 +61,20 @@
         """Take in that a write goes out; one before it without an answer may still be done."""
         names = names or frozenset()
         self.on_its_way = names if self.on_its_way is None else self.on_its_way & names
+        self.starts_named &= self.starts or frozenset()
         self._left_on_its_way = self.left
 
-    def end_write(self, names: frozenset[str] | None) -> None:
+    def end_write(
+        self, names: frozenset[str] | None, starts: frozenset[OpenStart] | None = None
+    ) -> None:
         """Take in that the store has what was written last; nothing before it is done any more."""
         self.named, self.on_its_way = names, None
+        self.starts_named = starts or frozenset()
         self.left -= self._left_on_its_way
 
-    def restore(self, named: frozenset[str] | None) -> None:
+    def restore(self, named: frozenset[str] | None, lists_starts: bool = False) -> None:
         """Take over what the store names."""
+        self.lists_starts = lists_starts
         self.named = self.inherited = named
         self.earlier = named or frozenset()
 
@@ -66,6 +82,10 @@
         """Whether a run of an earlier owner may be at one of these executors."""
         return self.inherited is None or not self.inherited.isdisjoint(silent)
 
+    def may_begin_at(self, unsure: Collection[str]) -> bool:
+        """Whether a start of an earlier owner that is not listed may be carried out at one."""
+        return not self.lists_starts and not self.earlier.isdisjoint(unsure)
+
     def drop_known(self, silent: Collection[str]) -> None:
         """Forget what earlier owners named at executors other than these, which answer nobody."""
         if not silent:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from .model import JobSpec, Life, Queue, Resources, StepSpec, TaskKey
+from .model import JobSpec, Life, OpenStart, Queue, Resources, StepSpec, TaskKey
 from .places import JobPlaces
 from .record import Blame, JobStatus, ProgressRecord, StepProgress
 
@@ -350,7 +350,8 @@
             for s in self.steps
         ]
         now_at = {attempt.executor for attempt in self.attempts()}
-        return ProgressRecord(self.status, steps, self.places.list_for_store(now_at))
+        places = self.places
+        return ProgressRecord(self.status, steps, places.list_for_store(now_at), places.starts)
 
     def fits(self, record: ProgressRecord) -> bool:
         """Whether a record has this job's steps, and names no task that it hasn't."""
@@ -365,7 +366,7 @@
         self.recorded = record.status
         self.failed = record.status is JobStatus.FAILED
         self.begun = record.status is not JobStatus.PENDING
-        self.places.restore(record.places)
+        self.places.restore(record.places, record.starts is not None)
         for step, saved in zip(self.steps, record.steps, strict=True):
             for task in step.tasks:
                 task.done = bool(saved.done >> task.index & 1)
@@ -376,6 +377,21 @@
                     task.note_crash(life, Blame.SUSPECTED if is_open else blame)
 
 
+def list_starts_under_way(job: JobState) -> frozenset[OpenStart]:
+    """Return the starts of a job that go out or have no answer yet, where another life may come."""
+    return frozenset(
+        open_start(attempt)
+        for attempt in job.attempts()
+        if attempt.life.born and attempt.phase is Phase.STARTING
+    )
+
+
+def open_start(attempt: Attempt) -> OpenStart:
+    """Return an attempt's start as the store names it."""
+    task = attempt.task
+    return OpenStart(attempt.executor, task.step, task.member, task.occurrence)
+
+
 def make_job(spec: JobSpec, now: float) -> JobState:
     """Return the state of a job of which nothing has run."""
     steps = [
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
@@ -7,7 +7,7 @@
 from enum import StrEnum
 from typing import Any
 
-from .model import ApprovalTerms, JobSpec, Life, Queue, Resources, Schedule, StepSpec
+from .model import ApprovalTerms, JobSpec, Life, OpenStart, Queue, Resources, Schedule, StepSpec
 
 MALFORMED = (
     KeyError,
@@ -235,12 +235,14 @@
     """How far a job has come, as far as it must outlast its owner.
 
     `places` are the ids of the executors at which a run of it may be, None if that may be any:
-    versions before this one named none.
+    versions before this one named none. `starts` are those that may have had no answer, None if
+    that may be any there.
     """
 
     status: JobStatus
     steps: list[StepProgress]
     places: frozenset[str] | None = None
+    starts: frozenset[OpenStart] | None = None
 
     def encode(self) -> bytes:
         """Return the stored form."""
@@ -250,6 +252,8 @@
             value["crashes"] = [_encode_crashes(s.crashes) for s in self.steps]
         if self.places is not None:
             value["places"] = sorted(self.places)
+        if self.starts is not None:
+            value["starts"] = sorted([*start] for start in self.starts)
         return json.dumps(value, separators=(",", ":")).encode()
 
     @classmethod
@@ -268,7 +272,14 @@
             step.crashes = {int(index): _decode_blames(rows) for index, rows in crashes.items()}
         places = value.get("places")
         named = None if places is None else frozenset(map(str, places))
-        return cls(JobStatus(value["status"]), steps, named)
+        starts = value.get("starts")
+        open_starts = None if starts is None else frozenset(map(_read_start, starts))
+        return cls(JobStatus(value["status"]), steps, named, open_starts)
+
+
+def _read_start(value: list[Any]) -> OpenStart:
+    executor, step, member, occurrence = value
+    return OpenStart(str(executor), int(step), int(member), int(occurrence))
 
 
 def _encode_crashes(crashes: dict[int, dict[Life, Blame]]) -> dict[int, list[list[Any]]]:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/recorder.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/recorder.py
@@ -14,6 +14,7 @@
 
 from .events import log_event
 from .keystore import CommitOutcome, Committed, Item, KeyStore, Mismatch, Put, Transaction
+from .model import OpenStart
 from .progress import JobState
 from .relay import StoreRelay
 
@@ -39,8 +40,8 @@
     return f"{PROGRESS_PREFIX}{job_id}"
 
 
-def _find_none(job: JobState) -> frozenset[str]:
-    return frozenset()
+def _change_nothing(jobs: Collection[JobState]) -> None:
+    pass
 
 
 @dataclass(slots=True)
@@ -49,16 +50,14 @@
 
     `guard` is the owner's key and its revision: a write of a past owner never takes effect,
     however late it arrives. Each job's own revision keeps our late writes from undoing
-    newer ones. `list_silent` names the executors of which an earlier owner's runs are not known.
-    `find_late` returns the executors that a job may yet be started at by an order that is late.
+    newer ones. `update_places` brings what jobs' places name up to date before they are written.
     `relay` is another way to the store.
     `_open` holds, for each job that was marked, the first mark that is not in the store.
     """
 
     store: KeyStore
     guard: tuple[str, int]
-    list_silent: Callable[[], Collection[str]] = tuple
-    find_late: Callable[[JobState], frozenset[str]] = _find_none
+    update_places: Callable[[Collection[JobState]], None] = _change_nothing
     relay: StoreRelay | None = None
     dirty: dict[str, JobState] = field(default_factory=dict)
     marked: int = 0
@@ -82,9 +81,14 @@
         while min(self._open.values(), default=wanted + 1) <= wanted:
             await self._progressed.wait()
 
-    async def wait_named(self, job: JobState, executors: Collection[str]) -> None:
-        """Wait until the store names executors for a job, which is to be marked before."""
-        while not job.places.covers(executors):
+    async def wait_named(
+        self, job: JobState, executors: Collection[str], starts: Collection[OpenStart] = ()
+    ) -> None:
+        """Wait until the store names executors for a job, which is to be marked before.
+
+        And until it has the starts that are to go out there.
+        """
+        while not (job.places.covers(executors) and job.places.covers_starts(starts)):
             await self._progressed.wait()
 
     async def run(self) -> None:
@@ -121,10 +125,9 @@
             self._work.set()
 
     async def _write_once(self, jobs: list[JobState]) -> bool:
-        silent, marked = self.list_silent(), self.marked
+        marked = self.marked
+        self.update_places(jobs)
         for job in jobs:
-            job.places.drop_known(silent)
-            job.places.late = self.find_late(job)
             self.dirty.pop(job.spec.id, None)
         records = [job.to_record() for job in jobs]
         crash_notes = [job.crash_notes for job in jobs]
@@ -141,7 +144,7 @@
                 job.revision = outcome.revision
                 job.recorded = record.status
                 job.crash_notes_recorded = notes
-                job.places.end_write(record.places)
+                job.places.end_write(record.places, record.starts)
                 self._note_written(job, marked)
             self._progressed.set()
             self._progressed = trio.Event()
