Hold a pinned task to its pool, its label and its step's limit

Cause: by reading the change: a task that may go to one executor alone was started there whatever pool, label or limit of its step said, though another life may be of another kind and a queue may have moved to another pool. Not seen broken. Change: the same conditions as for any other start; with a limit the step's other tasks are counted beside it by the next plan. Comments lose their figures.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/confirming.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/confirming.py
@@ -42,8 +42,7 @@
     """Look at an executor that has not answered, and again beside a look without an answer yet.
 
     Return the first answer, and when its look was sent. One answer may be lost, or seconds late,
-    while the next comes at once; looked at one by one, four lost answers left it silent for 3.4 s,
-    with all work that only it can vouch for.
+    while the next comes at once, and work that only this executor can vouch for waits for it.
     """
     order = HoldOrder(cell.term.number, 0, None, 0.0)
     sender, receiver = trio.open_memory_channel[tuple[HoldOutcome, float]](MOST_LOOKS)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/late_starts.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/late_starts.py
@@ -60,7 +60,7 @@
     def note(self, attempt: Attempt) -> float:
         """Take in that a send of an attempt's start goes out; return until when it was open."""
         if not attempt.life.born:
-            # No other life can carry it out; waiting for one kept tasks from free room for 14 s.
+            # No other life can carry it out, so waiting for one would only keep its task back.
             return 0.0
         self.list_open(attempt.executor)
         start, known = LateStart(attempt.task, attempt.run), self._until[attempt.executor]
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -351,7 +351,10 @@
         free = _leave_pinned_out(candidate)
         if not free.tasks:
             return pinned
-        placed = self._gangs.place(free, usable, keeps_out, self._count_by_executor(candidate))
+        held = self._count_by_executor(candidate)
+        if candidate.step.spec.spread_limit:
+            held += Counter(room.state.id for _, room in pinned)
+        placed = self._gangs.place(free, usable, keeps_out, held)
         if not placed:
             _give_back(candidate, pinned)
             return []
@@ -364,22 +367,31 @@
 
         One that rests takes them too: it may be well, and nobody else may.
         """
-        placed = []
-        need = candidate.step.spec.need
-        for task in candidate.tasks if candidate.pins else ():
-            name = candidate.pins.get(task.index)
-            room = None if name is None else self._find_pinned_room(candidate, name)
-            if room is None or not room.fits(need):
+        placed: list[tuple[TaskState, Room]] = []
+        if not candidate.pins:
+            return placed
+        spec, counts = candidate.step.spec, self._count_by_executor(candidate)
+        for task in candidate.tasks:
+            name = candidate.pins.get(task.index, NOWHERE)
+            room = self._find_pinned_room(candidate, name)
+            if room is None or not room.fits(spec.need):
                 continue
-            room.take(need)
+            if spec.spread_limit and counts[name] >= spec.spread_limit:
+                continue
+            room.take(spec.need)
+            counts[name] += 1
             placed.append((task, room))
         return placed
 
     def _find_pinned_room(self, candidate: Candidate, name: str) -> Room | None:
         """Return the room at an executor that a step may be pinned to, None if it takes none."""
-        state = self._states.get(name)
+        state, label = self._states.get(name), candidate.step.spec.label
         if state is None or not _takes_pinned(state, self.now):
             return None
+        if state.executor.pool != candidate.queue.pool:
+            return None
+        if label and label not in state.executor.labels:
+            return None
         if candidate.named is not None and name not in candidate.named:
             return None
         if candidate.queue.approval is not None and (
@@ -394,10 +406,11 @@
 
     def _place_single(self, candidate: Candidate, keeps_out: bool) -> list[tuple[TaskState, Room]]:
         pinned = self._place_pinned(candidate)
-        candidate = _leave_pinned_out(candidate)
-        if not candidate.tasks:
+        free = _leave_pinned_out(candidate)
+        if not free.tasks or (pinned and candidate.step.spec.spread_limit):
+            # With a limit the rest is counted beside these by the next plan, which comes at once.
             return pinned
-        return pinned + self._place_free(candidate, keeps_out)
+        return pinned + self._place_free(free, keeps_out)
 
     def _place_free(self, candidate: Candidate, keeps_out: bool) -> list[tuple[TaskState, Room]]:
         spec = candidate.step.spec
--- a/packages/heronthread-dispatch/tests/test_planner.py
+++ b/packages/heronthread-dispatch/tests/test_planner.py
@@ -1,9 +1,11 @@
 """Plans at the larger size: the same with and without what is remembered within one plan."""
 
 import random
+from dataclasses import replace
 
 import pytest
 import trio
+from heronthread_dispatch.late_starts import NOWHERE
 from heronthread_dispatch.model import JobSpec, Resources, StepSpec, TaskKey
 from heronthread_dispatch.plan import Plan
 from heronthread_dispatch.planner import Planner
@@ -126,6 +128,66 @@
     assert len(starts) == 2
 
 
+def _make_pinned(count: int, *, gang: bool = False, **more: object) -> JobState:
+    step = StepSpec(count, Resources(100, 100, 1), 1.0, gang=gang, **more)  # type: ignore[arg-type]
+    return make_job(JobSpec("a", DESIRED.queues[0], "t", "", (step,), NOW), NOW)
+
+
+def _plan_pinned(job: JobState, states: list, pins: dict[int, str]) -> dict[int, str]:
+    """Return where the tasks of a job's step go, of which some may go to one executor alone."""
+    keys = {TaskKey("a", 0, index): name for index, name in pins.items()}
+    plan = Planner([job], states, DESIRED, NOW, NOW, pins=keys).make()
+    return {index: executor for _, index, executor in _list_starts(plan)}
+
+
+@pytest.mark.parametrize("gang", [False, True])
+def test_a_pinned_task_goes_to_its_executor_alone(gang: bool) -> None:
+    states = make_executors(4)
+    placed = _plan_pinned(_make_pinned(3, gang=gang), states, {1: states[3].id})
+    assert placed[1] == states[3].id
+    assert len(placed) == 3
+
+
+@pytest.mark.parametrize("gang", [False, True])
+def test_a_task_that_may_go_nowhere_waits_and_its_gang_with_it(gang: bool) -> None:
+    placed = _plan_pinned(_make_pinned(3, gang=gang), make_executors(4), {1: NOWHERE})
+    assert sorted(placed) == ([] if gang else [0, 2])
+
+
+@pytest.mark.parametrize("gang", [False, True])
+def test_a_pinned_task_waits_where_its_executor_takes_none(gang: bool) -> None:
+    """It rests: it takes what may go nowhere else. It is silent, or full: it takes nothing."""
+    states = make_executors(4)
+    pins = {1: states[3].id}
+    states[3].rest_until = NOW + 5
+    assert _plan_pinned(_make_pinned(3, gang=gang), states, pins)[1] == states[3].id
+    states[3].silent_since = NOW - 1
+    assert 1 not in _plan_pinned(_make_pinned(3, gang=gang), states, pins)
+    states[3].silent_since, states[3].free = None, Resources()
+    assert 1 not in _plan_pinned(_make_pinned(3, gang=gang), states, pins)
+
+
+@pytest.mark.parametrize("gang", [False, True])
+def test_a_pinned_task_goes_by_pool_label_and_limit_like_any_other(gang: bool) -> None:
+    """Another life of its executor may be of another kind, and its queue of another pool."""
+    states = make_executors(4)
+    pins = {1: states[3].id}
+    assert 1 not in _plan_pinned(_make_pinned(3, gang=gang, label="other"), states, pins)
+    for state in states[:3]:
+        state.executor = replace(state.executor, pool="other")
+    states[3].executor = replace(states[3].executor, pool="other")
+    assert _plan_pinned(_make_pinned(3, gang=gang), states, pins) == {}
+    states = make_executors(4)
+    limited = _make_pinned(3, gang=gang, spread_limit=1)
+    stray = Attempt(TaskKey("a", 0, 1), 1, states[3].life, Resources(), NOW, Phase.STOPPING)
+    states[3].occupy_astray(stray)
+    assert 1 not in _plan_pinned(limited, states, pins)
+    states[3].release(stray)
+    placed = _plan_pinned(_make_pinned(3, gang=gang, spread_limit=1), states, pins)
+    assert placed[1] == states[3].id
+    assert len(set(placed.values())) == len(placed)
+
+
 def _list_starts(plan: Plan) -> list[tuple[str, int, str]]:
     return [
         (start.job.spec.id, start.task.index, start.executor.id)
