Plant the settling of open sends in both places that know of them

The defect closes a start by any refusal; since starts without an answer hold their task to the executor that refuses them, that alone starts nothing twice, as late_starts still knows the open send.

--- a/packages/heronthread-emulator/src/heronthread_emulator/plants.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/plants.py
@@ -120,6 +120,7 @@
 
     def settle(self: Orders, start: Any, attempt: Attempt, outcome: Any) -> None:
         attempt.unanswered = 0
+        self.cell.late_starts.settle(attempt)
         original(self, start, attempt, outcome)
 
     return patch.object(Orders, "_settle_start", settle)
--- a/packages/heronthread-emulator/tests/test_plants.py
+++ b/packages/heronthread-emulator/tests/test_plants.py
@@ -11,7 +11,7 @@
     "forget-silent-executors": 0,
     "count-no-failures": 7,
     "show-success-early": 0,
-    "settle-by-any-refusal": 14,
+    "settle-by-any-refusal": 27,
     "take-missing-entries-as-gone": 11,
     "forget-cancelled-runs": 5,
     "start-in-evacuated-domains": 0,
