Plant starts that no record names, for as long as they run

The defect sent a start before the store named its executor; since a job is written once its starts are answered, the name was there some milliseconds later, and no next owner was misled. Change: the defect names the executors of no runs at all, as its name says, which is more of the same defect. Ruled out: a blind check.

--- a/packages/heronthread-emulator/src/heronthread_emulator/plants.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/plants.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Callable, Iterator
-from contextlib import AbstractContextManager, contextmanager, nullcontext
+from collections.abc import Callable, Collection, Iterator
+from contextlib import AbstractContextManager, ExitStack, contextmanager, nullcontext
 from dataclasses import replace
 from typing import Any
 from unittest.mock import patch
@@ -23,6 +23,7 @@
 from heronthread_dispatch.orders import Orders
 from heronthread_dispatch.owned import OwnedCell
 from heronthread_dispatch.owner import ENTRY_BACK_S, Owner
+from heronthread_dispatch.places import JobPlaces
 from heronthread_dispatch.plan import Start
 from heronthread_dispatch.progress import Attempt, JobState
 from heronthread_dispatch.record import MALFORMED, ProgressRecord
@@ -240,12 +241,18 @@
 
 
 def _start_where_no_record_names() -> Any:
-    """A start is sent before the store names its executor for the job."""
+    """A start is sent though the store does not name its executor for the job, then or later."""
 
     async def name_none(self: Orders, orders: list[tuple[Start, Attempt]]) -> bool:
         return True
 
-    return patch.object(Orders, "_name_places", name_none)
+    def list_others(self: JobPlaces, now_at: Collection[str]) -> frozenset[str] | None:
+        return None if self.inherited is None else self.inherited | self.spare
+
+    stack = ExitStack()
+    stack.enter_context(patch.object(Orders, "_name_places", name_none))
+    stack.enter_context(patch.object(JobPlaces, "list_for_store", list_others))
+    return stack
 
 
 PLANTS: dict[str, Plant] = {
