--- a/tests/plain_planner/planner.py
+++ b/tests/plain_planner/planner.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from heronthread_dispatch.approval import LARGEST_QUESTION, USUAL_QUESTION, Approvals, Question
 from heronthread_dispatch.fleet import ExecutorState
@@ -49,7 +49,10 @@
         policy: Policy = DEFAULT_POLICY,
         stop_s: float = USUAL_STOP_S,
         is_naming: bool = True,
+        pins: Mapping[TaskKey, str] | None = None,
     ) -> None:
+        self._pins = pins or {}
+        assert not any(self._pins.values()), "pins to an executor are tried in test_planner"
         self._is_naming = is_naming
         self.policy = policy
         self.jobs = list(jobs)
@@ -125,7 +128,8 @@
         self, job: JobState, step: StepState, tasks: list[TaskState]
     ) -> list[TaskState]:
         """Leave out the tasks that an earlier owner's run may still be working on."""
-        return [t for t in tasks if not self._may_run(job.key_of(step, t))]
+        keys = ((task, job.key_of(step, task)) for task in tasks)
+        return [t for t, key in keys if key not in self._pins and not self._may_run(key)]
 
     def _rank(self, job: JobState, step: StepState, queue: Queue) -> Turn:
         guaranteed = job.spec.id in self.guaranteed
