Find the pins once a look, and the executors of late starts from the starts

Cause: the last reading of the change: the look for standing jobs worked out all pins anew for each job that stands, and list_executors walked the open starts in a copy of list_job. Change: one call a look, handed on; list_executors goes through list_job. Linter and types clean; test_waiting, test_late_starts, test_places, test_recorder, test_orders: 46 passed.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/late_starts.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/late_starts.py
@@ -152,12 +152,7 @@
 
     def list_executors(self, job: str) -> frozenset[str]:
         """Return the executors at which a start of a job may still be carried out."""
-        now = trio.current_time()
-        return frozenset(
-            executor
-            for executor, starts in self._until.items()
-            if any(start.task.job == job and until > now for start, until in starts.items())
-        )
+        return frozenset(start.executor for start in self.list_job(job))
 
     def list_job(self, job: str) -> frozenset[OpenStart]:
         """Return the starts of a job that may still be carried out."""
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/waiting.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/waiting.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Any
@@ -76,11 +76,11 @@
         self._told_at = {n: at for n, at in self._told_at.items() if n in waiting}
         long = [name for name, since in self._since.items() if now - since >= STANDS_S]
         rooms = _Rooms(self.cell, now)
-        withheld = self.cell.find_withheld()
+        withheld, pins = self.cell.find_withheld(), self.cell.find_pins()
         self.standing = []
         for name in long:
             job, step = self.cell.active[name], waiting[name]
-            found = self._explain(job, step, rooms, withheld)
+            found = self._explain(job, step, rooms, withheld, pins)
             if found is not None:
                 self.standing.append(found)
         due = [s for s in self.standing if self._is_due(s, now)]
@@ -114,6 +114,7 @@
         step: StepState,
         rooms: _Rooms,
         withheld: Callable[[TaskKey], bool] | None,
+        pins: Mapping[TaskKey, str],
     ) -> Standstill | None:
         """Return what withholds a job from the room that there is; None if there is none."""
         pool = self.cell.parts.desired().current_queue(job.spec).pool
@@ -127,7 +128,7 @@
         keys = [job.key_of(step, task) for task in step.open_tasks()]
         if job.has_attempts:
             cause = WaitCause.OWN_RUN
-        elif not self.cell.find_pins().keys().isdisjoint(keys):
+        elif not pins.keys().isdisjoint(keys):
             cause = WaitCause.LATE_START
         elif withheld is not None and any(map(withheld, keys)):
             doubt = self.cell.find_doubt()
