Give the emulated hosts the timing that their executors have

Cause: EmulatedSite passes the timing by position. A field was inserted before the last two since then, so that hosts of every emulated play worked with a longest lease of 0.1 s (executors grant 10 s), a stop time of 3.0 s (executors take 0.1 s) and the default gang timeout.

Ruled out: that a deployment is concerned; platform settings pass all of it by name.

--- a/packages/heronthread-emulator/src/heronthread_emulator/site.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/site.py
@@ -375,7 +375,7 @@
             name,
             name,
             strength=self.strengths.get(name, Strength()),
-            timing=Timing(6.0, 0.1, 3.0),
+            timing=Timing(executor_lease_s=6.0, stop_s=0.1, gang_timeout_s=3.0),
             policy=self.policy,
         )
 
