Confirm that an executor refuses the last run before the next one

What callers saw: one task at work twice at once.

Cause: only the instance that has seen a stop or an end refuses a run's number. A start under the next number was sent to an executor of which the last start had no answer. Lost as well, both are carried out by a new instance that has seen neither.

Fix: before a new number goes out, the start of the run before is sent again until it is refused as old; it repeats a number that may be late anyway. Starts under two numbers withhold their task. Progress lists the numbers of unanswered starts apart from the rows that earlier versions read, and a new owner stops them. Found beside it: an inherited start pinned nothing while an orphaned run of its task was being stopped.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/late_starts.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/late_starts.py
@@ -25,17 +25,13 @@
 class LateStart:
     """A run whose start may still be carried out by any instance with the executor's id.
 
-    The run number of an earlier owner's start is unknown and 0 here. Every instance that has seen
-    this owner's token refuses it.
+    `is_inherited` marks the start of an earlier owner, which every instance that has seen this
+    owner's token refuses. Its run number is 0 if an earlier version recorded it.
     """
 
     task: TaskKey
     run: int
-
-    @property
-    def is_inherited(self) -> bool:
-        """Whether the start was sent by an earlier owner."""
-        return not self.run
+    is_inherited: bool = False
 
 
 RETRY_REFUSED_S = 0.25
@@ -47,8 +43,10 @@
 class LateStarts:
     """The unanswered starts of one owner by executor id; times are on trio's clock.
 
-    A start is tracked from the time when it is sent. `_refused_runs` holds, for each executor, the
-    instance that refuses old runs, with the highest refused run of each task.
+    A start is tracked from the time when it is sent. A new instance that has seen no run of a task
+    carries out every late start of it, so starts under two numbers must not go unanswered: a start
+    is sent only where the start of the run before was refused just now. `_refused_runs` holds, for
+    each executor, the instance that refuses old runs, with the highest refused run of each task.
     """
 
     def __init__(self) -> None:
@@ -67,9 +65,9 @@
         known[start] = attempt.sent_at + MAX_ORDER_DELAY_S
         return before
 
-    def inherit(self, executor: str, task: TaskKey, until: float) -> None:
+    def inherit(self, executor: str, task: TaskKey, run: int, until: float) -> None:
         """Track a start of a task that an earlier owner may have left without an answer."""
-        self._until[executor][LateStart(task, 0)] = until
+        self._until[executor][LateStart(task, run, is_inherited=True)] = until
 
     def settle(self, attempt: Attempt, before: float = 0.0) -> None:
         """Remove the last, answered send; `before` restores the expiry time of earlier sends."""
@@ -99,15 +97,15 @@
     def find_required_executors(
         self, executors: Mapping[str, ExecutorState], uncertain: Collection[str] = ()
     ) -> dict[TaskKey, str]:
-        """Return the only executor at which each task with unresolved starts may be started.
+        """Return the only executor at which each task with an unresolved start may be started.
 
-        The instance there refuses the earlier starts, and a later instance can carry one out only
-        after this one has ended with all its runs. The value is `NOWHERE` while there is no such
-        instance. An executor that is leaving or evacuated pins no task once its instance refuses
-        the starts. A start of an earlier owner pins no task to an unresponsive executor unless that
-        is among the `uncertain` ones.
+        The instance there refuses the run, and a later instance can carry it out only after this
+        one has ended with all its runs. The value is `NOWHERE` while there is no such instance, or
+        if starts of several runs are unresolved. An executor that is leaving or evacuated pins no
+        task once its instance refuses the start. A start of an earlier owner pins no task to an
+        unresponsive executor unless that is among the `uncertain` ones.
         """
-        found: dict[TaskKey, str] = {}
+        found: dict[TaskKey, tuple[str, int]] = {}
         latest = trio.current_time() - RETRY_REFUSED_S
         self._refused_at = {t: at for t, at in self._refused_at.items() if at > latest}
         for name in list(self._until):
@@ -116,23 +114,31 @@
                 is_refused = state is not None and self._is_refused(state, start)
                 if is_refused and state is not None and _accepts_no_work(state):
                     continue
-                if start.is_inherited and not is_refused and name not in uncertain:
+                if start.is_inherited and not _reports(state) and name not in uncertain:
                     continue
-                is_free = is_refused and start.task not in self._refused_at
-                is_only = found.get(start.task, name) == name
-                found[start.task] = name if is_free and is_only else NOWHERE
-        return found
+                is_stopped = state is not None and self.is_stopped(state, start.task, start.run)
+                is_free = is_stopped and start.task not in self._refused_at
+                is_only = found.get(start.task, (name, start.run)) == (name, start.run)
+                found[start.task] = (name, start.run) if is_free and is_only else (NOWHERE, 0)
+        return {task: name for task, (name, _) in found.items()}
+
+    def find_open_run(self, task: TaskKey, executor: str) -> int:
+        """Return the highest run number of a task's unresolved starts there, 0 if it has none."""
+        starts = (start for start in self.list_unresolved(executor) if start.task == task)
+        return max((start.run for start in starts), default=0)
+
+    def is_stopped(self, state: ExecutorState, task: TaskKey, run: int) -> bool:
+        """Return whether a run was stopped or has ended at the executor's current instance."""
+        if not run or not _is_observed(state, task):
+            return False
+        instance, floors = self._refused_runs.get(state.id, (state.instance, {}))
+        return instance == state.instance and run <= floors.get(task, 0)
 
     def _is_refused(self, state: ExecutorState, start: LateStart) -> bool:
         """Return whether the executor's current instance refuses a start, and has no run of it."""
-        if state.dead or not state.has_reported or state.unresponsive_since is not None:
-            return False
-        if any(task == start.task for task, _ in state.orphans):
-            return False
         if start.is_inherited:
-            return True
-        instance, floors = self._refused_runs.get(state.id, (state.instance, {}))
-        return instance == state.instance and start.run <= floors.get(start.task, 0)
+            return _is_observed(state, start.task)
+        return self.is_stopped(state, start.task, start.run)
 
     def find_deadline(self, task: TaskKey) -> float:
         """Return until when a start of a task may be carried out, 0.0 if there is none."""
@@ -155,7 +161,7 @@
         now = trio.current_time()
         found = {
             UnresolvedStart(
-                executor, start.task.step, start.task.member, start.task.occurrence
+                executor, start.task.step, start.task.member, start.task.occurrence, start.run
             ): until
             for executor, starts in self._until.items()
             for start, until in starts.items()
@@ -174,6 +180,18 @@
         return list(known)
 
 
+def _reports(state: ExecutorState | None) -> bool:
+    """Return whether an executor has reported, and still does."""
+    if state is None or state.dead:
+        return False
+    return state.has_reported and state.unresponsive_since is None
+
+
+def _is_observed(state: ExecutorState, task: TaskKey) -> bool:
+    """Return whether an executor reports, and lists no orphaned run of a task."""
+    return _reports(state) and all(orphan != task for orphan, _ in state.orphans)
+
+
 def _accepts_no_work(state: ExecutorState) -> bool:
     """Return whether an executor takes no new work, so that no task can be pinned to it.
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/model.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/model.py
@@ -54,12 +54,16 @@
 
 
 class UnresolvedStart(NamedTuple):
-    """A start of a job's task that may be unanswered, with the executor's id."""
+    """A start of a job's task that may be unanswered, with the executor's id.
+
+    `run` is 0 if an earlier version recorded the start.
+    """
 
     executor: str
     step: int
     member: int
     occurrence: int
+    run: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
@@ -21,6 +21,7 @@
     Unhealthy,
 )
 from .fleet import ExecutorState
+from .model import NO_RESOURCES
 from .owned_cell import OwnedCell
 from .plan import Start
 from .probing import wait_for_reports
@@ -116,9 +117,68 @@
         if not await self._record_placements(orders):
             self._abandon_unsent(orders, "the store does not name its executor")
             return
+        if not await self._confirm_refusals(orders, checkpoint):
+            self._abandon_unsent(orders, "its executor may still take an earlier start")
+            return
         for start, attempt in orders:
             self._nursery.start_soon(self._start, start, attempt, checkpoint)
 
+    async def _confirm_refusals(self, orders: list[tuple[Start, Attempt]], checkpoint: str) -> bool:
+        """Return whether the executors have just refused the earlier runs with unresolved starts.
+
+        Such a run was stopped. Its start is sent once more, because an executor that leaves this
+        one unanswered would leave a start under the new number unanswered as well, and a new
+        instance would carry out both.
+        """
+        for start, attempt in orders:
+            run = self.cell.late_starts.find_open_run(attempt.task, attempt.executor)
+            if not 0 < run < attempt.run:
+                continue
+            if not await self._is_run_refused(start, attempt, run, checkpoint):
+                self.cell.late_starts.note_start_refused(attempt.task)
+                return False
+        return True
+
+    async def _is_run_refused(
+        self, start: Start, attempt: Attempt, run: int, checkpoint: str
+    ) -> bool:
+        """Send the start of an earlier run; return whether the executor refuses it as old."""
+        state = start.executor
+        for _ in range(START_TRIES):
+            if start.task.attempt is not attempt or self._find_obstacle(state) is not None:
+                return False
+            now = trio.current_time()
+            until = state.deadline_ms(now, self.cell.parts.timing.executor_lease_s)
+            if until is None or not self.cell.late_starts.is_stopped(state, attempt.task, run):
+                return False
+            sent = Attempt(attempt.task, run, attempt.instance, NO_RESOURCES, now, sent_at=now)
+            order = self._make_start_order(start, sent, checkpoint, until)
+            open_until = self.cell.late_starts.track(sent)
+            outcome = await self.cell.parts.link.start(state.executor, order)
+            self._log_send("start", sent, 1, now, outcome)
+            if not isinstance(outcome, NoAnswer) or outcome.unsent:
+                self.cell.late_starts.settle(sent, open_until)
+            if not isinstance(outcome, NoAnswer | Unhealthy):
+                return isinstance(outcome, Refused) and outcome.reason is Refusal.OLD_RUN
+            await trio.sleep(RETRY_S)
+        return False
+
+    def _make_start_order(
+        self, start: Start, attempt: Attempt, checkpoint: str, until: int
+    ) -> StartOrder:
+        ticket = self.cell.approvals.find_ticket(
+            attempt.task._replace(member=0), start.executor.instance
+        )
+        return StartOrder(
+            attempt.task,
+            attempt.run,
+            start.job.spec.payload,
+            checkpoint,
+            self.cell.term.number,
+            until,
+            ticket or "",
+        )
+
     def _abandon_unsent(self, orders: list[tuple[Start, Attempt]], reason: str) -> None:
         for start, attempt in orders:
             if start.task.attempt is attempt:
@@ -145,7 +205,6 @@
 
     async def _start(self, start: Start, attempt: Attempt, checkpoint: str) -> None:
         state = start.executor
-        payload = start.job.spec.payload
         if start.task.crashes and not await self._record_trial(start, attempt):
             return
         # All sends share one deadline, as a later one would extend the time in which they may be
@@ -165,16 +224,7 @@
                 self._give_up(attempt, obstacle)
                 return
             now = trio.current_time()
-            order = StartOrder(
-                attempt.task,
-                attempt.run,
-                payload,
-                checkpoint,
-                self.cell.term.number,
-                until,
-                self.cell.approvals.find_ticket(attempt.task._replace(member=0), state.instance)
-                or "",
-            )
+            order = self._make_start_order(start, attempt, checkpoint, until)
             attempt.sends += 1
             attempt.sent_at = now
             attempt.is_in_flight = True
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
@@ -209,10 +209,10 @@
         until = self.late_orders_until
         if left_s is not None:
             until = min(until, trio.current_time() + left_s)
-        for executor, step, member, occurrence in starts:
+        for executor, step, member, occurrence, run in starts:
             task = TaskKey(job.spec.id, step, member, occurrence)
             if job.task(task) is not None:
-                self.late_starts.inherit(executor, task, until)
+                self.late_starts.inherit(executor, task, run, until)
 
     # Crashes
 
@@ -501,7 +501,7 @@
         """
         held = {(attempt.task, attempt.run) for attempt in state.list_held()}
         for start in self.late_starts.list_unresolved(state.id):
-            if not start.is_inherited and (start.task, start.run) not in held:
+            if start.run and (start.task, start.run) not in held:
                 self.stop_orphan(state, start.task, start.run)
 
     def stop_gang(self, attempt: Attempt, reason: str) -> None:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
@@ -267,7 +267,10 @@
             value["places"] = sorted(self.places)
             value["place_tasks"] = encode_masks(self.places)
         if self.starts is not None:
-            value["starts"] = sorted([*start] for start in self.starts)
+            starts = sorted(self.starts)
+            # Apart, as earlier versions read rows without a run number.
+            value["starts"] = [start[:-1] for start in starts]
+            value["start_runs"] = [start.run for start in starts]
         if self.starts and self.starts_left_s is not None:
             value["starts_left_s"] = self.starts_left_s
         return json.dumps(value, separators=(",", ":")).encode()
@@ -290,7 +293,7 @@
         masks = value.get("place_tasks", {})
         named = None if places is None else decode_masks(places, masks)
         starts = value.get("starts")
-        open_starts = None if starts is None else frozenset(map(_read_start, starts))
+        open_starts = None if starts is None else _read_starts(starts, value.get("start_runs"))
         left_s = read_remaining_s(value.get("starts_left_s"))
         return cls(JobStatus(value["status"]), steps, named, open_starts, left_s)
 
@@ -308,9 +311,15 @@
     return math.ceil(max(0.0, left_s) * 10) / 10
 
 
-def _read_start(value: list[Any]) -> UnresolvedStart:
+def _read_starts(rows: Any, runs: Any) -> frozenset[UnresolvedStart]:
+    """Decode the unanswered starts; earlier versions stored no run numbers."""
+    runs = [0] * len(rows) if runs is None else runs
+    return frozenset(_read_start(row, run) for row, run in zip(rows, runs, strict=True))
+
+
+def _read_start(value: list[Any], run: Any) -> UnresolvedStart:
     executor, step, member, occurrence = value
-    return UnresolvedStart(str(executor), int(step), int(member), int(occurrence))
+    return UnresolvedStart(str(executor), int(step), int(member), int(occurrence), int(run))
 
 
 def _encode_crashes(
--- a/packages/heronthread-dispatch/tests/test_orders.py
+++ b/packages/heronthread-dispatch/tests/test_orders.py
@@ -8,7 +8,7 @@
 
 import pytest
 import trio
-from heronthread_dispatch.executor_link import OrderOutcome, StopOrder
+from heronthread_dispatch.executor_link import OrderOutcome, StartOrder, StopOrder
 from heronthread_dispatch.model import Executor, Resources, TaskKey
 from heronthread_dispatch.record import JobStatus
 from heronthread_emulator import EmulatedSite, check_promises
@@ -187,6 +187,42 @@
         assert await _status(site, "a") is JobStatus.SUCCEEDED
 
 
+async def test_next_run_is_sent_only_once_the_earlier_start_is_refused(
+    autojump_clock: Clock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against unanswered starts under two numbers, which a new instance would both run.
+
+    The executor stops answering starts again after the stop of the first run.
+    """
+    async with EmulatedSite.open(hosts=1, executors=1) as site:
+        await site.wait_for_owner()
+        start, stop, place = site.executors.start, site.executors.stop, site.executors.by_id["e0"]
+        sent = list[tuple[int, str]]()
+
+        async def note_start(executor: Executor, order: StartOrder) -> OrderOutcome:
+            outcome = await start(executor, order)
+            place.is_sick |= not sent
+            sent.append((order.run, type(outcome).__name__))
+            return outcome
+
+        async def lose_next_start(executor: Executor, order: StopOrder) -> OrderOutcome:
+            place.lose_starts, place.is_sick = 1, False
+            return await stop(executor, order)
+
+        monkeypatch.setattr(site.executors, "start", note_start)
+        monkeypatch.setattr(site.executors, "stop", lose_next_start)
+        place.lose_starts, place.late_s = 1, 9.0
+        await site.hosts["h0"].requests.accept(site.make_job("a", work_s=1.0), 2.0)
+        await trio.sleep(8.0)
+        assert [s for s in sent if s != (1, "Unhealthy")] == [
+            (1, "NoAnswer"),
+            (1, "NoAnswer"),
+            (1, "Refused"),
+            (2, "Acknowledged"),
+        ]
+        assert await _status(site, "a") is JobStatus.SUCCEEDED
+
+
 async def test_unsent_attempt_is_closed_when_its_gang_is_stopped(
     autojump_clock: Clock,
 ) -> None:
--- a/packages/heronthread-dispatch/tests/test_record.py
+++ b/packages/heronthread-dispatch/tests/test_record.py
@@ -6,11 +6,20 @@
 import trio
 from heronthread_dispatch.executors_in_use import decode_used
 from heronthread_dispatch.host_lease import HostRecord
-from heronthread_dispatch.model import ApprovalTerms, JobSpec, Queue, Resources, Schedule, StepSpec
+from heronthread_dispatch.model import (
+    ApprovalTerms,
+    JobSpec,
+    Queue,
+    Resources,
+    Schedule,
+    StepSpec,
+    UnresolvedStart,
+)
 from heronthread_dispatch.owned_cell import job_key
 from heronthread_dispatch.record import (
     JobRecord,
     JobStatus,
+    ProgressRecord,
     Unreadable,
     decode_job,
     decode_progress,
@@ -111,3 +120,19 @@
 
 def test_a_record_of_another_job_is_not_taken_for_its_progress() -> None:
     assert isinstance(decode_progress(b'{"status":"done","steps":[]}'), Unreadable)
+
+
+def test_run_numbers_of_unanswered_starts_are_apart_from_the_rows_of_earlier_versions() -> None:
+    starts = frozenset({UnresolvedStart("e1", 0, 2, 0, 7), UnresolvedStart("e0", 1, 0, 0, 1001)})
+    data = ProgressRecord(JobStatus.PENDING, [], starts=starts).encode()
+    value = json.loads(data)
+    assert value["starts"] == [["e0", 1, 0, 0], ["e1", 0, 2, 0]]
+    assert ProgressRecord.decode(data).starts == starts
+    del value["start_runs"]
+    earlier = ProgressRecord.decode(json.dumps(value).encode())
+    assert earlier.starts == {start._replace(run=0) for start in starts}
+
+
+def test_unanswered_starts_with_too_few_run_numbers_are_set_aside() -> None:
+    data = b'{"status":"pending","steps":[],"starts":[["e0",0,0,0]],"start_runs":[]}'
+    assert isinstance(decode_progress(data), Unreadable)
--- a/packages/heronthread-emulator/tests/test_soak_restarts.py
+++ b/packages/heronthread-emulator/tests/test_soak_restarts.py
@@ -42,3 +42,12 @@
     """
     seeds = (24, 31, 42, 102, 111)
     assert [v for seed in seeds for v in run_soak(seed, LATE_OVER_OWNERS).violations] == []
+
+
+def test_members_of_a_gang_with_two_late_runs_do_not_overlap() -> None:
+    """Guards against a run that is ordered while a start of the stopped run before is under way.
+
+    Both starts went unanswered, and the executor's next instance carried them out.
+    """
+    violations = run_soak(35, LATE_OVER_OWNERS).violations
+    assert [v for v in violations if v.promise != STANDING] == []
