Count late orders of this owner alone for a new instance's lease

Cause: a new instance counted as held for 12 s and a longest lease, if any start without an answer was known at its id. A new instance that has reported refuses the starts of earlier owners, and a refused order extends no lease. Every run there waited for 22 s once the instance fell silent.

Ruled out: that the wait is owed to the runs' own leases (6 s).

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/executor_restart.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/executor_restart.py
@@ -63,9 +63,11 @@
 def _find_max_lease_s(cell: OwnedCell, new: ExecutorState) -> float:
     """Return for how long (s) orders for the previous instance can keep runs at the new one.
 
-    Their deadlines are on the other clock, so the new instance may grant its longest lease.
+    Their deadlines are on the other clock, so the new instance may grant its longest lease. It
+    refuses the orders of earlier owners.
     """
-    late_s = MAX_ORDER_DELAY_S if cell.late_starts.list_unresolved(new.id) else 0.0
+    own_starts = (s for s in cell.late_starts.list_unresolved(new.id) if not s.is_inherited)
+    late_s = MAX_ORDER_DELAY_S if any(own_starts) else 0.0
     return late_s + cell.parts.timing.max_executor_lease_s * (1 + CLOCK_DRIFT) + LEASE_MARGIN_S
 
 
