Wait for a late run at an executor that has not reported

What callers saw: one task at work twice at once.

Cause: the wait counted for how long an unanswered start may be late (12 s), not how long its run lasts then: up to the longest lease, as its deadline is on another instance's clock. Evidence: that test's records, start sent 13.1, carried out 21.1 by the new instance, task started elsewhere 22.6.

Fix: inherited starts count for 10.5 s more until their executor reports; progress has the time until their runs are over beside what earlier versions read.

One bound changed: test_a_late_start_withholds_its_task_for_no_longer_over_takeovers asked for the start after the 12 s alone, where the run may go on; it is 10.5 s later.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/executor_watch.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/executor_watch.py
@@ -316,6 +316,7 @@
             self._close_unanswered_stops(listed, sent)
         if not state.has_reported and report.is_complete:
             state.has_reported = True
+            self.cell.late_starts.note_reported(state.id)
             self.cell.stop_late_starts(state)
             log_event(
                 "executor.heard",
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/late_starts.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/late_starts.py
@@ -47,12 +47,18 @@
     carries out every late start of it, so starts under two numbers must not go unanswered: a start
     is sent only where the start of the run before was refused just now. `_refused_runs` holds, for
     each executor, the instance that refuses old runs, with the highest refused run of each task.
+
+    A run that began late lasts for up to `longest_run_s`, as its deadline is on the clock of
+    another instance. If an earlier owner sent its start, it is possible until then, or until the
+    executor reports to this owner.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, longest_run_s: float = 0.0) -> None:
+        self._longest_run_s = longest_run_s
         self._until: dict[str, dict[LateStart, float]] = defaultdict(dict)
         self._refused_runs: dict[str, tuple[ExecutorInstance, dict[TaskKey, int]]] = {}
         self._refused_at: dict[TaskKey, float] = {}
+        self._unreported: set[str] = set()
 
     def track(self, attempt: Attempt) -> float:
         """Track a send of an attempt's start; return the previous expiry time."""
@@ -68,6 +74,11 @@
     def inherit(self, executor: str, task: TaskKey, run: int, until: float) -> None:
         """Track a start of a task that an earlier owner may have left without an answer."""
         self._until[executor][LateStart(task, run, is_inherited=True)] = until
+        self._unreported.add(executor)
+
+    def note_reported(self, executor: str) -> None:
+        """Record that an executor has reported to this owner."""
+        self._unreported.discard(executor)
 
     def settle(self, attempt: Attempt, before: float = 0.0) -> None:
         """Remove the last, answered send; `before` restores the expiry time of earlier sends."""
@@ -103,18 +114,22 @@
         one has ended with all its runs. The value is `NOWHERE` while there is no such instance, or
         if starts of several runs are unresolved. An executor that is leaving or evacuated pins no
         task once its instance refuses the start. A start of an earlier owner pins no task to an
-        unresponsive executor unless that is among the `uncertain` ones.
+        executor that reported to this owner and then fell silent, unless that is `uncertain`.
         """
         found: dict[TaskKey, tuple[str, int]] = {}
         latest = trio.current_time() - RETRY_REFUSED_S
         self._refused_at = {t: at for t, at in self._refused_at.items() if at > latest}
         for name in list(self._until):
             state = executors.get(name)
+            is_unreported = name in self._unreported
+            is_lost = not _reports(state) and not is_unreported and name not in uncertain
+            for start in self._list_possible_runs(name) if is_unreported else ():
+                found[start.task] = (NOWHERE, 0)
             for start in self.list_unresolved(name):
                 is_refused = state is not None and self._is_refused(state, start)
                 if is_refused and state is not None and _accepts_no_work(state):
                     continue
-                if start.is_inherited and not _reports(state) and name not in uncertain:
+                if start.is_inherited and is_lost:
                     continue
                 is_stopped = state is not None and self.is_stopped(state, start.task, start.run)
                 is_free = is_stopped and start.task not in self._refused_at
@@ -157,27 +172,39 @@
         return trio.current_time() < until
 
     def list_open_of_job(self, job: str) -> tuple[frozenset[UnresolvedStart], float]:
-        """Return the unresolved starts of a job, and for how long (s) they may be carried out."""
-        now = trio.current_time()
+        """Return a job's starts whose runs may begin or go on, and until when they may begin."""
         found = {
             UnresolvedStart(
                 executor, start.task.step, start.task.member, start.task.occurrence, start.run
             ): until
-            for executor, starts in self._until.items()
-            for start, until in starts.items()
-            if start.task.job == job and until > now
+            for executor in list(self._until)
+            for start, until in self._list_known(executor).items()
+            if start.task.job == job
         }
-        return frozenset(found), max(found.values(), default=now) - now
+        return frozenset(found), max(found.values(), default=trio.current_time())
 
     def list_unresolved(self, executor: str) -> list[LateStart]:
-        """Return the unresolved starts at an executor, and forget those that have expired."""
+        """Return the unresolved starts at an executor."""
         now = trio.current_time()
-        known = {s: until for s, until in self._until.pop(executor, {}).items() if until > now}
+        return [start for start, until in self._list_known(executor).items() if now < until]
+
+    def _list_known(self, executor: str) -> dict[LateStart, float]:
+        """Return the starts at an executor, and forget those whose runs are over."""
+        now = trio.current_time()
+        starts = self._until.pop(executor, {})
+        known = {s: until for s, until in starts.items() if now < until + self._longest_run_s}
         if known:
             self._until[executor] = known
         else:
             self._refused_runs.pop(executor, None)
-        return list(known)
+            self._unreported.discard(executor)
+        return known
+
+    def _list_possible_runs(self, executor: str) -> list[LateStart]:
+        """Return the inherited starts that can't be carried out now, but whose runs may go on."""
+        now = trio.current_time()
+        known = self._list_known(executor)
+        return [start for start, until in known.items() if start.is_inherited and until <= now]
 
 
 def _reports(state: ExecutorState | None) -> bool:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
@@ -31,7 +31,7 @@
     list_pending_starts,
     make_job,
 )
-from .record import JobRecord, round_remaining_s
+from .record import JobRecord, ProgressRecord, round_remaining_s
 from .recorder import Recorder
 from .relay import StoreRelay
 from .stalls import StallHistory
@@ -87,6 +87,11 @@
     far_factor: float = 3.0
     retention_s: float = 600.0
 
+    @property
+    def longest_run_s(self) -> float:
+        """How long a run may last if its deadline is on the clock of another instance."""
+        return self.max_executor_lease_s * SLOW_FACTOR
+
     @property
     def max_run_after_order_s(self) -> float:
         """How long runs may continue after the last order of their owner was sent."""
@@ -140,7 +145,7 @@
         self.approvals = Approvals(parts.approver, self.wake_planner)
         self.pending_stops: list[tuple[Attempt, str]] = []
         self.stops_requested = trio.Event()
-        self.late_starts = LateStarts()
+        self.late_starts = LateStarts(parts.timing.longest_run_s)
         now = trio.current_time()
         self.late_orders_until = now + MAX_ORDER_DELAY_S
         self.unreported_runs_until = now + parts.timing.max_unreported_run_s
@@ -203,17 +208,18 @@
             term=self.term.number,
         )
 
-    def restore_starts(
-        self, job: JobState, starts: Collection[UnresolvedStart], left_s: float | None
-    ) -> None:
+    def restore_starts(self, job: JobState, record: ProgressRecord) -> None:
         """Restore the starts of a job that an earlier owner may have left without an answer.
 
-        `left_s` is the recorded time for which they may still be late. It is not counted from the
-        start of this term, so that frequent takeovers do not delay the task without limit.
+        The recorded remaining time is not counted from the start of this term, so that frequent
+        takeovers do not delay the task without limit.
         """
-        until = self.late_orders_until
-        if left_s is not None:
-            until = min(until, trio.current_time() + left_s)
+        until, now = self.late_orders_until, trio.current_time()
+        if record.runs_left_s is not None:
+            until = min(until, now + record.runs_left_s - self.parts.timing.longest_run_s)
+        elif record.starts_left_s is not None:
+            until = min(until, now + record.starts_left_s)
+        starts = record.starts or frozenset()
         for executor, step, member, occurrence, run in starts:
             task = TaskKey(job.spec.id, step, member, occurrence)
             if job.task(task) is not None:
@@ -369,12 +375,18 @@
         may_share_ids = any(state.instance.born for state in self.executors.values())
         for job in jobs:
             job.places.drop_resolved(silent)
-            late, left_s = self.late_starts.list_open_of_job(job.spec.id)
+            late, until = self.late_starts.list_open_of_job(job.spec.id)
             job.places.late = self._find_late(job, late)
             if may_share_ids:
                 under_way = list_pending_starts(job)
+                left_s = until - trio.current_time()
                 job.places.starts = late | under_way
                 job.places.starts_left_s = None if under_way else round_remaining_s(left_s)
+                job.places.runs_left_s = (
+                    None
+                    if under_way
+                    else round_remaining_s(left_s + self.parts.timing.longest_run_s)
+                )
 
     def _find_late(self, job: JobState, starts: Collection[UnresolvedStart]) -> TaskMasks:
         """Return where starts of a job may still be carried out late, or orphaned runs of it exist.
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -214,7 +214,7 @@
         if not isinstance(record, Unreadable) and job.fits(record):
             job.restore(record, item.revision)
             self.cell.restore_crashes(job)
-            self.cell.restore_starts(job, record.starts or (), record.starts_left_s)
+            self.cell.restore_starts(job, record)
             return
         reason = record.reason if isinstance(record, Unreadable) else "it is not of this job"
         log_event("record.unreadable", key=item.key, reason=reason)
@@ -299,14 +299,15 @@
         self._mark(lambda job: job.places.inherited is None or bool(job.places.inherited))
 
     async def _expire_late_starts(self) -> None:
-        """Remove the recorded late starts of earlier owners once they have expired.
+        """Remove the recorded late starts of earlier owners once their runs are over.
 
         Until then their remaining time is written periodically.
         """
-        while trio.current_time() < self.cell.late_orders_until:
+        late_runs_until = self.cell.late_orders_until + self.parts.timing.longest_run_s
+        while trio.current_time() < late_runs_until:
             await trio.sleep(LATE_STARTS_WRITE_INTERVAL_S)
-            self._mark(lambda job: bool(job.places.starts))
-        self._mark(lambda job: bool(job.places.earlier))
+            self._mark(lambda job: bool(job.places.starts or job.places.earlier))
+        self._mark(lambda job: bool(job.places.starts))
 
     def _mark(self, is_meant: Callable[[JobState], bool]) -> None:
         """Mark the active jobs that match for recording."""
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/placements.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/placements.py
@@ -30,6 +30,7 @@
       has.
     - `starts`: starts that may be unanswered, None where no other instance can carry them out.
     - `starts_left_s`: for how long `starts` may be carried out, None if one may still be sent.
+    - `runs_left_s`: for how long their runs may go on, None as for `starts_left_s`.
     - `has_time_limit`: whether the store may have a value of `starts_left_s`.
     - `recorded_starts`: the starts that the store certainly has. The next owner restarts their
       tasks only where the earlier start is refused.
@@ -46,6 +47,7 @@
     lists_starts: bool = False
     starts: frozenset[UnresolvedStart] | None = None
     starts_left_s: float | None = None
+    runs_left_s: float | None = None
     has_time_limit: bool = False
     recorded_starts: frozenset[UnresolvedStart] = frozenset()
     _left_in_flight: TaskMasks = field(default_factory=dict)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
@@ -422,7 +422,14 @@
         now_at, places = self.locate_attempts(self.attempts()), self.places
         ahead = self._preassign_waiting({*now_at, *places.left})
         named = places.list_to_record(unite(now_at, ahead))
-        return ProgressRecord(self.status, steps, named, places.starts, places.starts_left_s)
+        return ProgressRecord(
+            self.status,
+            steps,
+            named,
+            places.starts,
+            places.starts_left_s,
+            places.runs_left_s,
+        )
 
     def fits(self, record: ProgressRecord) -> bool:
         """Return whether a record matches the job's steps and tasks."""
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
@@ -248,7 +248,8 @@
     `places` maps executors to the tasks that may be there; None if any task may be anywhere.
     Earlier versions stored no places, or no tasks with them. `starts` are those that may be
     unanswered, None if any may be. They may be carried out for at most `starts_left_s` after the
-    write, None if one may still be sent.
+    write, and their runs may go on for at most `runs_left_s`; None if one may still be sent.
+    Earlier versions stored no `runs_left_s`.
     """
 
     status: JobStatus
@@ -256,6 +257,7 @@
     places: TaskMasks | None = None
     starts: frozenset[UnresolvedStart] | None = None
     starts_left_s: float | None = None
+    runs_left_s: float | None = None
 
     def encode(self) -> bytes:
         """Return the stored form."""
@@ -273,6 +275,8 @@
             value["start_runs"] = [start.run for start in starts]
         if self.starts and self.starts_left_s is not None:
             value["starts_left_s"] = self.starts_left_s
+        if self.starts and self.runs_left_s is not None:
+            value["runs_left_s"] = self.runs_left_s
         return json.dumps(value, separators=(",", ":")).encode()
 
     @classmethod
@@ -295,7 +299,8 @@
         starts = value.get("starts")
         open_starts = None if starts is None else _read_starts(starts, value.get("start_runs"))
         left_s = read_remaining_s(value.get("starts_left_s"))
-        return cls(JobStatus(value["status"]), steps, named, open_starts, left_s)
+        runs_left_s = read_remaining_s(value.get("runs_left_s"))
+        return cls(JobStatus(value["status"]), steps, named, open_starts, left_s, runs_left_s)
 
 
 def read_remaining_s(value: Any) -> float | None:
--- a/packages/heronthread-dispatch/tests/test_late_over_takeover.py
+++ b/packages/heronthread-dispatch/tests/test_late_over_takeover.py
@@ -19,6 +19,8 @@
 """From the start of a term until the lease of an unresponsive executor has certainly expired."""
 MAX_ORDER_DELAY_S = 12.0
 """The longest delay of an unanswered start."""
+MAX_RUN_S = 10.5
+"""The longest lease, on a clock that may be slow: how long a run that began late may last."""
 RECORD_INTERVAL_S = 1.5
 """How old the recorded remaining time may be."""
 PLAN_S = 0.5
@@ -232,5 +234,5 @@
             await site.wait_for_owner()
         # The time between two owners is not counted.
         late_orders_until += 2 * (TAKEOVER_S + RECORD_INTERVAL_S)
-        await trio.sleep_until(late_orders_until + PLAN_S)
+        await trio.sleep_until(late_orders_until + MAX_RUN_S + PLAN_S)
         assert len(site.executors.starts(TASK)) == 1
--- a/packages/heronthread-dispatch/tests/test_unreported_instance.py
+++ b/packages/heronthread-dispatch/tests/test_unreported_instance.py
@@ -41,3 +41,25 @@
         await site.wait_for_owner()
         await trio.sleep(40.0)
         assert check_promises(site.executors, {}) == []
+
+
+async def test_owner_does_not_start_a_task_beside_a_late_run_that_it_cannot_reach(
+    autojump_clock: Clock,
+) -> None:
+    """Guards against the same fault where the owner that sent the start lives on."""
+    async with EmulatedSite.open(hosts=2, executors=1) as site:
+        site.said_after_s = 1000.0
+        owner = await site.wait_for_owner()
+        await trio.sleep(13.0)
+        place = site.executors.by_id["e0"]
+        place.lose_starts, place.late_s = 1, LATE_S
+        host = site.hosts[next(name for name in site.hosts if name != owner)]
+        site.nursery.start_soon(site.accept, host, site.make_job("a", work_s=30.0), 2.0)
+        while place.lose_starts:
+            await trio.sleep(0.002)
+        await trio.sleep(0.01)
+        site.restart_executor("e0", 0.5)
+        site.nursery.start_soon(_partition_next_instance, site)
+        site.add_executor("e1", "r1")
+        await trio.sleep(40.0)
+        assert check_promises(site.executors, {}) == []
