--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
@@ -446,7 +446,6 @@
     def limit_earlier_runs(self, ended_at: float) -> None:
         """Shorten the wait for silent executors, as earlier owners sent no orders since a time."""
         until = ended_at + self.parts.timing.max_run_after_order_s
-        self.unreported_runs_until = min(self.unreported_runs_until, until)
         for state in self.silent():
             state.lease_ends_by = min(state.lease_ends_by, until)
         self.wake_planner()
