Do not wait for a late run at an executor that is gone

Cause: an inherited start without an answer counted until its run would be over at any executor that had not reported to this owner, also one that no owner will hear again: another id answers at its address, or the owner before had dropped it.

Ruled out: that the executor may be back under that id; where ids are used again, the next instance answers under the same one, and neither a 421 nor a dropped record tells it gone.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/executor_watch.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/executor_watch.py
@@ -66,6 +66,8 @@
             if self.state.dead or self._can_be_dropped():
                 break
         self.cell.handle_instance_end(self.state)
+        if self.state.dead:
+            self.cell.late_starts.note_observed(self.state.id)
         self._close_all("the executor is gone")
         self.cell.executors.pop(self.state.id, None)
 
@@ -316,7 +318,7 @@
             self._close_unanswered_stops(listed, sent)
         if not state.has_reported and report.is_complete:
             state.has_reported = True
-            self.cell.late_starts.note_reported(state.id)
+            self.cell.late_starts.note_observed(state.id)
             self.cell.stop_late_starts(state)
             log_event(
                 "executor.heard",
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/late_starts.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/late_starts.py
@@ -50,7 +50,7 @@
 
     A run that began late lasts for up to `longest_run_s`, as its deadline is on the clock of
     another instance. If an earlier owner sent its start, it is possible until then, or until the
-    executor reports to this owner.
+    executor reports to this owner or is known to be gone.
     """
 
     def __init__(self, longest_run_s: float = 0.0) -> None:
@@ -71,13 +71,19 @@
         known[start] = attempt.sent_at + MAX_ORDER_DELAY_S
         return before
 
-    def inherit(self, executor: str, task: TaskKey, run: int, until: float) -> None:
-        """Track a start of a task that an earlier owner may have left without an answer."""
+    def inherit(
+        self, executor: str, task: TaskKey, run: int, until: float, *, is_gone: bool = False
+    ) -> None:
+        """Track a start of a task that an earlier owner may have left without an answer.
+
+        `is_gone`: that owner knew that the executor is gone, so its id is not used again.
+        """
         self._until[executor][LateStart(task, run, is_inherited=True)] = until
-        self._unreported.add(executor)
+        if not is_gone:
+            self._unreported.add(executor)
 
-    def note_reported(self, executor: str) -> None:
-        """Record that an executor has reported to this owner."""
+    def note_observed(self, executor: str) -> None:
+        """Record that an executor has reported to this owner, or is known to be gone."""
         self._unreported.discard(executor)
 
     def settle(self, attempt: Attempt, before: float = 0.0) -> None:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
@@ -223,7 +223,8 @@
         for executor, step, member, occurrence, run in starts:
             task = TaskKey(job.spec.id, step, member, occurrence)
             if job.task(task) is not None:
-                self.late_starts.inherit(executor, task, run, until)
+                is_gone = executor not in self.executors
+                self.late_starts.inherit(executor, task, run, until, is_gone=is_gone)
 
     # Crashes
 
--- a/packages/heronthread-dispatch/tests/test_late_over_takeover.py
+++ b/packages/heronthread-dispatch/tests/test_late_over_takeover.py
@@ -236,3 +236,27 @@
         late_orders_until += 2 * (TAKEOVER_S + RECORD_INTERVAL_S)
         await trio.sleep_until(late_orders_until + MAX_RUN_S + PLAN_S)
         assert len(site.executors.starts(TASK)) == 1
+
+
+@pytest.mark.parametrize("takeovers", [0, 1])
+async def test_late_start_at_an_executor_that_is_gone_delays_no_task(
+    takeovers: int, autojump_clock: Clock
+) -> None:
+    """Guards against a wait for a run at an id that is not used again.
+
+    Another executor answers at the address; a later owner finds no record of the one before.
+    """
+    async with EmulatedSite.open(hosts=4, executors=1) as site:
+        await _lose_start(site, 30.0)
+        site.executors.by_id["e1"].is_sick = True
+        site.crash_executor("e0")
+        await site.wait_for_owner()
+        await trio.sleep(5.0)
+        for _ in range(takeovers):
+            site.kill_host(await site.wait_for_owner())
+            await site.wait_for_owner()
+        site.executors.by_id["e1"].is_sick = False
+        await trio.sleep(1.5)
+        assert len(site.executors.starts(TASK)) == 1
+        await trio.sleep(40.0)
+        assert check_promises(site.executors, {}) == []
