Let a task with two unanswered starts go on where both are refused

Cause: starts of one task under two numbers withheld it for up to 12 s, although two that are under way overlap whether or not a third is sent. Traced: run 1 asked again "old run", run 2 "no answer", then LATE_START until 11.8 s. Ruled out: load alone; the line names the cause.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/late_starts.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/late_starts.py
@@ -117,12 +117,12 @@
         """Return the only executor at which each task with an unresolved start may be started.
 
         The instance there refuses the run, and a later instance can carry it out only after this
-        one has ended with all its runs. The value is `NOWHERE` while there is no such instance, or
-        if starts of several runs are unresolved. An executor that is leaving or evacuated pins no
-        task once its instance refuses the start. A start of an earlier owner pins no task to an
+        one has ended with all its runs. The value is `NOWHERE` while there is no such
+        instance. An executor that is leaving or evacuated pins no task once its instance refuses
+        the start. A start of an earlier owner pins no task to an
         executor that reported to this owner and then fell silent, unless that is `uncertain`.
         """
-        found: dict[TaskKey, tuple[str, int]] = {}
+        found: dict[TaskKey, str] = {}
         latest = trio.current_time() - RETRY_REFUSED_S
         self._refused_at = {t: at for t, at in self._refused_at.items() if at > latest}
         for name in list(self._until):
@@ -130,7 +130,7 @@
             is_unreported = name in self._unreported
             is_lost = not _reports(state) and not is_unreported and name not in uncertain
             for start in self._list_possible_runs(name) if is_unreported else ():
-                found[start.task] = (NOWHERE, 0)
+                found[start.task] = NOWHERE
             for start in self.list_unresolved(name):
                 is_refused = state is not None and self._is_refused(state, start)
                 if is_refused and state is not None and _accepts_no_work(state):
@@ -139,9 +139,9 @@
                     continue
                 is_stopped = state is not None and self.is_stopped(state, start.task, start.run)
                 is_free = is_stopped and start.task not in self._refused_at
-                is_only = found.get(start.task, (name, start.run)) == (name, start.run)
-                found[start.task] = (name, start.run) if is_free and is_only else (NOWHERE, 0)
-        return {task: name for task, (name, _) in found.items()}
+                is_only = found.get(start.task, name) == name
+                found[start.task] = name if is_free and is_only else NOWHERE
+        return found
 
     def find_open_run(self, task: TaskKey, executor: str) -> int:
         """Return the highest run number of a task's unresolved starts there, 0 if it has none."""
