Replace clock readings that are too old, so that leases end in time

What callers could have seen since: a task at work twice at once after a takeover, on executors whose clock is slow.

Cause: a takeover ends its wait 6.49 s after the predecessor's last order, but a clock reading of a short round trip was kept while it was narrower than those of long polls, 33 s with polls of 1 s. On a clock that is 2% slow, the deadline is then up to 0.6 s later than assumed.

Change: a reading is replaced after 2 s, and the bound counts what such a reading may be off by (6.55 s). Ruled out: counting the 1.2 s of a living owner again, which would take back most of what saves.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
@@ -14,6 +14,8 @@
 LEASE_MARGIN_S = 0.3
 MAX_ROUND_TRIP_S = 0.3
 """How much a long round trip may extend a lease, out of the 1.2 s that a new owner waits longer."""
+MAX_READING_AGE_S = 2.0
+"""After this age a clock reading is replaced by a less precise one, as the clock may be slow."""
 MIN_BACKOFF_S = 0.7
 MAX_BACKOFF_S = 6.0
 
@@ -231,11 +233,12 @@
         self.news = trio.Event()
 
     def read_clock(self, sent: float, received: float, clock_ms: int) -> None:
-        """Keep a clock reading if it is more precise than the last one."""
+        """Keep a clock reading if it is more precise than the last one, or that is too old."""
         if self.clock is not None:
             old_sent, old_received, _ = self.clock
-            widened = old_received - old_sent + (received - old_received) * CLOCK_DRIFT
-            if received - sent > widened:
+            age_s = received - old_received
+            widened = old_received - old_sent + age_s * CLOCK_DRIFT
+            if received - sent > widened and age_s < MAX_READING_AGE_S:
                 return
         self.clock = (sent, received, clock_ms)
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
@@ -15,7 +15,13 @@
 from .evacuation import Evacuations
 from .events import describe_run, log_event
 from .executor_link import EndedRun, EndKind, ExecutorLink
-from .fleet import CLOCK_DRIFT, MAX_BACKOFF_S, MAX_ROUND_TRIP_S, ExecutorState
+from .fleet import (
+    CLOCK_DRIFT,
+    MAX_BACKOFF_S,
+    MAX_READING_AGE_S,
+    MAX_ROUND_TRIP_S,
+    ExecutorState,
+)
 from .host_lease import Term
 from .keystore import KeyStore
 from .late_starts import MAX_ORDER_DELAY_S, LateStarts
@@ -95,7 +101,8 @@
     @property
     def max_run_after_order_s(self) -> float:
         """How long runs may continue after the last order of their owner was sent."""
-        return (self.executor_lease_s + MAX_ROUND_TRIP_S) * (1 + CLOCK_DRIFT)
+        reading_error_s = MAX_ROUND_TRIP_S + MAX_READING_AGE_S * CLOCK_DRIFT
+        return (self.executor_lease_s + reading_error_s) * (1 + CLOCK_DRIFT)
 
     @property
     def max_unreported_run_s(self) -> float:
