Wait for late runs of an owner's own starts as well

What callers saw: one task at work twice at once, with the owner that sent the start alive.

Change: own starts count for as long as a late run may last; a report forgets the starts that it rules out; the longest lease is computed in one place instead of three.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/executor_restart.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/executor_restart.py
@@ -12,7 +12,7 @@
 import trio
 
 from .executor_link import Report
-from .fleet import CLOCK_DRIFT, LEASE_MARGIN_S, ExecutorState, make_executor_state
+from .fleet import ExecutorState, make_executor_state
 from .late_starts import MAX_ORDER_DELAY_S
 from .owned_cell import OwnedCell
 from .progress import UNSETTLED, Attempt, Phase
@@ -68,7 +68,7 @@
     """
     own_starts = (s for s in cell.late_starts.list_unresolved(new.id) if not s.is_inherited)
     late_s = MAX_ORDER_DELAY_S if any(own_starts) else 0.0
-    return late_s + cell.parts.timing.max_executor_lease_s * (1 + CLOCK_DRIFT) + LEASE_MARGIN_S
+    return late_s + cell.parts.timing.longest_run_s
 
 
 def _make_state(cell: OwnedCell, old: ExecutorState, born: int, now: float) -> ExecutorState:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/executor_watch.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/executor_watch.py
@@ -20,7 +20,7 @@
     Unhealthy,
 )
 from .executor_restart import replace_instance
-from .fleet import CLOCK_DRIFT, LEASE_MARGIN_S, ExecutorState
+from .fleet import ExecutorState
 from .model import Executor, ExecutorInstance, TaskKey
 from .owned_cell import OwnedCell
 from .probing import needs_probe
@@ -67,7 +67,7 @@
                 break
         self.cell.handle_instance_end(self.state)
         if self.state.dead:
-            self.cell.late_starts.note_observed(self.state.id)
+            self.cell.late_starts.note_gone(self.state.id)
         self._close_all("the executor is gone")
         self.cell.executors.pop(self.state.id, None)
 
@@ -301,6 +301,8 @@
         state = self.state
         state.mark_reported(received)
         state.read_clock(sent, received, report.clock_ms)
+        if report.is_complete:
+            self.cell.late_starts.note_report(state.id, sent)
         listed = {(run.task, run.run) for run in report.running}
         fresh = [end for end in report.ended if end.number > state.processed_end]
         for end in sorted(fresh, key=lambda end: end.number):
@@ -309,8 +311,7 @@
             self._defer_acknowledgement(end)
         if report.running and state.lease_ends_by < received:
             # Runs that a new instance started for a late order would otherwise be closed at once.
-            longest_s = self.cell.parts.timing.max_executor_lease_s * (1 + CLOCK_DRIFT)
-            state.lease_ends_by = received + longest_s + LEASE_MARGIN_S
+            state.lease_ends_by = received + self.cell.parts.timing.longest_run_s
         for run in report.running:
             self._update_running(run, received)
         if report.is_complete:
@@ -318,7 +319,6 @@
             self._close_unanswered_stops(listed, sent)
         if not state.has_reported and report.is_complete:
             state.has_reported = True
-            self.cell.late_starts.note_observed(state.id)
             self.cell.stop_late_starts(state)
             log_event(
                 "executor.heard",
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/late_starts.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/late_starts.py
@@ -49,8 +49,9 @@
     each executor, the instance that refuses old runs, with the highest refused run of each task.
 
     A run that began late lasts for up to `longest_run_s`, as its deadline is on the clock of
-    another instance. If an earlier owner sent its start, it is possible until then, or until the
-    executor reports to this owner or is known to be gone.
+    another instance. It is possible until then, or until the executor reports or is known to be
+    gone. `_unreported` are executors with starts of earlier owners that have not reported to this
+    one, and `_gone` those whose ids are not used again.
     """
 
     def __init__(self, longest_run_s: float = 0.0) -> None:
@@ -59,6 +60,7 @@
         self._refused_runs: dict[str, tuple[ExecutorInstance, dict[TaskKey, int]]] = {}
         self._refused_at: dict[TaskKey, float] = {}
         self._unreported: set[str] = set()
+        self._gone: set[str] = set()
 
     def track(self, attempt: Attempt) -> float:
         """Track a send of an attempt's start; return the previous expiry time."""
@@ -68,6 +70,7 @@
         self.list_unresolved(attempt.executor)
         start, known = LateStart(attempt.task, attempt.run), self._until[attempt.executor]
         before = known.get(start, 0.0)
+        self._gone.discard(attempt.executor)
         known[start] = attempt.sent_at + MAX_ORDER_DELAY_S
         return before
 
@@ -79,12 +82,20 @@
         `is_gone`: that owner knew that the executor is gone, so its id is not used again.
         """
         self._until[executor][LateStart(task, run, is_inherited=True)] = until
-        if not is_gone:
-            self._unreported.add(executor)
+        (self._gone if is_gone else self._unreported).add(executor)
 
-    def note_observed(self, executor: str) -> None:
-        """Record that an executor has reported to this owner, or is known to be gone."""
+    def note_report(self, executor: str, requested_at: float) -> None:
+        """Forget the starts that a report lists or rules out: those too old when requested."""
         self._unreported.discard(executor)
+        known = self._until.get(executor, {})
+        for start in [start for start, until in known.items() if until <= requested_at]:
+            del known[start]
+
+    def note_gone(self, executor: str) -> None:
+        """Record that an executor is gone, so that its id is not used again."""
+        self._unreported.discard(executor)
+        if executor in self._until:
+            self._gone.add(executor)
 
     def settle(self, attempt: Attempt, before: float = 0.0) -> None:
         """Remove the last, answered send; `before` restores the expiry time of earlier sends."""
@@ -117,10 +128,10 @@
         """Return the only executor at which each task with an unresolved start may be started.
 
         The instance there refuses the run, and a later instance can carry it out only after this
-        one has ended with all its runs. The value is `NOWHERE` while there is no such
-        instance. An executor that is leaving or evacuated pins no task once its instance refuses
-        the start. A start of an earlier owner pins no task to an
-        executor that reported to this owner and then fell silent, unless that is `uncertain`.
+        one has ended with all its runs. The value is `NOWHERE` while there is no such instance. An
+        executor that is leaving or evacuated pins no task once its instance refuses the start. A
+        start of an earlier owner pins no task to an executor that reported to this owner and then
+        fell silent, unless that is `uncertain`.
         """
         found: dict[TaskKey, str] = {}
         latest = trio.current_time() - RETRY_REFUSED_S
@@ -129,8 +140,9 @@
             state = executors.get(name)
             is_unreported = name in self._unreported
             is_lost = not _reports(state) and not is_unreported and name not in uncertain
-            for start in self._list_possible_runs(name) if is_unreported else ():
-                found[start.task] = NOWHERE
+            for start in self._list_possible_runs(name):
+                if is_unreported or not start.is_inherited:
+                    found[start.task] = NOWHERE
             for start in self.list_unresolved(name):
                 is_refused = state is not None and self._is_refused(state, start)
                 if is_refused and state is not None and _accepts_no_work(state):
@@ -204,13 +216,15 @@
         else:
             self._refused_runs.pop(executor, None)
             self._unreported.discard(executor)
+            self._gone.discard(executor)
         return known
 
     def _list_possible_runs(self, executor: str) -> list[LateStart]:
-        """Return the inherited starts that can't be carried out now, but whose runs may go on."""
+        """Return the starts that can't be carried out any more, but whose runs may go on."""
+        if executor in self._gone:
+            return []
         now = trio.current_time()
-        known = self._list_known(executor)
-        return [start for start, until in known.items() if start.is_inherited and until <= now]
+        return [start for start, until in self._list_known(executor).items() if until <= now]
 
 
 def _reports(state: ExecutorState | None) -> bool:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
@@ -17,6 +17,7 @@
 from .executor_link import EndedRun, EndKind, ExecutorLink
 from .fleet import (
     CLOCK_DRIFT,
+    LEASE_MARGIN_S,
     MAX_BACKOFF_S,
     MAX_READING_AGE_S,
     MAX_ROUND_TRIP_S,
@@ -96,7 +97,7 @@
     @property
     def longest_run_s(self) -> float:
         """How long a run may last if its deadline is on the clock of another instance."""
-        return self.max_executor_lease_s * SLOW_FACTOR
+        return self.max_executor_lease_s * (1 + CLOCK_DRIFT) + LEASE_MARGIN_S
 
     @property
     def max_run_after_order_s(self) -> float:
@@ -387,14 +388,13 @@
             job.places.late = self._find_late(job, late)
             if may_share_ids:
                 under_way = list_pending_starts(job)
-                left_s = until - trio.current_time()
                 job.places.starts = late | under_way
-                job.places.starts_left_s = None if under_way else round_remaining_s(left_s)
-                job.places.runs_left_s = (
-                    None
-                    if under_way
-                    else round_remaining_s(left_s + self.parts.timing.longest_run_s)
-                )
+                job.places.starts_left_s = job.places.runs_left_s = None
+                if not under_way:
+                    left_s = until - trio.current_time()
+                    run_s = self.parts.timing.longest_run_s
+                    job.places.starts_left_s = round_remaining_s(left_s)
+                    job.places.runs_left_s = round_remaining_s(left_s + run_s)
 
     def _find_late(self, job: JobState, starts: Collection[UnresolvedStart]) -> TaskMasks:
         """Return where starts of a job may still be carried out late, or orphaned runs of it exist.
--- a/packages/heronthread-emulator/tests/test_rounds.py
+++ b/packages/heronthread-emulator/tests/test_rounds.py
@@ -39,12 +39,12 @@
     assert find_broken(Trouble(crash=3, kills_all=True), range(10, 12)) == []
 
 
-def test_no_job_stalls_beside_executors_recorded_ahead_in_store_outages() -> None:
-    """Guards against tasks withheld for crashed executors at which none of them has begun."""
+def test_no_job_stalls_in_further_store_outages() -> None:
+    """Guards against waits for crashed executors at which no run of the job can be left."""
     trouble = Trouble(crash=3, kills_owner=True, loses_store=True)
     assert find_broken(trouble, (343, 349, 351, 352)) == []
 
 
-def test_no_job_stalls_beside_executors_recorded_ahead_over_losses_of_power() -> None:
+def test_no_job_stalls_over_further_losses_of_power() -> None:
     """The same as all hosts lose power."""
     assert find_broken(Trouble(crash=3, kills_all=True), (349, 352, 366, 368)) == []
