Count the time between two owners for a wait that is recorded

What callers saw: ready jobs beside free room for 3.0 s to 6.6 s more after a store outage in which the owner was killed.

Cause: the store has how much of a silent executor's lease is left, as of its writing; nobody knew when that was, so the next owner counted it from its own term. Hypotheses: (1) this; (2) executors recorded ahead. Fix: hosts note when they first saw the store's revision reach a value (store answers, peers' news); a new owner asks its peers (REVISION_AGES, at most 0.15 s beside its reads) and subtracts a record's age. A row keeps the revision of the first write of its wait. Why it is safe: the write was sent before the revision existed, and that before a host saw it; a duration on one clock, suspensions counted. Ruled out: reading the revision at each host twice a second (priced calls); the time of day.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/executors_in_use.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/executors_in_use.py
@@ -12,7 +12,7 @@
 from heronthread_coordination import Unavailable
 
 from .events import log_event
-from .fleet import ExecutorState, make_executor_state
+from .fleet import ExecutorState, RecordedLapse, make_executor_state
 from .keystore import Committed, ConditionFailed, Listing, Put, Transaction
 from .model import Executor, Resources, TaskKey
 from .owned_cell import OwnedCell
@@ -39,7 +39,8 @@
     `tasks` are those that an earlier version listed there, None for any. `is_listed_by_jobs`: the
     store lists the executor for every job that may be there. `lapses_in_s`: its lease is not
     renewed until this is withdrawn, so everything there ends within this time (s) after the write;
-    None if the lease may be renewed.
+    None if the lease may be renewed. `lapse` is the first write of an unbroken series with
+    `lapses_in_s`, None in that one.
     """
 
     address: str
@@ -48,6 +49,7 @@
     born: int = 0
     is_listed_by_jobs: bool = False
     lapses_in_s: float | None = None
+    lapse: RecordedLapse | None = None
 
 
 class UsedExecutors:
@@ -88,12 +90,17 @@
             state.only_tasks = frozenset(row.tasks)
         # Continue the recorded wait: restarting it at each takeover would delay jobs without limit.
         left_s = self._cell.parts.timing.max_unreported_run_s
-        state.lease_ends_by = now + min(
-            left_s, left_s if row.lapses_in_s is None else row.lapses_in_s
-        )
-        state.is_renewal_suspended = row.lapses_in_s is not None
+        if row.lapses_in_s is not None:
+            state.is_renewal_suspended = True
+            state.recorded_lapse = row.lapse or RecordedLapse(self._revision, row.lapses_in_s)
+            left_s = min(left_s, row.lapses_in_s, self._find_left_s(state.recorded_lapse))
+        state.lease_ends_by = now + max(0.0, left_s)
         return state
 
+    def _find_left_s(self, lapse: RecordedLapse) -> float:
+        """Return for how long (s) runs may still last by the time that a write is old at least."""
+        return lapse.left_s - self._cell.parts.find_revision_age_s(lapse.revision)
+
     async def run(self) -> None:
         """Write each change, until cancelled."""
         while True:
@@ -137,6 +144,7 @@
             if isinstance(outcome, Committed):
                 self._revision = outcome.revision
                 self._written = used
+                _note_lapses(states, used, outcome.revision)
                 self._mark_recorded(states, used)
                 return
             if not isinstance(outcome, Unavailable):
@@ -159,6 +167,7 @@
             state.instance.born,
             state.is_listed_by_jobs,
             lapses_in_s,
+            None if lapses_in_s is None else state.recorded_lapse,
         )
 
     def _update_revision(self, outcome: ConditionFailed) -> None:
@@ -206,6 +215,16 @@
         return [self._cell.jobs[name] for name in names if name in self._cell.jobs]
 
 
+def _note_lapses(states: list[ExecutorState], used: dict[str, UsedExecutor], revision: int) -> None:
+    """Note which leases are not renewed from a write on, and which may be renewed again."""
+    for state in states:
+        left_s = used[state.id].lapses_in_s
+        if left_s is None:
+            state.recorded_lapse = None
+        elif state.recorded_lapse is None:
+            state.recorded_lapse = RecordedLapse(revision, left_s)
+
+
 def _locate_held(job: JobState, state: ExecutorState) -> TaskMasks:
     """Return the placements of a job's runs at an executor."""
     return job.locate_attempts(
@@ -222,7 +241,10 @@
 def _encode_row(row: UsedExecutor) -> list[Any]:
     values = [row.address, row.pool, row.tasks, row.born, row.is_listed_by_jobs]
     # Omitted if None, so that earlier versions can read the record.
-    return values if row.lapses_in_s is None else [*values, row.lapses_in_s]
+    if row.lapses_in_s is None:
+        return values
+    lapse = () if row.lapse is None else (row.lapse.revision, row.lapse.left_s)
+    return [*values, row.lapses_in_s, *lapse]
 
 
 def decode_used(data: bytes) -> dict[str, UsedExecutor] | Unreadable:
@@ -244,13 +266,25 @@
     born: Any = 0,
     is_listed_by_jobs: Any = False,
     lapses_in_s: Any = None,
+    lapse_revision: Any = None,
+    lapse_left_s: Any = None,
 ) -> UsedExecutor:
     if not isinstance(is_listed_by_jobs, bool):
         raise TypeError(f"is_listed_by_jobs of executor {name} is not a boolean")
     keys = None if tasks is None else tuple(map(_read_task, tasks))
     instance = decode_instance(name, born)
     left_s = read_remaining_s(lapses_in_s)
-    return UsedExecutor(str(address), str(pool), keys, instance.born, is_listed_by_jobs, left_s)
+    lapse = None if lapse_revision is None else _read_lapse(lapse_revision, lapse_left_s)
+    return UsedExecutor(
+        str(address), str(pool), keys, instance.born, is_listed_by_jobs, left_s, lapse
+    )
+
+
+def _read_lapse(revision: Any, value: Any) -> RecordedLapse:
+    left_s = read_remaining_s(value)
+    if left_s is None:
+        raise ValueError("a lapse without a remaining time")
+    return RecordedLapse(int(revision), left_s)
 
 
 def _read_task(value: list[Any]) -> TaskKey:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
@@ -38,6 +38,14 @@
     APART = "a suspect begins there"
 
 
+@dataclass(frozen=True, slots=True)
+class RecordedLapse:
+    """A write from which on a lease was not renewed: its revision, and what remained then (s)."""
+
+    revision: int
+    left_s: float
+
+
 @dataclass(slots=True, eq=False)
 class ExecutorState:
     """One instance of an executor; times are on trio's clock unless stated otherwise.
@@ -61,6 +69,7 @@
       be there; otherwise `only_tasks` are the tasks that may be, None for any.
     - `orphans`: orphaned runs, which are not their tasks' attempts or belong to no known job, until
       each is stopped.
+    - `recorded_lapse`: since when the store has it that this lease is not renewed.
     - `evacuated`: its failure domain takes no new work. `has_unusable_entry`: its entry is not
       usable.
     - `announced_instance`: an entry for another instance, until that one reports. `moved_entry`: an
@@ -93,6 +102,7 @@
     recorded: bool = False
     is_renewal_suspended: bool = False
     is_inherited: bool = False
+    recorded_lapse: RecordedLapse | None = None
     is_entry_of_other_instance: bool = False
     is_listed_by_jobs: bool = False
     only_tasks: frozenset[TaskKey] | None = None
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -51,6 +51,7 @@
 from .record import MALFORMED, Unreadable
 from .relay import StoreRelay, write_for_peer
 from .requests import Requests
+from .revision_log import learn_revisions
 from .succession import RANK_DELAY_S, find_stronger, rank
 from .wire.ttypes import Frame
 
@@ -245,8 +246,14 @@
             self.relay,
             self.evacuations,
             self.stalls,
+            self.store.revisions.find_age_s,
+            self._learn_revisions,
         )
 
+    async def _learn_revisions(self) -> None:
+        peers = self.news.others()[:MAX_NOTIFIED]
+        await learn_revisions(self.store.revisions, peers, self.ask_peer)
+
     async def _own(self, owner: Owner) -> None:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._guard, owner)
@@ -346,6 +353,8 @@
             return OK, {}
         if operation == Operation.RELAY_WRITE:
             return OK, await write_for_peer(self.store, body)
+        if operation == Operation.REVISION_AGES:
+            return OK, self.store.revisions.encode()
         if operation == Operation.JOB_FIT:
             return self._check_placement(decode_record(body).spec)
         if operation in OWNER_ONLY_OPERATIONS:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/news.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/news.py
@@ -70,6 +70,7 @@
             self._host.evacuations.encode(),
             self._host.no_orders_s,
             self._host.describe_seen_owners(),
+            self._host.store.revisions.latest,
         )
 
     def others(self) -> list[str]:
@@ -166,6 +167,7 @@
             self._host.note_malformed(Operation.NEWS, "", "malformed news")
             return
         self.heard[news.host] = HeardNews(news, boot_time())
+        self._host.store.revisions.note(news.store_revision)
         self._host.evacuations.merge_encoded(news.evacuations, news.host)
         if news.version > self._host.configuration.state.version:
             await self._fetch_configuration()
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/observed_store.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/observed_store.py
@@ -11,6 +11,9 @@
 
 from .keystore import (
     CommitOutcome,
+    Committed,
+    Events,
+    Item,
     KeyStore,
     LeaseExpired,
     LeaseHeld,
@@ -19,6 +22,7 @@
     Transaction,
     WatchOutcome,
 )
+from .revision_log import RevisionLog
 
 FAILURE_GRACE_S = 0.9
 MIN_PATIENCE_S = 0.35
@@ -44,6 +48,7 @@
         self._next_call = 0
         self.calls: Counter[str] = Counter()
         self.failures: Counter[str] = Counter()
+        self.revisions = RevisionLog()
 
     @property
     def is_answering(self) -> bool:
@@ -106,6 +111,7 @@
         if not was_answering or self._answering_since == float("inf"):
             self._answering_since = now
         self._last_answer_at = now
+        self.revisions.note(_find_revision(outcome))
         return outcome
 
     async def read(self, key: str) -> ReadOutcome:
@@ -135,3 +141,10 @@
     async def revoke(self, lease: int) -> None:
         """End a lease."""
         await self._store.revoke(lease)
+
+
+def _find_revision(outcome: object) -> int:
+    """Return a revision that the store has reached by an outcome, 0 if it names none."""
+    if isinstance(outcome, Listing | Events):
+        return outcome.at
+    return outcome.revision if isinstance(outcome, Committed | Item) else 0
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Awaitable, Callable, Collection
 from dataclasses import dataclass, field
 
 import trio
@@ -116,7 +116,8 @@
     """The dependencies of an owner.
 
     `relay` writes to the store by way of another host. `can_write_store` returns whether either way
-    to the store accepts writes.
+    to the store accepts writes. `find_revision_age_s` returns for how long (s) the store has had a
+    revision at least, and `learn_revisions` asks peers for what they know of that.
     """
 
     store: KeyStore
@@ -135,6 +136,8 @@
     relay: StoreRelay | None = None
     evacuations: Evacuations = field(default_factory=Evacuations)
     stalls: StallHistory = field(default_factory=StallHistory)
+    find_revision_age_s: Callable[[int], float] = lambda revision: 0.0
+    learn_revisions: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint
     random: random.Random = field(default_factory=random.Random)
 
 
@@ -216,17 +219,18 @@
             term=self.term.number,
         )
 
-    def restore_starts(self, job: JobState, record: ProgressRecord) -> None:
+    def restore_starts(self, job: JobState, record: ProgressRecord, age_s: float) -> None:
         """Restore the starts of a job that an earlier owner may have left without an answer.
 
         The recorded remaining time is not counted from the start of this term, so that frequent
-        takeovers do not delay the task without limit.
+        takeovers do not delay the task without limit. The record is `age_s` old at least.
         """
         until, now = self.late_orders_until, trio.current_time()
         if record.runs_left_s is not None:
-            until = min(until, now + record.runs_left_s - self.parts.timing.longest_run_s)
+            left_s = record.runs_left_s - self.parts.timing.longest_run_s
+            until = min(until, now + left_s - age_s)
         elif record.starts_left_s is not None:
-            until = min(until, now + record.starts_left_s)
+            until = min(until, now + record.starts_left_s - age_s)
         starts = record.starts or frozenset()
         for executor, step, member, occurrence, run in starts:
             task = TaskKey(job.spec.id, step, member, occurrence)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -171,6 +171,7 @@
         evacuation_prefixes = self.parts.evacuations.prefixes
         prefixes = (USED_KEY, directory.prefix, jobs.prefix, PROGRESS_PREFIX, *evacuation_prefixes)
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.parts.learn_revisions)
             for prefix in prefixes:
                 nursery.start_soon(fetch, prefix)
         for prefix in evacuation_prefixes:
@@ -214,7 +215,8 @@
         if not isinstance(record, Unreadable) and job.fits(record):
             job.restore(record, item.revision)
             self.cell.restore_crashes(job)
-            self.cell.restore_starts(job, record)
+            age_s = self.parts.find_revision_age_s(item.revision)
+            self.cell.restore_starts(job, record, age_s)
             return
         reason = record.reason if isinstance(record, Unreadable) else "it is not of this job"
         log_event("record.unreadable", key=item.key, reason=reason)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/peer_messages.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/peer_messages.py
@@ -29,7 +29,7 @@
     `evacuations` are the requests it knows, as `Evacuations.encode` returns them. `no_orders_s` is
     for how long (s) no process at its address has sent orders to executors, 0.0 if unknown.
     `owners_seen_s` is for how long (s) it has known the last owners, by the revisions of their
-    keys.
+    keys. `store_revision` is the highest revision that it knows the store to have reached.
     """
 
     host: str
@@ -41,6 +41,7 @@
     evacuations: dict[str, Any] = field(default_factory=dict)
     no_orders_s: float = 0.0
     owners_seen_s: dict[str, float] = field(default_factory=dict)
+    store_revision: int = 0
 
 
 NEWS_FIELD_TYPES = {
@@ -53,6 +54,7 @@
     "evacuations": dict,
     "no_orders_s": float,
     "owners_seen_s": dict,
+    "store_revision": int,
 }
 
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/wire.thrift
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/wire.thrift
@@ -46,6 +46,7 @@
   EVACUATE = 17
   JOB_FIT = 18
   RELAY_WRITE = 19
+  REVISION_AGES = 20
 }
 
 /** A caller's request on its way from an entry host to the owner of a cell. */
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/wire/ttypes.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/wire/ttypes.py
@@ -34,6 +34,7 @@
     EVACUATE = 17
     JOB_FIT = 18
     RELAY_WRITE = 19
+    REVISION_AGES = 20
 
     _VALUES_TO_NAMES = {
         1: "SUBMIT",
@@ -53,6 +54,7 @@
         17: "EVACUATE",
         18: "JOB_FIT",
         19: "RELAY_WRITE",
+        20: "REVISION_AGES",
     }
 
     _NAMES_TO_VALUES = {
@@ -73,6 +75,7 @@
         "EVACUATE": 17,
         "JOB_FIT": 18,
         "RELAY_WRITE": 19,
+        "REVISION_AGES": 20,
     }
 
 
--- a/packages/heronthread-dispatch/tests/test_executors_in_use.py
+++ b/packages/heronthread-dispatch/tests/test_executors_in_use.py
@@ -11,6 +11,7 @@
     decode_used,
     encode_used,
 )
+from heronthread_dispatch.fleet import RecordedLapse
 from heronthread_dispatch.model import TaskKey
 from heronthread_dispatch.record import Unreadable
 from heronthread_emulator import EmulatedSite, check_promises
@@ -24,6 +25,7 @@
         "e1": UsedExecutor("a:2", "pool", (TaskKey("j", 0, 1, 0),), 17, False),
         "e2": UsedExecutor("a:3", "pool", (), 18, True, 0.0),
         "e3": UsedExecutor("a:4", "pool", None, 19, True, 7.4),
+        "e4": UsedExecutor("a:5", "pool", None, 19, True, 3.4, RecordedLapse(42, 7.4)),
     }
     assert decode_used(encode_used(used)) == used
 
@@ -39,6 +41,12 @@
     assert isinstance(decode_used(data), Unreadable)
 
 
+@pytest.mark.parametrize("lapse", [[7], [7, None], [7, -1.0], ["x", 1.0], [7, 1.0, 2]])
+def test_invalid_lapse_is_unreadable(lapse: list[object]) -> None:
+    data = json.dumps({"e0": ["a:1", "pool", None, 0, True, 1.0, *lapse]}).encode()
+    assert isinstance(decode_used(data), Unreadable)
+
+
 def _read_left_s(site: EmulatedSite, name: str) -> float | None:
     used = decode_used(site.store.items[USED_KEY].value)
     assert isinstance(used, dict)
--- a/packages/heronthread-dispatch/tests/test_restarted_waits.py
+++ b/packages/heronthread-dispatch/tests/test_restarted_waits.py
@@ -33,6 +33,33 @@
         assert check_promises(site.executors, {}) == []
 
 
+async def test_a_recorded_wait_goes_on_while_the_store_and_its_owner_are_gone(
+    autojump_clock: Clock,
+) -> None:
+    """Guards against a remaining lease that stands still between two owners.
+
+    The lease of the executor's run is over during the outage, 9 s after its last renewal.
+    """
+    async with EmulatedSite.open(hosts=4, executors=6) as site:
+        owner = await site.wait_for_owner()
+        host = next(name for name in site.hosts if name != owner)
+        await site.hosts[host].requests.accept(site.make_job("a", work_s=30.0), 2.0)
+        await trio.sleep(1.0)
+        site.executors.by_id[site.executors.starts(TASK)[0].executor].is_cut = True
+        site.kill_host(await site.wait_for_owner())
+        await site.wait_for_owner()
+        await trio.sleep(3.0)
+        site.store.is_down = True
+        site.kill_host(await site.wait_for_owner())
+        await trio.sleep(6.0)
+        site.store.is_down = False
+        await site.wait_for_owner()
+        await trio.sleep(RECORD_INTERVAL_S)
+        assert len(site.executors.starts(TASK)) == 2
+        await trio.sleep(40.0)
+        assert check_promises(site.executors, {}) == []
+
+
 async def test_an_unanswered_start_does_not_pin_its_task_to_an_executor_without_an_entry(
     autojump_clock: Clock,
 ) -> None:
