Tell executors that are recorded in advance from those in use

What callers saw: ready jobs beside free room for up to 13.6 s after a takeover.

Cause: for store outages tasks are recorded ahead at executors where they may start without a write, so the next owner takes each name for a possible run. Fix: the record says what is ahead only; with the store, a start there is written first; without it, its use is announced to the other hosts and needs more than half of the members of the term's beginning. The next owner asks them; so many must deny it that one host would have done both, and whoever is asked takes no announcement any more. In doubt names count as used, as before. Ruled out: an outage as hosts see it, a grace before each use, a key under a store lease.

The revision log counts trio's clock: the suspended time is read from two clocks, and a test failed by that on a busy machine.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -19,7 +19,7 @@
     set_evacuation,
 )
 from .events import log_event
-from .host_lease import HostRecord
+from .host_lease import HostRecord, Term
 from .host_state import HostParts, HostSettings, HostState
 from .intake import NoSuchJob, NotTaken, PendingWrite, Taken
 from .keystore import Item, KeyRemoved, Listing
@@ -46,6 +46,7 @@
     make_reply,
 )
 from .pool_contents import encode_kinds
+from .preassignments import Preassignments
 from .predecessor import Predecessor, SeenOwner
 from .prefix_watcher import PrefixWatcher
 from .record import MALFORMED, Unreadable
@@ -141,9 +142,8 @@
 
     def _apply_cell_listing(self, listing: Listing) -> None:
         keys = {item.key for item in listing.items}
-        self.members = {
-            name: member for name, member in self.members.items() if HOST_PREFIX + name in keys
-        }
+        for name in [name for name in self.members if HOST_PREFIX + name not in keys]:
+            self._remove_member(name)
         self.evacuations.take_listing(listing, (COMMAND_PREFIX,))
         if OWNER_KEY not in keys:
             self._update_owner(None)
@@ -158,7 +158,7 @@
         elif event.key.startswith(HOST_PREFIX):
             name = event.key.removeprefix(HOST_PREFIX)
             if isinstance(event, KeyRemoved):
-                self.members.pop(name, None)
+                self._remove_member(name)
             else:
                 self._update_member(name, event)
 
@@ -168,6 +168,11 @@
             log_event("record.unreadable", key=item.key, reason=host_record.reason)
             return
         self.members[name] = host_record
+        self.member_revisions[name] = item.revision
+
+    def _remove_member(self, name: str) -> None:
+        self.members.pop(name, None)
+        self.member_revisions.pop(name, None)
 
     def _update_owner(self, item: Item | None) -> None:
         host_record = HostRecord.decode(item.value) if item is not None else None
@@ -214,7 +219,7 @@
                 self.news.others()[:MAX_NOTIFIED],
                 self.news.ask,
             )
-            self.owner = Owner(self._make_owner_parts(), term, predecessor)
+            self.owner = Owner(self._make_owner_parts(term), term, predecessor)
             await self._own(self.owner)
             self.owner = None
             self.no_orders_since = boot_time()
@@ -228,7 +233,10 @@
             self.known_owner is None if held is None else self.host_lease.is_held_by_this_host(held)
         )
 
-    def _make_owner_parts(self) -> OwnerParts:
+    def _make_owner_parts(self, term: Term) -> OwnerParts:
+        preassignments = Preassignments(
+            term.guard[1], self.preassignment_log, self.find_members, self.news.ask
+        )
         return OwnerParts(
             self.store,
             self.parts.link,
@@ -248,6 +256,7 @@
             self.stalls,
             self.store.revisions.find_age_s,
             self._learn_revisions,
+            preassignments,
         )
 
     async def _learn_revisions(self) -> None:
@@ -337,29 +346,26 @@
 
     async def _handle(self, operation: int, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         if operation == Operation.NEWS:
-            self.spawn(self.news.take, decode_news(body))
-            return OK, encode_news(self.news.make())
+            return OK, self._exchange_news(body)
         if operation == Operation.CONFIGURATION:
             return OK, {"packed": encode_packed(self.configuration.pack())}
-        if operation == Operation.JOB_STATE:
-            view = self.owner.view(body["job"]) if self.owner else None
-            return (OK, _encode_view(view)) if view else (NOT_HERE, {})
-        if operation == Operation.QUEUE_COUNT:
-            count = self.owner.count_pending(body["queue"]) if self.owner else None
-            return (OK, {"count": count}) if count is not None else (NOT_HERE, {})
-        if operation == Operation.NOTE_JOB:
-            if self.owner is not None and self.host_lease.is_valid:
-                self.owner.apply_job(decode_record(body))
-            return OK, {}
-        if operation == Operation.RELAY_WRITE:
-            return OK, await write_for_peer(self.store, body)
         if operation == Operation.REVISION_AGES:
             return OK, self.store.revisions.encode()
+        if operation == Operation.RELAY_WRITE:
+            return OK, await write_for_peer(self.store, body)
         if operation == Operation.JOB_FIT:
             return self._check_placement(decode_record(body).spec)
         if operation in OWNER_ONLY_OPERATIONS:
             return await self._handle_owner_query(operation, body)
-        return await self._handle_intake(operation, body)
+        return await self._handle_job(operation, body)
+
+    def _exchange_news(self, body: dict[str, Any]) -> dict[str, Any]:
+        """Take a peer's news and return this host's, which tell what it has noted by now."""
+        news = decode_news(body)
+        if news is not None:
+            self.preassignment_log.take(news)
+        self.spawn(self.news.take, news)
+        return encode_news(self.news.make())
 
     def _check_placement(self, spec: JobSpec) -> tuple[int, dict[str, Any]]:
         """Return whether a job can ever be placed; only the owner, with a valid lease, can tell."""
@@ -394,6 +400,20 @@
             return 410, {"reason": "there is no such job"}
         return OK, describe_job(job, owner.stall_monitor.find_stall(job.spec.id))
 
+    async def _handle_job(self, operation: int, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        """Answer a request about accepted jobs, which the owner knows best."""
+        if operation == Operation.JOB_STATE:
+            view = self.owner.view(body["job"]) if self.owner else None
+            return (OK, _encode_view(view)) if view else (NOT_HERE, {})
+        if operation == Operation.QUEUE_COUNT:
+            count = self.owner.count_pending(body["queue"]) if self.owner else None
+            return (OK, {"count": count}) if count is not None else (NOT_HERE, {})
+        if operation == Operation.NOTE_JOB:
+            if self.owner is not None and self.host_lease.is_valid:
+                self.owner.apply_job(decode_record(body))
+            return OK, {}
+        return await self._handle_intake(operation, body)
+
     async def _handle_intake(
         self, operation: int, body: dict[str, Any]
     ) -> tuple[int, dict[str, Any]]:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host_lease.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host_lease.py
@@ -77,7 +77,8 @@
     """Keeps this process's lease and member key, and takes ownership of the cell.
 
     The lease counts from before its renewal was sent, on a suspend-aware clock, and is treated as
-    expired `EXPIRY_MARGIN_S` early.
+    expired `EXPIRY_MARGIN_S` early. `member_revision` is the revision of the member key, 0 without
+    a lease.
     """
 
     def __init__(self, store: KeyStore, host_record: HostRecord, cell: str = "0") -> None:
@@ -90,6 +91,7 @@
         self.until = float("-inf")
         self.last_renewed = float("-inf")
         self.duration_s = LEASE_S
+        self.member_revision = 0
         self.lost = trio.Event()
         self.is_stopping = False
 
@@ -121,6 +123,7 @@
             return False
         self.lost = trio.Event()
         self.lease = granted.lease
+        self.member_revision = outcome.revision
         self.duration_s = granted.duration_s
         self._extend(sent)
         return True
@@ -146,6 +149,7 @@
     def drop(self) -> None:
         """Discard the lease; `run` acquires a new one."""
         self.lease = None
+        self.member_revision = 0
         self.until = float("-inf")
         self.lost.set()
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host_state.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host_state.py
@@ -24,6 +24,7 @@
 from .peer import Peers, PeerUnreachable
 from .peer_messages import CALL_S, MalformedReply, PeerReply, call_peer
 from .policy import DEFAULT_POLICY, Policy
+from .preassignments import Membership, PreassignmentLog
 from .predecessor import SeenOwner
 from .record import MALFORMED
 from .stalls import StallHistory
@@ -71,6 +72,8 @@
         host_record = HostRecord(settings.name, settings.peer_address, settings.strength)
         self.host_lease = HostLease(self.store, host_record)
         self.members: dict[str, HostRecord] = {}
+        self.member_revisions: dict[str, int] = {}
+        self.preassignment_log = PreassignmentLog()
         self.owner: Owner | None = None
         self.known_owner: HostRecord | None = None
         self.seen_owners: deque[SeenOwner] = deque(maxlen=MAX_SEEN_OWNERS)
@@ -93,6 +96,24 @@
         if all(owner.revision != seen.revision for owner in self.seen_owners):
             self.seen_owners.append(seen)
 
+    def find_members(self, revision: int) -> Membership | None:
+        """Return the hosts that were members before a term began, and have been since.
+
+        None if this host has not seen the term's owner, as its members may then be out of date.
+        """
+        owner = next((seen for seen in self.seen_owners if seen.revision == revision), None)
+        if owner is None:
+            return None
+        name = self.settings.name
+        was_member = 0 < self.host_lease.member_revision < revision
+        others = {
+            self.members[host].address: self.member_revisions[host]
+            for host in self.members.keys() - {name, owner.host_record.host}
+            if self.member_revisions[host] < revision
+        }
+        is_own = owner.host_record.host == name
+        return Membership(was_member and is_own, was_member and not is_own, others)
+
     def describe_seen_owners(self) -> dict[str, float]:
         """Return for how long (s) the last owners have been known, by their keys' revisions."""
         now = trio.current_time()
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/model.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/model.py
@@ -53,6 +53,18 @@
     occurrence: int = 0
 
 
+class PreassignmentMark(NamedTuple):
+    """Identifies preassignments that an owner wrote before it used any of them.
+
+    `revision` is that at which its term began, `number` rises with each use, and `hosts` is the
+    number of other hosts that were members before the term began.
+    """
+
+    revision: int
+    number: int
+    hosts: int
+
+
 class UnresolvedStart(NamedTuple):
     """A start of a job's task that may be unanswered, with the executor's id.
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/news.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/news.py
@@ -71,6 +71,9 @@
             self._host.no_orders_s,
             self._host.describe_seen_owners(),
             self._host.store.revisions.latest,
+            self._host.host_lease.member_revision,
+            self._host.preassignment_log.encode(),
+            self._host.preassignment_log.closed,
         )
 
     def others(self) -> list[str]:
@@ -168,6 +171,7 @@
             return
         self.heard[news.host] = HeardNews(news, boot_time())
         self._host.store.revisions.note(news.store_revision)
+        self._host.preassignment_log.take(news)
         self._host.evacuations.merge_encoded(news.evacuations, news.host)
         if news.version > self._host.configuration.state.version:
             await self._fetch_configuration()
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
@@ -25,7 +25,8 @@
 from .owned_cell import OwnedCell
 from .plan import Start
 from .probing import wait_for_reports
-from .progress import Attempt, Phase, list_pending_starts, to_open_start
+from .progress import Attempt, JobState, Phase, list_pending_starts, to_open_start
+from .task_masks import TaskMasks
 
 START_TRIES = 3
 RETRY_S = 0.05
@@ -192,8 +193,7 @@
         job = orders[0][0].job
         wanted = job.locate_attempts(attempt for _, attempt in orders)
         starts = {to_open_start(attempt) for _, attempt in orders if attempt.instance.born}
-        is_recorded = job.places.covers(wanted) and job.places.covers_starts(starts)
-        if is_recorded and not job.places.inherited:
+        if job.places.has_recorded(wanted, starts) and not job.places.inherited:
             return True
         self.cell.recorder.mark(job)
         until = trio.current_time() + NAMING_TIMEOUT_S
@@ -201,7 +201,13 @@
             with trio.move_on_after(NAMING_POLL_S):
                 await self.cell.recorder.wait_named(job, wanted, starts)
                 return True
-        return job.places.covers(wanted)
+        return job.places.covers(wanted) and await self._announce_preassigned(job, wanted)
+
+    async def _announce_preassigned(self, job: JobState, wanted: TaskMasks) -> bool:
+        """Announce the use of what the store has in advance; return False if too few hosts know."""
+        places, preassignments = job.places, self.cell.parts.preassignments
+        mark = places.preassigned_mark if places.is_preassigned(wanted) else None
+        return mark is None or preassignments is None or await preassignments.announce(mark)
 
     async def _start(self, start: Start, attempt: Attempt, checkpoint: str) -> None:
         state = start.executor
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
@@ -28,6 +28,7 @@
 from .late_starts import MAX_ORDER_DELAY_S, LateStarts
 from .model import NO_RESOURCES, DesiredState, TaskKey, UnresolvedStart
 from .policy import DEFAULT_POLICY, Policy
+from .preassignments import Preassignments
 from .progress import (
     UNSETTLED,
     Attempt,
@@ -117,7 +118,8 @@
 
     `relay` writes to the store by way of another host. `can_write_store` returns whether either way
     to the store accepts writes. `find_revision_age_s` returns for how long (s) the store has had a
-    revision at least, and `learn_revisions` asks peers for what they know of that.
+    revision at least, and `learn_revisions` asks peers for what they know of that. Without
+    `preassignments`, all that is recorded in advance counts as used.
     """
 
     store: KeyStore
@@ -138,6 +140,7 @@
     stalls: StallHistory = field(default_factory=StallHistory)
     find_revision_age_s: Callable[[int], float] = lambda revision: 0.0
     learn_revisions: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint
+    preassignments: Preassignments | None = None
     random: random.Random = field(default_factory=random.Random)
 
 
@@ -386,7 +389,10 @@
         """Update the placements that are to be recorded for the next owner of some jobs."""
         silent = self.list_unreported_ids()
         may_share_ids = any(state.instance.born for state in self.executors.values())
+        preassignments = self.parts.preassignments
+        mark = None if preassignments is None else preassignments.make_mark()
         for job in jobs:
+            job.places.mark = mark
             job.places.drop_resolved(silent)
             late, until = self.late_starts.list_open_of_job(job.spec.id)
             job.places.late = self._find_late(job, late)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -17,7 +17,7 @@
 from .fleet import ExecutorState
 from .host_lease import Term
 from .keystore import Item, KeyRemoved, Listing
-from .model import JobSpec
+from .model import JobSpec, PreassignmentMark
 from .orders import Orders
 from .owned_cell import JOB_PREFIX, STALE_OWNER_S, OwnedCell, OwnerParts
 from .plan import Plan
@@ -149,6 +149,7 @@
                 self.is_ready = True
                 nursery.start_soon(self._wait_for_earlier_runs)
                 nursery.start_soon(self._find_end_of_earlier_orders)
+                nursery.start_soon(self._drop_unused_preassignments)
                 nursery.start_soon(self._expire_late_starts)
                 await trio.sleep(FIRST_REPORTS_S)
                 await self._plan_for_ever()
@@ -264,6 +265,33 @@
             )
             self.cell.limit_earlier_runs(ended_at)
 
+    async def _drop_unused_preassignments(self) -> None:
+        """Stop counting what the predecessor recorded in advance, if it can have used none of it.
+
+        A record of an owner before that one counts as used.
+        """
+        preassignments, unused = self.parts.preassignments, 0
+        found: dict[PreassignmentMark, list[JobState]] = {}
+        for job in self.cell.active.values():
+            mark = job.places.inherited_mark
+            if mark is not None and mark.revision == self.cell.term.previous_revision:
+                found.setdefault(mark, []).append(job)
+        for mark, jobs in found.items():
+            if preassignments is None or not await preassignments.is_unused(mark):
+                continue
+            unused += len(jobs)
+            for job in jobs:
+                job.places.drop_unused()
+                self.cell.recorder.mark(job)
+        if found:
+            log_event(
+                "owner.preassignments",
+                term=self.cell.term.number,
+                jobs=sum(map(len, found.values())),
+                unused=unused,
+            )
+            self.cell.wake_planner()
+
     def _log_barrier_wait(self, waited_s: float) -> None:
         """Log periodically which inherited executors have not reported yet."""
         now = trio.current_time()
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/peer_messages.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/peer_messages.py
@@ -29,7 +29,10 @@
     `evacuations` are the requests it knows, as `Evacuations.encode` returns them. `no_orders_s` is
     for how long (s) no process at its address has sent orders to executors, 0.0 if unknown.
     `owners_seen_s` is for how long (s) it has known the last owners, by the revisions of their
-    keys. `store_revision` is the highest revision that it knows the store to have reached.
+    keys. `store_revision` is the highest revision that it knows the store to have reached,
+    `member_revision` that of its own key, 0 without one. `used_preassignments` holds the highest
+    number used in each term, by the revision at which the term began, and `closed_preassignments`
+    the last such revision for which it notes no further use.
     """
 
     host: str
@@ -42,6 +45,9 @@
     no_orders_s: float = 0.0
     owners_seen_s: dict[str, float] = field(default_factory=dict)
     store_revision: int = 0
+    member_revision: int = 0
+    used_preassignments: dict[str, int] = field(default_factory=dict)
+    closed_preassignments: int = 0
 
 
 NEWS_FIELD_TYPES = {
@@ -55,6 +61,9 @@
     "no_orders_s": float,
     "owners_seen_s": dict,
     "store_revision": int,
+    "member_revision": int,
+    "used_preassignments": dict,
+    "closed_preassignments": int,
 }
 
 
@@ -126,7 +135,7 @@
     except TypeError:
         return None
     is_sound = all(isinstance(getattr(news, name), kind) for name, kind in NEWS_FIELD_TYPES.items())
-    return news if is_sound and _are_durations(news) else None
+    return news if is_sound and _are_durations(news) and _are_numbers(news) else None
 
 
 def _are_durations(news: News) -> bool:
@@ -135,6 +144,12 @@
     return all(isinstance(value, float) and value >= 0.0 for value in durations)
 
 
+def _are_numbers(news: News) -> bool:
+    """Return whether the preassignments of news are numbers by revisions."""
+    rows = news.used_preassignments.items()
+    return all(revision.isdecimal() and isinstance(number, int) for revision, number in rows)
+
+
 __all__ = [
     "BAD_REQUEST",
     "CALL_S",
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/placements.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/placements.py
@@ -10,7 +10,7 @@
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 
-from .model import UnresolvedStart
+from .model import PreassignmentMark, UnresolvedStart
 from .task_masks import ANY, TaskMasks, find_mask, includes, intersect, keep, subtract, unite
 
 
@@ -35,6 +35,10 @@
     - `recorded_starts`: the starts that the store certainly has. The next owner restarts their
       tasks only where the earlier start is refused.
     - `lists_starts`: whether earlier owners recorded their starts.
+    - `mark`: the mark of what is recorded in advance from now on, None if that counts as used.
+    - `preassigned`: what the store may have in advance alone, with `preassigned_mark` or an earlier
+      one of the same owner. `inherited_preassigned` is the part of `inherited` that an earlier
+      owner recorded in advance, with `inherited_mark`.
     """
 
     spare: frozenset[str] = frozenset()
@@ -50,6 +54,11 @@
     runs_left_s: float | None = None
     has_time_limit: bool = False
     recorded_starts: frozenset[UnresolvedStart] = frozenset()
+    mark: PreassignmentMark | None = None
+    preassigned: TaskMasks = field(default_factory=dict)
+    preassigned_mark: PreassignmentMark | None = None
+    inherited_preassigned: TaskMasks = field(default_factory=dict)
+    inherited_mark: PreassignmentMark | None = None
     _left_in_flight: TaskMasks = field(default_factory=dict)
 
     def covers(self, wanted: TaskMasks) -> bool:
@@ -66,13 +75,30 @@
             return True
         return not self.has_time_limit and self.recorded_starts.issuperset(starts)
 
+    def has_recorded(self, wanted: TaskMasks, starts: Collection[UnresolvedStart]) -> bool:
+        """Return whether the store has the starts of tasks and their executors, as in use."""
+        is_named = self.covers(wanted) and not self.is_preassigned(wanted)
+        return is_named and self.covers_starts(starts)
+
     def list_covered(self) -> TaskMasks:
         """Return what the store lists for certain, whether a write in flight is applied or not."""
         named = self.named or {}
         return named if self.in_flight is None else intersect(named, self.in_flight)
 
-    def begin_write(self, names: TaskMasks | None) -> None:
+    def is_preassigned(self, wanted: TaskMasks) -> bool:
+        """Return whether the store may have any of the tasks at their executors in advance only."""
+        return any(mask & self.preassigned.get(name, 0) for name, mask in wanted.items())
+
+    def begin_write(
+        self,
+        names: TaskMasks | None,
+        preassigned: TaskMasks | None = None,
+        mark: PreassignmentMark | None = None,
+    ) -> None:
         """Record that a write is sent; an earlier one without an answer may still be applied."""
+        if preassigned:
+            self.preassigned = unite(self.preassigned, preassigned)
+            self.preassigned_mark = mark
         self.has_time_limit |= self.starts_left_s is not None
         names = names or {}
         self.in_flight = names if self.in_flight is None else intersect(self.in_flight, names)
@@ -84,17 +110,25 @@
         names: TaskMasks | None,
         starts: frozenset[UnresolvedStart] | None = None,
         starts_left_s: float | None = None,
+        preassigned: TaskMasks | None = None,
     ) -> None:
         """Record that the store has the last write; earlier ones can't be applied any more."""
+        self.preassigned = preassigned or {}
         self.has_time_limit = starts_left_s is not None
         self.named, self.in_flight = names, None
         self.recorded_starts = starts or frozenset()
         self.left = subtract(self.left, self._left_in_flight)
 
     def restore(
-        self, named: TaskMasks | None, starts: frozenset[UnresolvedStart] | None = None
+        self,
+        named: TaskMasks | None,
+        starts: frozenset[UnresolvedStart] | None = None,
+        preassigned: TaskMasks | None = None,
+        mark: PreassignmentMark | None = None,
     ) -> None:
         """Restore what the store lists."""
+        self.preassigned = self.inherited_preassigned = preassigned or {}
+        self.preassigned_mark = self.inherited_mark = mark
         self.starts = starts
         self.lists_starts = starts is not None
         self.has_time_limit = bool(starts)
@@ -102,6 +136,12 @@
         # The unresolved starts are listed one by one in this case.
         self.earlier = {} if self.lists_starts or named is None else named
 
+    def drop_unused(self) -> None:
+        """Remove what the store has in advance, as earlier owners started nothing by it."""
+        if self.inherited is not None:
+            self.inherited = subtract(self.inherited, self.inherited_preassigned)
+        self.earlier = subtract(self.earlier, self.inherited_preassigned)
+
     def find_uncertain(self, silent: Collection[str], uncertain: Collection[str]) -> int:
         """Return the tasks of which an earlier owner's run may be at an unresponsive executor.
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
@@ -9,7 +9,7 @@
 from .model import ExecutorInstance, JobSpec, Queue, Resources, StepSpec, TaskKey, UnresolvedStart
 from .placements import JobPlacements
 from .record import Blame, JobStatus, ProgressRecord, StepProgress
-from .task_masks import ANY, TaskMasks, distribute, unite
+from .task_masks import ANY, TaskMasks, distribute, subtract, unite
 
 UNSETTLED = float("inf")
 LATE_FACTOR = 3.0
@@ -421,7 +421,10 @@
         ]
         now_at, places = self.locate_attempts(self.attempts()), self.places
         ahead = self._preassign_waiting({*now_at, *places.left})
-        named = places.list_to_record(unite(now_at, ahead))
+        used = places.list_to_record(now_at)
+        named = None if used is None else unite(used, ahead)
+        is_marked = used is not None and places.mark is not None
+        preassigned = subtract(ahead, used or {}) if is_marked else {}
         return ProgressRecord(
             self.status,
             steps,
@@ -429,13 +432,15 @@
             places.starts,
             places.starts_left_s,
             places.runs_left_s,
+            preassigned,
+            places.mark if preassigned else None,
         )
 
     def fits(self, record: ProgressRecord) -> bool:
         """Return whether a record matches the job's steps and tasks."""
         if len(record.steps) != len(self.steps):
             return False
-        masks = (record.places or {}).values()
+        masks = [*(record.places or {}).values(), *record.preassigned.values()]
         return all(
             saved.done >> len(step.tasks) == 0
             for step, saved in zip(self.steps, record.steps, strict=True)
@@ -447,7 +452,7 @@
         self.recorded = record.status
         self.failed = record.status is JobStatus.FAILED
         self.begun = record.status is not JobStatus.PENDING
-        self.places.restore(record.places, record.starts)
+        self.places.restore(record.places, record.starts, record.preassigned, record.mark)
         for step, saved in zip(self.steps, record.steps, strict=True):
             for task in step.tasks:
                 task.done = bool(saved.done >> task.index & 1)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
@@ -12,6 +12,7 @@
     ApprovalTerms,
     ExecutorInstance,
     JobSpec,
+    PreassignmentMark,
     Queue,
     Resources,
     Schedule,
@@ -249,7 +250,8 @@
     Earlier versions stored no places, or no tasks with them. `starts` are those that may be
     unanswered, None if any may be. They may be carried out for at most `starts_left_s` after the
     write, and their runs may go on for at most `runs_left_s`; None if one may still be sent.
-    Earlier versions stored no `runs_left_s`.
+    Earlier versions stored no `runs_left_s`. `preassigned` is the part of `places` at which nothing
+    was started by the time of the write, nor later unless its use was announced with `mark`.
     """
 
     status: JobStatus
@@ -258,6 +260,8 @@
     starts: frozenset[UnresolvedStart] | None = None
     starts_left_s: float | None = None
     runs_left_s: float | None = None
+    preassigned: TaskMasks = field(default_factory=dict)
+    mark: PreassignmentMark | None = None
 
     def encode(self) -> bytes:
         """Return the stored form."""
@@ -277,6 +281,8 @@
             value["starts_left_s"] = self.starts_left_s
         if self.starts and self.runs_left_s is not None:
             value["runs_left_s"] = self.runs_left_s
+        if self.mark is not None:
+            value["preassigned"] = [self.mark, encode_masks(self.preassigned)]
         return json.dumps(value, separators=(",", ":")).encode()
 
     @classmethod
@@ -300,7 +306,17 @@
         open_starts = None if starts is None else _read_starts(starts, value.get("start_runs"))
         left_s = read_remaining_s(value.get("starts_left_s"))
         runs_left_s = read_remaining_s(value.get("runs_left_s"))
-        return cls(JobStatus(value["status"]), steps, named, open_starts, left_s, runs_left_s)
+        mark, preassigned = _read_preassigned(value.get("preassigned"))
+        return cls(
+            JobStatus(value["status"]),
+            steps,
+            named,
+            open_starts,
+            left_s,
+            runs_left_s,
+            preassigned,
+            mark,
+        )
 
 
 def read_remaining_s(value: Any) -> float | None:
@@ -316,6 +332,14 @@
     return math.ceil(max(0.0, left_s) * 10) / 10
 
 
+def _read_preassigned(value: Any) -> tuple[PreassignmentMark | None, TaskMasks]:
+    """Decode what was recorded in advance; earlier versions did not tell it apart."""
+    if value is None:
+        return None, {}
+    (revision, number, hosts), masks = value
+    return PreassignmentMark(int(revision), int(number), int(hosts)), decode_masks(masks, masks)
+
+
 def _read_starts(rows: Any, runs: Any) -> frozenset[UnresolvedStart]:
     """Decode the unanswered starts; earlier versions stored no run numbers."""
     runs = [0] * len(rows) if runs is None else runs
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/recorder.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/recorder.py
@@ -88,7 +88,7 @@
 
         The job must have been marked before.
         """
-        while not (job.places.covers(wanted) and job.places.covers_starts(starts)):
+        while not job.places.has_recorded(wanted, starts):
             await self._written.wait()
 
     async def run(self) -> None:
@@ -140,14 +140,16 @@
             for job, record in zip(jobs, records, strict=True)
         ]
         for job, record in zip(jobs, records, strict=True):
-            job.places.begin_write(record.places)
+            job.places.begin_write(record.places, record.preassigned, record.mark)
         outcome = await self._commit(Transaction((self.guard, *conditions), tuple(puts)))
         if isinstance(outcome, Committed):
             for job, record, notes in zip(jobs, records, crash_notes, strict=True):
                 job.revision = outcome.revision
                 job.recorded = record.status
                 job.crash_notes_recorded = notes
-                job.places.end_write(record.places, record.starts, record.starts_left_s)
+                job.places.end_write(
+                    record.places, record.starts, record.starts_left_s, record.preassigned
+                )
                 self._note_written(job, marked)
             self._written.set()
             self._written = trio.Event()
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/revision_log.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/revision_log.py
@@ -12,7 +12,6 @@
 
 import trio
 
-from .clock import boot_time
 from .peer import PeerUnreachable
 from .peer_messages import OK, Operation, PeerReply
 from .record import MALFORMED
@@ -27,7 +26,10 @@
 
 
 class RevisionLog:
-    """The revisions that the store was known to have reached, with their times (`boot_time`)."""
+    """The revisions that the store was known to have reached, with their times (trio's clock).
+
+    That clock does not count suspensions, so that an age may be too short but never too long.
+    """
 
     def __init__(self) -> None:
         self._reached: deque[tuple[float, int]] = deque(maxlen=MAX_ENTRIES)
@@ -41,7 +43,7 @@
         """Note that the store has reached a revision by now."""
         if revision <= self.latest:
             return
-        now = boot_time()
+        now = trio.current_time()
         if self._reached and now // RESOLUTION_S == self._reached[-1][0] // RESOLUTION_S:
             self._reached.pop()
         self._reached.append((now, revision))
@@ -49,16 +51,16 @@
     def find_age_s(self, revision: int) -> float:
         """Return for how long (s) the store is known to have had a revision, 0.0 if unknown."""
         at = next((at for at, reached in self._reached if reached >= revision), None)
-        return 0.0 if at is None else max(0.0, boot_time() - at)
+        return 0.0 if at is None else max(0.0, trio.current_time() - at)
 
     def encode(self) -> dict[str, Any]:
         """Return a body with the revisions and for how long (s) each has been known."""
-        now = boot_time()
+        now = trio.current_time()
         return {"reached": [[now - at, revision] for at, revision in self._reached]}
 
     def merge(self, body: dict[str, Any]) -> None:
         """Merge a peer's revisions; raises one of `MALFORMED` if the body is malformed."""
-        now = boot_time()
+        now = trio.current_time()
         theirs = [_read_row(row, now) for row in body["reached"]]
         latest = 0
         merged = deque[tuple[float, int]](maxlen=MAX_ENTRIES)
--- a/packages/heronthread-dispatch/tests/test_revision_log.py
+++ b/packages/heronthread-dispatch/tests/test_revision_log.py
@@ -17,8 +17,7 @@
 )
 
 Clock = trio.testing.MockClock
-READ_S = 0.001
-"""The suspended time is read from two clocks, one after the other."""
+ROUNDING_S = 1e-6
 
 
 async def test_a_revision_is_known_since_it_or_a_later_one_was_seen(autojump_clock: Clock) -> None:
@@ -28,7 +27,7 @@
     log.note(9)
     await trio.sleep(1.0)
     ages = [log.find_age_s(revision) for revision in (5, 7, 8, 9)]
-    assert ages == pytest.approx([3.0, 3.0, 1.0, 1.0], abs=READ_S)
+    assert ages == pytest.approx([3.0, 3.0, 1.0, 1.0], abs=ROUNDING_S)
     assert log.find_age_s(10) == 0.0
 
 
@@ -41,7 +40,7 @@
     now = trio.current_time()
     for revision, at in reached.items():
         age_s = log.find_age_s(revision)
-        assert now - at - RESOLUTION_S - READ_S <= age_s <= now - at + READ_S
+        assert now - at - RESOLUTION_S - ROUNDING_S <= age_s <= now - at + ROUNDING_S
 
 
 async def test_old_revisions_are_forgotten(autojump_clock: Clock) -> None:
@@ -50,7 +49,7 @@
         log.note(revision)
         await trio.sleep(2 * RESOLUTION_S)
     assert len(log.encode()["reached"]) == MAX_ENTRIES
-    assert log.find_age_s(1) <= MAX_ENTRIES * 2 * RESOLUTION_S + READ_S
+    assert log.find_age_s(1) <= MAX_ENTRIES * 2 * RESOLUTION_S + ROUNDING_S
 
 
 async def test_what_a_peer_knows_counts_from_when_it_told(autojump_clock: Clock) -> None:
@@ -62,8 +61,8 @@
     body = peer.encode()
     await trio.sleep(1.0)
     log.merge(body)
-    assert log.find_age_s(4) == pytest.approx(3.0, abs=READ_S)
-    assert log.find_age_s(5) == pytest.approx(1.0, abs=READ_S)
+    assert log.find_age_s(4) == pytest.approx(3.0, abs=ROUNDING_S)
+    assert log.find_age_s(5) == pytest.approx(1.0, abs=ROUNDING_S)
     assert log.latest == 6
 
 
@@ -99,4 +98,4 @@
     began = trio.current_time()
     await learn_revisions(log, ["hangs", "gone", "malformed", "earlier", "sound"], ask)
     assert trio.current_time() - began == pytest.approx(LEARN_TIMEOUT_S)
-    assert log.find_age_s(8) == pytest.approx(2.0 + LEARN_TIMEOUT_S, abs=READ_S)
+    assert log.find_age_s(8) == pytest.approx(2.0 + LEARN_TIMEOUT_S, abs=ROUNDING_S)
