Take an executor out of the record once a start has not reached it

What callers saw: a job beside free room for 4.6 s, 3.8 s and 6.6 s after a takeover.

Cause: a start whose connection was refused went out three times, 0.1 s, and its executor then stayed in the record for one write more, like that of a run that ended. An owner killed meanwhile left a name at which nothing can be. Fix: the first send that reached nobody ends the attempt, and such an executor leaves the record with the next write. Why it is safe: a send that was refused, or whose connection was, has done nothing; any send without an answer keeps the name. Ruled out: executors recorded ahead, none of which was named there.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
@@ -247,6 +247,9 @@
             attempt.unanswered += not outcome.unsent
             attempt.refused_sends += outcome.unsent
             state.wake.set()
+            if not attempt.unanswered:
+                # Nothing can be there, and the record should say so before this owner is gone.
+                break
             await trio.sleep(RETRY_S)
         if attempt.phase is Phase.STARTING and start.task.attempt is attempt:
             state.back_off(trio.current_time())
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
@@ -492,7 +492,10 @@
         if task is not None and task.attempt is attempt:
             task.attempt = None
             job = self.jobs[attempt.task.job]
-            job.places.add_left(attempt.executor, job.mask_of(attempt.task))
+            if attempt.may_have_begun:
+                job.places.add_left(attempt.executor, job.mask_of(attempt.task))
+            else:
+                self.recorder.mark(job)
         self.crashes.end_trial(attempt.task, attempt.instance)
         log_event(
             "attempt.closed",
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
@@ -80,6 +80,11 @@
         open_sends = self.unanswered + self.refused_sends + self.is_in_flight
         return self.seen or self.sends > open_sends
 
+    @property
+    def may_have_begun(self) -> bool:
+        """Whether any send may have had an effect; an adopted run was never sent by this owner."""
+        return self.seen or self.sends > self.refused_sends
+
     @property
     def has_single_unresolved_send(self) -> bool:
         """Whether exactly one send may have started the run."""
--- a/packages/heronthread-dispatch/tests/test_orders.py
+++ b/packages/heronthread-dispatch/tests/test_orders.py
@@ -223,6 +223,29 @@
         assert await _status(site, "a") is JobStatus.SUCCEEDED
 
 
+async def test_record_names_no_executor_that_a_start_did_not_reach(
+    autojump_clock: Clock,
+) -> None:
+    """Guards against a next owner that waits for a crashed executor at which nothing can run.
+
+    The owner is killed 0.1 s after the executor has refused its connection.
+    """
+    async with EmulatedSite.open(hosts=2, executors=1) as site:
+        site.keeps_addresses = False
+        owner = await site.wait_for_owner()
+        await trio.sleep(1.0)
+        site.crash_executor("e0")
+        host = site.hosts[next(name for name in site.hosts if name != owner)]
+        await host.requests.accept(site.make_job("a", work_s=1.0), 2.0)
+        await trio.sleep(0.1)
+        site.kill_host(owner)
+        for number in range(1, 4):
+            site.add_executor(f"e{number}", "r1")
+        await site.wait_for_owner()
+        await trio.sleep(1.0)
+        assert len(site.executors.starts()) == 1
+
+
 async def test_unsent_attempt_is_closed_when_its_gang_is_stopped(
     autojump_clock: Clock,
 ) -> None:
