Record a part of a rack in advance for a gang in a small pool

What callers saw: a gang that stands beside free room until the store is back.

Cause: a gang had a whole rack recorded ahead if that was a twelfth of the pool at most; racks of 8 in a pool of 24 are not. Evidence: its record names no executor ahead, and the wait itself is over in the outage. Fix: a part of one rack, of as few executors as hold the gang, a twelfth of the pool at most as before.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/spares.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/spares.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import zlib
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 import trio
@@ -66,7 +67,7 @@
                 self.cell.recorder.mark(job)
 
     def _choose(self, job: JobState, step: StepState, candidates: _Candidates) -> frozenset[str]:
-        """Return spares for a step: one rack for a gang, else a few executors.
+        """Return spares for a step: a part of one rack for a gang, else a few executors.
 
         Each job ranks the executors in its own order, so that any executor that becomes free is a
         spare of some job.
@@ -97,9 +98,9 @@
         return [state.id for state in self._list(asked)]
 
     def list_racks(self, asked: Requirement, count: int) -> list[frozenset[str]]:
-        """Return the executors of each rack that can hold `count` tasks and is small enough.
+        """Return parts of racks, each of as few executors as can hold `count` tasks together.
 
-        A rack may be 1 / `POOL_DIVISOR` of the fitting executors at most.
+        A part may be 1 / `POOL_DIVISOR` of the fitting executors at most.
         """
         key = (asked, count)
         if key not in self._racks:
@@ -120,14 +121,24 @@
 
     def _find_racks(self, asked: Requirement, count: int) -> list[frozenset[str]]:
         states, racks = self._list(asked), dict[str, list[ExecutorState]]()
+        most = len(states) // POOL_DIVISOR
         for state in states:
             racks.setdefault(state.executor.rack, []).append(state)
-        return [
-            frozenset(state.id for state in rack)
-            for rack in racks.values()
-            if len(rack) <= len(states) // POOL_DIVISOR
-            and sum(count_fits(asked[1], state.executor.capacity) for state in rack) >= count
-        ]
+        parts = (part for rack in racks.values() for part in _divide(rack, asked[1], count))
+        return [frozenset(state.id for state in part) for part in parts if len(part) <= most]
+
+
+def _divide(
+    rack: list[ExecutorState], need: Resources, count: int
+) -> Iterator[list[ExecutorState]]:
+    """Yield disjoint parts of a rack, each just large enough for a number of tasks."""
+    part, fits = list[ExecutorState](), 0
+    for state in rack:
+        part.append(state)
+        fits += count_fits(need, state.executor.capacity)
+        if fits >= count:
+            yield part
+            part, fits = [], 0
 
 
 def _find_waiting(job: JobState, now: float) -> StepState | None:
