--- a/packages/heronthread-dispatch/tests/test_late_start_waits.py
+++ b/packages/heronthread-dispatch/tests/test_late_start_waits.py
@@ -54,7 +54,7 @@
 
     The executor starts again under its id and is partitioned before any owner reaches its new
     instance. That may carry out the start for `MAX_ORDER_DELAY_S`, and then runs it for
-    `MOST_HOLD_S` at most. Fails as the 2 s between two owners are not counted.
+    `MOST_HOLD_S` at most.
     """
     assert run_seeded(SEED, _run_takeovers) == (2, [])
 
--- a/packages/heronthread-dispatch/tests/test_stalls_after_takeover.py
+++ b/packages/heronthread-dispatch/tests/test_stalls_after_takeover.py
@@ -95,11 +95,9 @@
 async def test_gang_whose_wait_ends_during_a_store_outage_starts(
     autojump_clock: Clock,
 ) -> None:
-    """A gang's executor is unresponsive after a takeover, and the store fails before the gang may
-    restart.
+    """Guards against a gang without executors recorded in advance, in a pool of three large racks.
 
-    No executors are recorded in advance for the gang, as a rack is more than a twelfth of this
-    pool.
+    Its executor is unresponsive after a takeover, and the store fails before it may restart.
     """
     async with EmulatedSite.open(hosts=3, executors=24, racks=3) as site:
         owner = await site.wait_for_owner()
--- a/packages/heronthread-dispatch/tests/test_two_late_runs.py
+++ b/packages/heronthread-dispatch/tests/test_two_late_runs.py
@@ -35,7 +35,10 @@
 
 
 async def test_two_late_runs_at_one_instance_do_not_overlap(autojump_clock: Clock) -> None:
-    """The instance that carries both out began just before, and no owner has reached it yet."""
+    """Guards against a task at work twice, under two numbers whose starts both went unanswered.
+
+    The instance that carries both out began just before, and no owner has reached it yet.
+    """
     async with EmulatedSite.open(hosts=3, executors=1) as site:
         owner = await site.wait_for_owner()
         await trio.sleep(1.0)
--- a/packages/heronthread-dispatch/tests/test_unreported_instance.py
+++ b/packages/heronthread-dispatch/tests/test_unreported_instance.py
@@ -1,7 +1,7 @@
 """A late start at a running instance that no owner reaches.
 
 The delay bounds when its run begins. The run then lasts for up to the longest lease, as the order's
-deadline is on the other instance's clock; this time is not counted yet.
+deadline is on the other instance's clock.
 """
 
 import trio
@@ -23,6 +23,7 @@
 async def test_task_is_not_started_beside_a_late_run_of_an_unreported_instance(
     autojump_clock: Clock,
 ) -> None:
+    """Guards against a task at work twice, as the duration of a late run is not counted."""
     async with EmulatedSite.open(hosts=5, executors=1) as site:
         site.said_after_s = 1000.0
         owner = await site.wait_for_owner()
--- a/packages/heronthread-emulator/src/heronthread_emulator/soak_cases.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak_cases.py
@@ -140,4 +140,10 @@
         jobs=60,
         only="executor_cut_by_refusals,executors_restart,kill_owner,orders_unanswered",
     ),
+    Case(
+        30000,
+        "done work is not run again",
+        "late starts to the instance before extended an executor's lease on its other clock, and "
+        "the next owner did not count that; mended",
+    ),
 )
--- a/packages/heronthread-emulator/tests/test_rounds.py
+++ b/packages/heronthread-emulator/tests/test_rounds.py
@@ -22,20 +22,20 @@
 
 
 def test_no_job_stands_over_owners_that_are_killed() -> None:
-    """Jobs stood for up to 22.4 s where owners went every 4 s to 9 s beside crashed executors.
+    """Guards against tasks withheld for executors at which none of their runs can be.
 
-    A job named at an executor that answered nobody was withheld by each new owner for 7.5 s.
+    Owners end every 4 s to 9 s, beside crashed executors.
     """
     assert find_broken(Trouble(crash=3, kills_owner=True), range(10, 12)) == []
 
 
 def test_no_job_stands_over_owners_that_are_killed_as_the_store_goes() -> None:
-    """The same, for up to 18.8 s."""
+    """Guards against waits that begin anew after an outage of the store."""
     assert find_broken(Trouble(crash=3, kills_owner=True, loses_store=True), range(10, 12)) == []
 
 
 def test_no_job_stands_over_losses_of_power() -> None:
-    """The same, for up to 21.0 s."""
+    """Guards against tasks withheld for executors that were only recorded in advance."""
     assert find_broken(Trouble(crash=3, kills_all=True), range(10, 12)) == []
 
 
