List a late hold that runs a task twice, and name the preassignments' epoch

Ruled out for now: a fix. The row of an executor has to say for how long any order to an earlier instance may extend its lease, and that longer wait has to be measured for both promises.

Stored forms and messages are as before.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/executors_in_use.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/executors_in_use.py
@@ -98,7 +98,7 @@
         return state
 
     def _find_left_s(self, lapse: RecordedLapse) -> float:
-        """Return for how long (s) runs may still last by the time that a write is old at least."""
+        """Return what is left (s) of a recorded wait, by the least age of its record."""
         return lapse.left_s - self._cell.parts.find_revision_age_s(lapse.revision)
 
     async def run(self) -> None:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -261,7 +261,7 @@
 
     async def _learn_revisions(self) -> None:
         peers = self.news.others()[:MAX_NOTIFIED]
-        await learn_revisions(self.store.revisions, peers, self.ask_peer)
+        await learn_revisions(self.store.revisions, peers, self.ask_peer, self.note_malformed)
 
     async def _own(self, owner: Owner) -> None:
         async with trio.open_nursery() as nursery:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/model.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/model.py
@@ -53,7 +53,7 @@
     occurrence: int = 0
 
 
-class PreassignmentMark(NamedTuple):
+class PreassignmentEpoch(NamedTuple):
     """Identifies preassignments that an owner wrote before it used any of them.
 
     `revision` is that at which its term began, `number` rises with each use, and `hosts` is the
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
@@ -206,8 +206,8 @@
     async def _announce_preassigned(self, job: JobState, wanted: TaskMasks) -> bool:
         """Announce the use of what the store has in advance; return False if too few hosts know."""
         places, preassignments = job.places, self.cell.parts.preassignments
-        mark = places.preassigned_mark if places.is_preassigned(wanted) else None
-        return mark is None or preassignments is None or await preassignments.announce(mark)
+        epoch = places.preassigned_epoch if places.is_preassigned(wanted) else None
+        return epoch is None or preassignments is None or await preassignments.announce(epoch)
 
     async def _start(self, start: Start, attempt: Attempt, checkpoint: str) -> None:
         state = start.executor
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
@@ -396,9 +396,9 @@
         silent = self.list_unreported_ids()
         may_share_ids = any(state.instance.born for state in self.executors.values())
         preassignments = self.parts.preassignments
-        mark = None if preassignments is None else preassignments.make_mark()
+        epoch = None if preassignments is None else preassignments.make_epoch()
         for job in jobs:
-            job.places.mark = mark
+            job.places.epoch = epoch
             job.places.drop_resolved(silent)
             late, until = self.late_starts.list_open_of_job(job.spec.id)
             job.places.late = self._find_late(job, late)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -17,7 +17,7 @@
 from .fleet import ExecutorState
 from .host_lease import Term
 from .keystore import Item, KeyRemoved, Listing
-from .model import JobSpec, PreassignmentMark
+from .model import JobSpec, PreassignmentEpoch
 from .orders import Orders
 from .owned_cell import JOB_PREFIX, STALE_OWNER_S, OwnedCell, OwnerParts
 from .plan import Plan
@@ -271,13 +271,13 @@
         A record of an owner before that one counts as used.
         """
         preassignments, unused = self.parts.preassignments, 0
-        found: dict[PreassignmentMark, list[JobState]] = {}
+        found: dict[PreassignmentEpoch, list[JobState]] = {}
         for job in self.cell.active.values():
-            mark = job.places.inherited_mark
-            if mark is not None and mark.revision == self.cell.term.previous_revision:
-                found.setdefault(mark, []).append(job)
-        for mark, jobs in found.items():
-            if preassignments is None or not await preassignments.is_unused(mark):
+            epoch = job.places.inherited_epoch
+            if epoch is not None and epoch.revision == self.cell.term.previous_revision:
+                found.setdefault(epoch, []).append(job)
+        for epoch, jobs in found.items():
+            if preassignments is None or not await preassignments.is_unused(epoch):
                 continue
             unused += len(jobs)
             for job in jobs:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/placements.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/placements.py
@@ -10,7 +10,7 @@
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 
-from .model import PreassignmentMark, UnresolvedStart
+from .model import PreassignmentEpoch, UnresolvedStart
 from .task_masks import ANY, TaskMasks, find_mask, includes, intersect, keep, subtract, unite
 
 
@@ -35,10 +35,10 @@
     - `recorded_starts`: the starts that the store certainly has. The next owner restarts their
       tasks only where the earlier start is refused.
     - `lists_starts`: whether earlier owners recorded their starts.
-    - `mark`: the mark of what is recorded in advance from now on, None if that counts as used.
-    - `preassigned`: what the store may have in advance alone, with `preassigned_mark` or an earlier
-      one of the same owner. `inherited_preassigned` is the part of `inherited` that an earlier
-      owner recorded in advance, with `inherited_mark`.
+    - `epoch`: the epoch of what is recorded in advance from now on, None if that counts as used.
+    - `preassigned`: what the store may have in advance alone, with `preassigned_epoch` or an
+      earlier one of the same owner. `inherited_preassigned` is the part of `inherited` that an
+      earlier owner recorded in advance, with `inherited_epoch`.
     """
 
     spare: frozenset[str] = frozenset()
@@ -54,11 +54,11 @@
     runs_left_s: float | None = None
     has_time_limit: bool = False
     recorded_starts: frozenset[UnresolvedStart] = frozenset()
-    mark: PreassignmentMark | None = None
+    epoch: PreassignmentEpoch | None = None
     preassigned: TaskMasks = field(default_factory=dict)
-    preassigned_mark: PreassignmentMark | None = None
+    preassigned_epoch: PreassignmentEpoch | None = None
     inherited_preassigned: TaskMasks = field(default_factory=dict)
-    inherited_mark: PreassignmentMark | None = None
+    inherited_epoch: PreassignmentEpoch | None = None
     _left_in_flight: TaskMasks = field(default_factory=dict)
 
     def covers(self, wanted: TaskMasks) -> bool:
@@ -93,12 +93,12 @@
         self,
         names: TaskMasks | None,
         preassigned: TaskMasks | None = None,
-        mark: PreassignmentMark | None = None,
+        epoch: PreassignmentEpoch | None = None,
     ) -> None:
         """Record that a write is sent; an earlier one without an answer may still be applied."""
         if preassigned:
             self.preassigned = unite(self.preassigned, preassigned)
-            self.preassigned_mark = mark
+            self.preassigned_epoch = epoch
         self.has_time_limit |= self.starts_left_s is not None
         names = names or {}
         self.in_flight = names if self.in_flight is None else intersect(self.in_flight, names)
@@ -124,11 +124,11 @@
         named: TaskMasks | None,
         starts: frozenset[UnresolvedStart] | None = None,
         preassigned: TaskMasks | None = None,
-        mark: PreassignmentMark | None = None,
+        epoch: PreassignmentEpoch | None = None,
     ) -> None:
         """Restore what the store lists."""
         self.preassigned = self.inherited_preassigned = preassigned or {}
-        self.preassigned_mark = self.inherited_mark = mark
+        self.preassigned_epoch = self.inherited_epoch = epoch
         self.starts = starts
         self.lists_starts = starts is not None
         self.has_time_limit = bool(starts)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/preassignments.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/preassignments.py
@@ -17,7 +17,7 @@
 
 import trio
 
-from .model import PreassignmentMark
+from .model import PreassignmentEpoch
 from .peer_messages import News
 
 MAX_TERMS = 8
@@ -78,9 +78,9 @@
             self.note_used(int(revision), number)
         self.close(news.closed_preassignments)
 
-    def is_used(self, mark: PreassignmentMark) -> bool:
-        """Return whether this host knows that preassignments with a mark are used."""
-        return self._used.get(mark.revision, 0) >= mark.number
+    def is_used(self, epoch: PreassignmentEpoch) -> bool:
+        """Return whether this host knows that preassignments of an epoch are used."""
+        return self._used.get(epoch.revision, 0) >= epoch.number
 
     def encode(self) -> dict[str, int]:
         """Return the highest number used in each term."""
@@ -108,53 +108,53 @@
         self._retry_at = float("-inf")
         self._lock = trio.Lock()
 
-    def make_mark(self) -> PreassignmentMark | None:
-        """Return the mark of preassignments that are written now, None if they count as used."""
+    def make_epoch(self) -> PreassignmentEpoch | None:
+        """Return the epoch of preassignments that are written now, None if they count as used."""
         members = self._find_members(self._revision)
         if members is None:
             return None
-        return PreassignmentMark(self._revision, self._announced + 1, len(members.others))
+        return PreassignmentEpoch(self._revision, self._announced + 1, len(members.others))
 
-    async def announce(self, mark: PreassignmentMark) -> bool:
-        """Return whether enough hosts have noted that preassignments with a mark are used."""
+    async def announce(self, epoch: PreassignmentEpoch) -> bool:
+        """Return whether enough hosts have noted that preassignments of an epoch are used."""
         async with self._lock:
-            if mark.revision != self._revision or mark.number <= self._announced:
+            if epoch.revision != self._revision or epoch.number <= self._announced:
                 return True
             if trio.current_time() < self._retry_at:
                 return False
-            if await self._collect_acks(mark):
-                self._announced = mark.number
+            if await self._collect_acks(epoch):
+                self._announced = epoch.number
                 return True
             self._retry_at = trio.current_time() + RETRY_S
             return False
 
-    async def _collect_acks(self, mark: PreassignmentMark) -> bool:
-        self._log.note_used(mark.revision, mark.number)
-        members = self._find_members(mark.revision)
-        if members is None or not self._log.is_used(mark):
+    async def _collect_acks(self, epoch: PreassignmentEpoch) -> bool:
+        self._log.note_used(epoch.revision, epoch.number)
+        members = self._find_members(epoch.revision)
+        if members is None or not self._log.is_used(epoch):
             return False
 
         def is_ack(news: News) -> bool:
-            return _names_use(news, mark)
+            return _names_use(news, epoch)
 
-        return await self._ask(members.others, is_ack, count_required_acks(mark.hosts))
+        return await self._ask(members.others, is_ack, count_required_acks(epoch.hosts))
 
-    async def is_unused(self, mark: PreassignmentMark) -> bool:
-        """Return whether the owner of an earlier term can have used none with a mark, ever."""
-        members = self._find_members(mark.revision)
+    async def is_unused(self, epoch: PreassignmentEpoch) -> bool:
+        """Return whether an earlier owner has used none of an epoch, and can use none any more."""
+        members = self._find_members(epoch.revision)
         if members is None:
             return False
-        self._log.close(mark.revision)
-        if self._log.is_used(mark):
+        self._log.close(epoch.revision)
+        if self._log.is_used(epoch):
             return False
         if members.is_own:
             return True
 
         def denies(news: News) -> bool:
-            is_closed = news.closed_preassignments >= mark.revision
-            return is_closed and not _names_use(news, mark)
+            is_closed = news.closed_preassignments >= epoch.revision
+            return is_closed and not _names_use(news, epoch)
 
-        required = count_required_denials(mark.hosts) - members.is_witness
+        required = count_required_denials(epoch.hosts) - members.is_witness
         return await self._ask(members.others, denies, required)
 
     async def _ask(
@@ -181,5 +181,5 @@
         return agreed >= required
 
 
-def _names_use(news: News, mark: PreassignmentMark) -> bool:
-    return news.used_preassignments.get(str(mark.revision), 0) >= mark.number
+def _names_use(news: News, epoch: PreassignmentEpoch) -> bool:
+    return news.used_preassignments.get(str(epoch.revision), 0) >= epoch.number
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
@@ -428,7 +428,7 @@
         ahead = self._preassign_waiting({*now_at, *places.left})
         used = places.list_to_record(now_at)
         named = None if used is None else unite(used, ahead)
-        is_marked = used is not None and places.mark is not None
+        is_marked = used is not None and places.epoch is not None
         preassigned = subtract(ahead, used or {}) if is_marked else {}
         return ProgressRecord(
             self.status,
@@ -438,7 +438,7 @@
             places.starts_left_s,
             places.runs_left_s,
             preassigned,
-            places.mark if preassigned else None,
+            places.epoch if preassigned else None,
         )
 
     def fits(self, record: ProgressRecord) -> bool:
@@ -457,7 +457,7 @@
         self.recorded = record.status
         self.failed = record.status is JobStatus.FAILED
         self.begun = record.status is not JobStatus.PENDING
-        self.places.restore(record.places, record.starts, record.preassigned, record.mark)
+        self.places.restore(record.places, record.starts, record.preassigned, record.epoch)
         for step, saved in zip(self.steps, record.steps, strict=True):
             for task in step.tasks:
                 task.done = bool(saved.done >> task.index & 1)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
@@ -12,7 +12,7 @@
     ApprovalTerms,
     ExecutorInstance,
     JobSpec,
-    PreassignmentMark,
+    PreassignmentEpoch,
     Queue,
     Resources,
     Schedule,
@@ -251,7 +251,7 @@
     unanswered, None if any may be. They may be carried out for at most `starts_left_s` after the
     write, and their runs may go on for at most `runs_left_s`; None if one may still be sent.
     Earlier versions stored no `runs_left_s`. `preassigned` is the part of `places` at which nothing
-    was started by the time of the write, nor later unless its use was announced with `mark`.
+    was started by the time of the write, nor later unless its use was announced for `epoch`.
     """
 
     status: JobStatus
@@ -261,7 +261,7 @@
     starts_left_s: float | None = None
     runs_left_s: float | None = None
     preassigned: TaskMasks = field(default_factory=dict)
-    mark: PreassignmentMark | None = None
+    epoch: PreassignmentEpoch | None = None
 
     def encode(self) -> bytes:
         """Return the stored form."""
@@ -282,8 +282,8 @@
             value["starts_left_s"] = self.starts_left_s
         if self.starts and self.runs_left_s is not None:
             value["runs_left_s"] = self.runs_left_s
-        if self.mark is not None:
-            value["preassigned"] = [self.mark, encode_masks(self.preassigned)]
+        if self.epoch is not None:
+            value["preassigned"] = [self.epoch, encode_masks(self.preassigned)]
         return json.dumps(value, separators=(",", ":")).encode()
 
     @classmethod
@@ -307,7 +307,7 @@
         open_starts = None if starts is None else _read_starts(starts, value)
         left_s = read_remaining_s(value.get("starts_left_s"))
         runs_left_s = read_remaining_s(value.get("runs_left_s"))
-        mark, preassigned = _read_preassigned(value.get("preassigned"))
+        epoch, preassigned = _read_preassigned(value.get("preassigned"))
         return cls(
             JobStatus(value["status"]),
             steps,
@@ -316,7 +316,7 @@
             left_s,
             runs_left_s,
             preassigned,
-            mark,
+            epoch,
         )
 
 
@@ -333,12 +333,12 @@
     return math.ceil(max(0.0, left_s) * 10) / 10
 
 
-def _read_preassigned(value: Any) -> tuple[PreassignmentMark | None, TaskMasks]:
+def _read_preassigned(value: Any) -> tuple[PreassignmentEpoch | None, TaskMasks]:
     """Decode what was recorded in advance; earlier versions did not tell it apart."""
     if value is None:
         return None, {}
     (revision, number, hosts), masks = value
-    return PreassignmentMark(int(revision), int(number), int(hosts)), decode_masks(masks, masks)
+    return PreassignmentEpoch(int(revision), int(number), int(hosts)), decode_masks(masks, masks)
 
 
 def _read_starts(rows: Any, value: dict[str, Any]) -> frozenset[UnresolvedStart]:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/recorder.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/recorder.py
@@ -140,7 +140,7 @@
             for job, record in zip(jobs, records, strict=True)
         ]
         for job, record in zip(jobs, records, strict=True):
-            job.places.begin_write(record.places, record.preassigned, record.mark)
+            job.places.begin_write(record.places, record.preassigned, record.epoch)
         outcome = await self._commit(Transaction((self.guard, *conditions), tuple(puts)))
         if isinstance(outcome, Committed):
             for job, record, notes in zip(jobs, records, crash_notes, strict=True):
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/revision_log.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/revision_log.py
@@ -23,6 +23,7 @@
 """Bounds the delay of a takeover; a peer in the same region answers within milliseconds."""
 
 AskPeer = Callable[[str, int, dict[str, Any], float], Awaitable[PeerReply | PeerUnreachable]]
+NoteMalformed = Callable[[int, str, str], None]
 
 
 class RevisionLog:
@@ -78,7 +79,9 @@
     return now - age_s, revision
 
 
-async def learn_revisions(log: RevisionLog, peers: Collection[str], ask_peer: AskPeer) -> None:
+async def learn_revisions(
+    log: RevisionLog, peers: Collection[str], ask_peer: AskPeer, note_malformed: NoteMalformed
+) -> None:
     """Merge the revisions that peers know, as far as they answer within `LEARN_TIMEOUT_S`."""
 
     async def ask(address: str) -> None:
@@ -87,9 +90,8 @@
             return
         try:
             log.merge(reply.body)
-        except MALFORMED:
-            # The peer's revisions only shorten waits; the others' are as good.
-            return
+        except MALFORMED as error:
+            note_malformed(Operation.REVISION_AGES, address, repr(error))
 
     with trio.move_on_after(LEARN_TIMEOUT_S):
         async with trio.open_nursery() as nursery:
--- a/packages/heronthread-dispatch/tests/test_restarted_waits.py
+++ b/packages/heronthread-dispatch/tests/test_restarted_waits.py
@@ -12,19 +12,24 @@
 MAX_DELAY_S = 3.0
 
 
+async def _take_over_beside_a_partitioned_run(site: EmulatedSite) -> None:
+    """Partition the executor of a run, kill the owner, and wait for the next one."""
+    owner = await site.wait_for_owner()
+    host = next(name for name in site.hosts if name != owner)
+    await site.hosts[host].requests.accept(site.make_job("a", work_s=30.0), 2.0)
+    await trio.sleep(1.0)
+    site.executors.by_id[site.executors.starts(TASK)[0].executor].is_cut = True
+    site.kill_host(await site.wait_for_owner())
+    await site.wait_for_owner()
+
+
 @pytest.mark.parametrize("says_born", [True, False])
 async def test_an_owner_waits_only_for_the_remaining_lease_of_an_executor(
     autojump_clock: Clock, says_born: bool
 ) -> None:
     """Without recorded starts, the wait depends on the executor's recorded lease."""
     async with EmulatedSite.open(hosts=3, executors=6, says_born=says_born) as site:
-        owner = await site.wait_for_owner()
-        host = next(name for name in site.hosts if name != owner)
-        await site.hosts[host].requests.accept(site.make_job("a", work_s=30.0), 2.0)
-        await trio.sleep(1.0)
-        site.executors.by_id[site.executors.starts(TASK)[0].executor].is_cut = True
-        site.kill_host(await site.wait_for_owner())
-        await site.wait_for_owner()
+        await _take_over_beside_a_partitioned_run(site)
         await trio.sleep(5.0)
         site.kill_host(await site.wait_for_owner())
         await site.wait_for_owner()
@@ -41,13 +46,7 @@
     The lease of the executor's run is over during the outage, 9 s after its last renewal.
     """
     async with EmulatedSite.open(hosts=4, executors=6) as site:
-        owner = await site.wait_for_owner()
-        host = next(name for name in site.hosts if name != owner)
-        await site.hosts[host].requests.accept(site.make_job("a", work_s=30.0), 2.0)
-        await trio.sleep(1.0)
-        site.executors.by_id[site.executors.starts(TASK)[0].executor].is_cut = True
-        site.kill_host(await site.wait_for_owner())
-        await site.wait_for_owner()
+        await _take_over_beside_a_partitioned_run(site)
         await trio.sleep(3.0)
         site.store.is_down = True
         site.kill_host(await site.wait_for_owner())
--- a/packages/heronthread-dispatch/tests/test_unreported_instance.py
+++ b/packages/heronthread-dispatch/tests/test_unreported_instance.py
@@ -94,3 +94,30 @@
         await site.wait_for_owner()
         await trio.sleep(40.0)
         assert check_promises(site.executors, {}) == []
+
+
+async def test_task_is_not_started_while_a_late_hold_extends_the_lease_of_its_run(
+    autojump_clock: Clock,
+) -> None:
+    """Guards against the same where a renewal of the previous instance's lease comes late."""
+    async with EmulatedSite.open(hosts=3, executors=1) as site:
+        owner = await site.wait_for_owner()
+        host = site.hosts[next(name for name in site.hosts if name != owner)]
+        await trio.sleep(1.0)
+        await host.requests.accept(site.make_job("b", work_s=20.0), 2.0)
+        await trio.sleep(9.0)
+        place = site.executors.by_id["e0"]
+        place.lose_answers, place.late_s = 2, 9.0
+        while place.lose_answers:
+            await trio.sleep(0.002)
+        await trio.sleep(0.01)
+        site.restart_executor("e0", 0.3)
+        await trio.sleep(2.0)
+        await host.requests.accept(site.make_job("a", work_s=30.0), 2.0)
+        await trio.sleep(1.5)
+        site.executors.by_id["e0"].is_cut = True
+        site.kill_host(owner)
+        site.add_executor("e1", "r1")
+        await site.wait_for_owner()
+        await trio.sleep(40.0)
+        assert check_promises(site.executors, {}) == []
