--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
@@ -26,6 +26,7 @@
 from .host_lease import Term
 from .keystore import KeyStore
 from .late_starts import MAX_ORDER_DELAY_S, LateStarts
+from .learned import LearnedState
 from .model import NO_RESOURCES, DesiredState, TaskKey, UnresolvedStart
 from .policy import DEFAULT_POLICY, Policy
 from .preassignments import Preassignments
@@ -154,6 +155,7 @@
         self.jobs: dict[str, JobState] = {}
         self.active: dict[str, JobState] = {}
         self.executors: dict[str, ExecutorState] = {}
+        self.learned = LearnedState()
         self.changed = trio.Event()
         self.use_changed = trio.Event()
         self.approvals = Approvals(parts.approver, self.wake_planner)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -470,6 +470,7 @@
             self.parts.timing.stop_s,
             self.parts.can_write_store(),
             self.cell.find_required_executors(),
+            learned=self.cell.learned,
         )
         planner.steps_to_explain = self.stall_monitor.take_explanation_requests()
         recheck = PLAN_EVERY_S
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -21,6 +21,7 @@
 from .guarantee import find_guaranteed
 from .headroom import Headroom
 from .late_starts import NOWHERE
+from .learned import LearnedState
 from .losses import Losses
 from .model import URGENT, DesiredState, Queue, Resources, TaskKey
 from .offers import Offer, Scope, count_free, count_with_reserved, make_offers
@@ -47,7 +48,8 @@
     be no such run. `can_write_store` is true if the store can record executors for jobs; otherwise
     a job starts only on executors already recorded for it. `pins` maps a task to the only executor
     that may run it. `steps_to_explain` lists steps by the keys of their first tasks; `causes`
-    receives the reason why each of them waits, once the plan has reached it.
+    receives the reason why each of them waits, once the plan has reached it. `learned` is what the
+    owner knows of speeds, lengths, urgent demand and customers.
     """
 
     def __init__(
@@ -64,8 +66,10 @@
         stop_s: float = DEFAULT_STOP_S,
         can_write_store: bool = True,
         pins: Mapping[TaskKey, str] | None = None,
+        learned: LearnedState | None = None,
     ) -> None:
         self.policy = policy
+        self.learned = learned or LearnedState()
         self.jobs = list(jobs)
         self.desired = desired
         self._may_run = may_run
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/policy.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/policy.py
@@ -19,6 +19,12 @@
     shortly after its start; `wait_for_ends` lets urgent work wait for attempts that end soon even
     if stopping them would be faster; `hopeless_last` ranks urgent work last, and preempts nothing
     for it, once it can no longer be useful.
+
+    These take effect only where executors differ in speed, runs differ from their estimates, urgent
+    work arrives, or demand exceeds capacity: `executor_speeds` places work by learned speeds;
+    `run_lengths` predicts ends from earlier runs; `urgent_room` keeps capacity by a forecast of
+    urgent work and lends it out; `admission` rejects jobs that cannot begin in time to be useful;
+    `fair_shares` ranks customers above their fair share after the others.
     """
 
     headroom: bool = True
@@ -29,6 +35,11 @@
     look_early: bool = True
     wait_for_ends: bool = False
     hopeless_last: bool = False
+    executor_speeds: bool = True
+    run_lengths: bool = True
+    urgent_room: bool = True
+    admission: bool = True
+    fair_shares: bool = True
 
 
 DEFAULT_POLICY = Policy()
--- a/packages/heronthread-emulator/src/heronthread_emulator/pool_model.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/pool_model.py
@@ -12,7 +12,9 @@
 
 import simpy
 from heronthread_dispatch.fleet import ExecutorState, make_executor_state
+from heronthread_dispatch.learned import LearnedState
 from heronthread_dispatch.model import (
+    URGENT,
     DesiredState,
     Executor,
     JobSpec,
@@ -26,6 +28,7 @@
 from heronthread_dispatch.policy import Policy
 from heronthread_dispatch.progress import Attempt, JobState, Phase, StepState, make_job
 from heronthread_dispatch.recent_peaks import RecentPeaks
+from heronthread_dispatch.urgent_forecast import GangShape
 
 from .load import DrawnJob, LoadPattern
 
@@ -34,6 +37,7 @@
 ORDER_S = 0.005
 MOST_ATTEMPTS = 4
 URGENT_WINDOW_S = 12.0
+LEAST_MEASURE_S = 0.6
 DRAIN_FACTOR = 2.5
 """A play goes on for so many times the pattern's length, so that what was taken in can end."""
 
@@ -99,6 +103,8 @@
         self._runs: dict[int, _Run] = {}
         self._changed = self.env.event()
         self._peaks = RecentPeaks(URGENT_WINDOW_S)
+        self._learned = LearnedState()
+        self._charged_at = 0.0
         self._desired = _make_desired(pattern)
         self._executors = {state.id: state for state in _make_executors(pattern)}
         source = random.Random(f"slow {pattern.name} {len(drawn)}")
@@ -123,6 +129,10 @@
             self._known[drawn.id] = known
             self._active[drawn.id] = state
             self.outcome.jobs.append(known.outcome)
+            if queue.priority == URGENT:
+                spec = state.steps[0].spec
+                shape = GangShape(spec.count, spec.need, spec.same_rack)
+                self._learned.forecast.note_arrival("pool", shape, spec.estimate_s, self.env.now)
             if drawn.cancel_after_s is not None:
                 self.env.process(self._cancel(known, drawn.cancel_after_s))
             self._wake()
@@ -162,6 +172,7 @@
             self._peaks.peaks(now),
             policy=self.policy,
             stop_s=self.pattern.stop_s,
+            learned=self._learned,
         )
         plan = planner.make()
         self._peaks.note(now, planner.urgent_demand())
@@ -169,7 +180,7 @@
         return min(RECHECK_S, plan.replan_in_s or RECHECK_S)
 
     def _note_progress(self, now: float) -> None:
-        for run in self._runs.values():
+        for run in {id(run): run for run in self._runs.values()}.values():
             if now <= run.began:
                 continue
             percent = 100 * min(0.99, (run.saved_s + now - run.began) / run.takes_s)
@@ -177,6 +188,26 @@
                 attempt.percent = percent
                 attempt.progressed_at = now
                 attempt.rate = attempt.best_rate = 100 / run.takes_s
+                self._note_speed(run, attempt, now)
+        self._charge_customers(now)
+
+    def _note_speed(self, run: _Run, attempt: Attempt, now: float) -> None:
+        """Report a member's own rate, as members progress independently."""
+        if now - run.began < LEAST_MEASURE_S:
+            return
+        job = self._known[attempt.task.job]
+        works_s = job.drawn.works_s[attempt.task.member]
+        rate = 100 / (works_s * self._find_factor(attempt.executor))
+        step = job.state.steps[0]
+        key = job.state.key_of(step, step.tasks[0])
+        self._learned.speeds.note("pool", key, attempt.instance, rate, now)
+
+    def _charge_customers(self, now: float) -> None:
+        elapsed, self._charged_at = now - self._charged_at, now
+        for job in self._active.values():
+            self._learned.shares.charge(
+                "pool", job.spec.tenant, job.accelerators_held * elapsed, now
+            )
 
     def _carry_out(self, plan: Plan) -> None:
         for attempt in plan.stops:
@@ -278,6 +309,11 @@
             task = known.state.task(attempt.task)
             assert task is not None, "a run is of one of its job's tasks"
             task.done = True
+            length_s = known.drawn.works_s[attempt.task.member]
+            estimate_s = known.drawn.estimate_s
+            self._learned.lengths.note_end(
+                known.state.spec.tenant, known.drawn.kind.name, estimate_s, length_s, self.env.now
+            )
         if known.state.is_done and known.outcome.done_at is None:
             known.outcome.done_at = self.env.now
             self._active.pop(known.drawn.id, None)
--- a/tests/test_planner_equivalence.py
+++ b/tests/test_planner_equivalence.py
@@ -10,6 +10,7 @@
 import trio
 from heronthread_dispatch import owner as owner_module
 from heronthread_dispatch.fleet import ExecutorState
+from heronthread_dispatch.learned import LearnedState
 from heronthread_dispatch.losses import expected_end_s
 from heronthread_dispatch.model import (
     NO_RESOURCES,
@@ -262,8 +263,8 @@
 
     compared = 0
 
-    def __init__(self, *arguments: object) -> None:
-        super().__init__(*arguments)  # type: ignore[arg-type]
+    def __init__(self, *arguments: object, learned: LearnedState) -> None:
+        super().__init__(*arguments, learned=learned)  # type: ignore[arg-type]
         given = list(arguments)
         given[6] = given[6] or (lambda task: False)
         self._plain = ReferencePlanner(*given)  # type: ignore[arg-type]
