Learn executors' relative speeds, and place work by them

Executors differ in speed by up to 2.15 times and nothing showed it, so urgent gangs went to fast ones no more often than by chance and waited for their slowest member.

Urgent gangs take fast executors if all members fit there, and leave them otherwise; other work takes them last. The modelled pool reports a gang's members as equally long, as executors do.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/executor_restart.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/executor_restart.py
@@ -98,6 +98,8 @@
     is_orphan = old.orphans.get((attempt.task, attempt.run)) is attempt
     old.release(attempt)
     attempt.instance = new.instance
+    # A rate measured across both instances would count as the new one's speed.
+    attempt.measured_at = None
     task = cell.find_task(attempt.task)
     if is_orphan:
         new.occupy_orphan(attempt)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/executor_watch.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/executor_watch.py
@@ -25,7 +25,7 @@
 from .owned_cell import OwnedCell
 from .probing import needs_probe
 from .progress import UNSETTLED, Attempt, JobState, Phase
-from .speed import measure_speed
+from .speed import measure_speed, shows_executor_speed
 from .stop_confirmation import needs_confirmation, probe_repeatedly, send_hold
 
 WAIT_S = 1.0
@@ -376,7 +376,8 @@
             attempt.progressed_at = received
         factor = self._far_factor(job, attempt)
         policy = self.cell.parts.policy
-        measure_speed(job, attempt, self.state, run.percent, received, factor, policy)
+        if measure_speed(job, attempt, self.state, run.percent, received, factor, policy):
+            self._note_speed(job, attempt, run.percent, factor, received)
         if run.percent > attempt.percent:
             attempt.percent = run.percent
             attempt.progressed_at = received
@@ -384,6 +385,21 @@
                 attempt.began_at = received
                 attempt.began_percent = run.percent
 
+    def _note_speed(
+        self, job: JobState, attempt: Attempt, percent: float, factor: float, received: float
+    ) -> None:
+        """Add a measured rate, as it would be near the data, to what is known of executors."""
+        if not self.cell.parts.policy.executor_speeds:
+            return
+        if not shows_executor_speed(attempt, self.state, percent, received):
+            return
+        step = job.step_of(attempt.task)
+        key = job.key_of(step, step.tasks[0])
+        speeds, pool = self.cell.learned.speeds, self.state.executor.pool
+        speeds.note(pool, key, attempt.instance, attempt.rate * factor, received)
+        for change in speeds.take_changes():
+            log_event("speeds.grouped", pool=change.pool, groups=change.groups)
+
     def _far_factor(self, job: JobState, attempt: Attempt) -> float:
         """Return the slowdown of an attempt by its distance from data or gang members."""
         step = job.step_of(attempt.task)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/gangs.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/gangs.py
@@ -10,21 +10,25 @@
 from .plan import Candidate
 from .policy import Policy
 from .progress import StepState, TaskState
+from .speed_placement import SpeedPlacement
 
 SPREAD_WAIT_S = 1.5
 MAX_RESERVATIONS = 2
+SPEED_COST = 300.0
 SLOW_COST = 1e3
 SPREAD_COST = 1e6
-"""Added to the free accelerators left in a rack, per slow executor and for a gang over several
-racks; larger than any rack's accelerators, so these criteria dominate."""
+"""Added to the free accelerators left in a rack, per rank of speed, per slow executor and for a
+gang over several racks; each larger than a rack's accelerators and all lesser costs, so these
+criteria dominate."""
 
 
 class GangPlacer:
     """Places the gangs of one plan."""
 
-    def __init__(self, now: float, policy: Policy) -> None:
+    def __init__(self, now: float, policy: Policy, speeds: SpeedPlacement | None = None) -> None:
         self._now = now
         self._policy = policy
+        self._speeds = speeds or SpeedPlacement(None)
         self._min_unplaceable: dict[tuple[object, ...], int] = {}
         self._reserved = 0
 
@@ -37,6 +41,11 @@
             offer.number,
         )
 
+    def order_tasks(self, candidate: Candidate, offers: list[Offer]) -> list[Offer]:
+        """Return offers in the order in which a step's tasks outside a gang take them."""
+        wish = self._speeds.find_wish(candidate)
+        return self._speeds.order_tasks(wish, offers, self.packing_order)
+
     def place(
         self, candidate: Candidate, eligible: Scope, avoids_headroom: bool, held: Counter[str]
     ) -> list[tuple[TaskState, Offer]]:
@@ -119,6 +128,7 @@
         if not spec.same_rack:
             found = (self._fit_in_scope(candidate, scope, avoided, held) for scope in fitting)
             return next((chosen for chosen in found if chosen is not None), None)
+        wish = self._speeds.find_wish(candidate)
         left = [(float(s.free_accelerators()), index, s) for index, s in enumerate(fitting)]
         best: tuple[float, int, list[Offer]] | None = None
         for least, index, scope in sorted(left, key=lambda entry: entry[:2]):
@@ -128,6 +138,7 @@
             if chosen is None:
                 continue
             cost = least + SLOW_COST * sum(offer.state.slow_until > self._now for offer in chosen)
+            cost += SPEED_COST * self._speeds.judge(wish, chosen)
             if len(scopes) > 1 and len(group_by_rack(chosen)) > 1:
                 cost += SPREAD_COST
             if best is None or (cost, index) < best[:2]:
@@ -143,12 +154,18 @@
         fitting = scope.list_fitting(spec.need)
         if avoided:
             fitting = [offer for offer in fitting if offer.state.id not in avoided]
-        chosen: list[Offer] = []
-        for offer in sorted(fitting, key=self.packing_order):
+
+        def count(offer: Offer) -> int:
             fits = _count_fits_at(offer, spec.need)
             if spec.spread_limit:
                 fits = min(fits, max(0, spec.spread_limit - held[offer.state.id]))
-            chosen += [offer] * min(fits, wanted - len(chosen))
+            return fits
+
+        wish = self._speeds.find_wish(candidate)
+        ordered = self._speeds.order_members(wish, fitting, wanted, self.packing_order, count)
+        chosen: list[Offer] = []
+        for offer in ordered:
+            chosen += [offer] * min(count(offer), wanted - len(chosen))
             if len(chosen) == wanted:
                 return chosen
         return None
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
@@ -273,6 +273,7 @@
 
     def handle_instance_end(self, state: ExecutorState) -> None:
         """Record the end of an executor instance, and fail the tasks that crashed too many."""
+        self.learned.speeds.forget(state.instance)
         if state.dead:
             self.crashes.confirm(state, trio.current_time())
         else:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -28,6 +28,7 @@
 from .plan import Candidate, Plan, Start
 from .policy import DEFAULT_POLICY, Policy
 from .progress import Attempt, JobState, Phase, StepState, TaskState
+from .speed_placement import SpeedPlacement
 from .step_rank import rank_step
 from .task_masks import find_executors
 from .victim_selection import ENDS_SOON_S, VictimSelector
@@ -89,7 +90,8 @@
         self.guaranteed = find_guaranteed(self.jobs, desired, wall_now)
         self._exhausted: set[tuple[object, ...]] = set()
         self._eligible_scopes: dict[tuple[str, str, bool], Scope] = {}
-        self._gangs = GangPlacer(now, policy)
+        self._speeds = SpeedPlacement(self.learned.speeds if policy.executor_speeds else None)
+        self._gangs = GangPlacer(now, policy, self._speeds)
         self._headroom = Headroom(self.offers, urgent_peaks or {})
         self._headroom_executors: frozenset[str] | None = None
         self._urgent_missing: dict[str, int] = {}
@@ -98,6 +100,7 @@
         self._stopped: set[int] = set()
         wait_s = max(stop_s, ENDS_SOON_S) if policy.wait_for_ends else stop_s
         self._losses = Losses(self.jobs, desired, self.guaranteed, now, self._stopped, wait_s)
+        self._losses.find_gain = self._speeds.find_gain
         self._victims = VictimSelector(self._losses, now)
         self._approvals = approvals
         self._waiting: deque[Candidate] | None = None
@@ -542,7 +545,7 @@
             near = [offer for offer in fitting if offer.state.executor.rack == spec.data_rack]
             if near or not self._may_ignore_data_rack(candidate, eligible):
                 fitting = near
-        fitting.sort(key=self._gangs.packing_order)
+        fitting = self._gangs.order_tasks(candidate, fitting)
         if candidate.step.has_suspects:
             return self._place_suspects(candidate, fitting)
         return self._place_first_fit(candidate, fitting, candidate.tasks)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/speed.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/speed.py
@@ -24,6 +24,8 @@
 MAX_RATIO = 50.0
 MIN_ESTIMATE_S = 0.05
 MIN_COMPARED_TASKS = 3
+MAX_COMPARED_PERCENT = 99.0
+"""Reports may be rounded, so a run that shows this may have reached its end."""
 MIN_COMPARED_MEMBERS = 2
 
 
@@ -35,28 +37,48 @@
     now: float,
     far_factor: float,
     policy: Policy = DEFAULT_POLICY,
-) -> None:
-    """Update an attempt's speed from `percent` once it differs enough from the last measurement."""
+) -> bool:
+    """Update an attempt's speed from `percent` once it differs enough from the last measurement.
+
+    Returns whether `attempt.rate` was measured.
+    """
     if attempt.measured_at is None:
         attempt.measured_at, attempt.measured_percent = now, percent
-        return
+        return False
     elapsed = now - attempt.measured_at
     if attempt.phase is not Phase.RUNNING or elapsed < MIN_MEASURE_S:
-        return
+        return False
     step = job.step_of(attempt.task)
     gained = percent - attempt.measured_percent
     expected_rate = max(attempt.best_rate, _typical_rate(step, policy) / far_factor)
     if not _is_significant(elapsed, gained, expected_rate):
-        return
+        return False
     attempt.measured_at, attempt.measured_percent = now, percent
     if step.spec.gang and not is_whole(step, attempt):
-        return
+        return False
     attempt.rate = gained / elapsed
     attempt.best_rate = max(attempt.best_rate, attempt.rate)
     expected = elapsed / max(MIN_ESTIMATE_S, step.spec.estimate_s) * 100 / far_factor
     attempt.ratio = min(MAX_RATIO, expected / gained) if gained > 0 else MAX_RATIO
     step.ratios[attempt.task.member] = attempt.ratio
     _update_executor_speed(step, state, attempt, compute_typical_ratio(step, policy), now)
+    return True
+
+
+def shows_executor_speed(
+    attempt: Attempt, state: ExecutorState, percent: float, now: float
+) -> bool:
+    """Whether an attempt's last measured rate is its executor's usual one for the task.
+
+    It is not while the executor is slow for a while, and not if the attempt may have waited at its
+    end for other members of its gang.
+    """
+    return (
+        percent < MAX_COMPARED_PERCENT
+        and attempt.rate > 0
+        and state.slow_until <= now
+        and not has_slowed(attempt)
+    )
 
 
 def _spans_executors(step: StepState) -> bool:
--- /dev/null
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/speed_placement.py
@@ -0,0 +1,164 @@
+"""Decides which executors a step takes by their speeds, among those that adjacency allows."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Sequence
+from enum import StrEnum
+
+from .executor_speeds import ExecutorSpeeds, SpeedGroup
+from .model import URGENT, ExecutorInstance
+from .offers import Offer
+from .plan import Candidate
+
+MAX_RANK = 3
+"""Rank of the slowest executors where there are three groups and unknown ones."""
+MIN_GAIN, MAX_GAIN = 0.5, 3.0
+"""Bounds of the worth of freeing an executor relative to a typical one; faster or slower ones are
+rather misjudged."""
+SPEEDS_BY_GROUP = (SpeedGroup.FAST, SpeedGroup.TYPICAL, SpeedGroup.SLOW)
+
+PackingOrder = Callable[[Offer], tuple[bool, int, int, int]]
+CountFits = Callable[[Offer], int]
+
+
+class SpeedWish(StrEnum):
+    """Which executors a step takes first."""
+
+    ANY = "any"
+    """The executors' speeds are alike or unknown."""
+    FASTEST = "fastest"
+    """The step has little slack."""
+    SLOWEST = "slowest"
+    """The step has slack; faster executors are left to urgent work."""
+
+
+class SpeedPlacement:
+    """The speeds of executors as one plan uses them; without `speeds` all are alike.
+
+    An executor's rank is 0 in its pool's fastest group and higher in slower ones; an unknown one
+    comes after the fastest group.
+    """
+
+    def __init__(self, speeds: ExecutorSpeeds | None) -> None:
+        self._speeds = speeds
+        self._has_groups: dict[str, bool] = {}
+        self._ranks: dict[ExecutorInstance, int] = {}
+        self._ranks_by_pool: dict[str, dict[SpeedGroup, int]] = {}
+
+    def has_groups(self, pool: str) -> bool:
+        """Whether a pool's executors are known to differ in speed."""
+        known = self._has_groups.get(pool)
+        if known is None:
+            known = self._speeds is not None and self._speeds.has_groups(pool)
+            self._has_groups[pool] = known
+        return known
+
+    def find_wish(self, candidate: Candidate) -> SpeedWish:
+        """Return which executors a step takes first."""
+        if not self.has_groups(candidate.queue.pool):
+            return SpeedWish.ANY
+        return SpeedWish.FASTEST if candidate.queue.priority == URGENT else SpeedWish.SLOWEST
+
+    def find_rank(self, offer: Offer) -> int:
+        """Return an executor's rank in a pool with groups."""
+        instance = offer.state.instance
+        known = self._ranks.get(instance)
+        if known is None:
+            assert self._speeds is not None, "there are no groups without speeds"
+            ranks = self._rank_groups(offer.state.executor.pool)
+            known = self._ranks[instance] = ranks[self._speeds.find_group(instance)]
+        return known
+
+    def find_gain(self, instances: Iterable[ExecutorInstance]) -> float:
+        """Return the mean worth of freeing executors, 1.0 where speeds are alike or unknown."""
+        if self._speeds is None:
+            return 1.0
+        found = [self._find_gain(instance) for instance in instances]
+        return sum(found) / len(found) if found else 1.0
+
+    def order_tasks(
+        self, wish: SpeedWish, offers: list[Offer], packing_order: PackingOrder
+    ) -> list[Offer]:
+        """Return offers in the order in which tasks outside a gang take them."""
+        if wish is SpeedWish.ANY:
+            return sorted(offers, key=packing_order)
+        sign = 1 if wish is SpeedWish.FASTEST else -1
+
+        def order(offer: Offer) -> tuple[bool, int, int, int, int]:
+            is_slow, *packing = packing_order(offer)
+            return (is_slow, sign * self.find_rank(offer), packing[0], packing[1], packing[2])
+
+        return sorted(offers, key=order)
+
+    def order_members(
+        self,
+        wish: SpeedWish,
+        offers: list[Offer],
+        wanted: int,
+        packing_order: PackingOrder,
+        count_fits: CountFits,
+    ) -> list[Offer]:
+        """Return offers in the order in which the `wanted` members of a gang take them.
+
+        A gang is as slow as its slowest member, so it takes faster executors only if they are
+        needed for its size, or all of its members fit on them.
+        """
+        if wish is SpeedWish.ANY:
+            return sorted(offers, key=packing_order)
+        ordered = self.order_tasks(SpeedWish.SLOWEST, offers, packing_order)
+        fits = [0] * (MAX_RANK + 1)
+        ranks = []
+        for offer in ordered:
+            is_slow = packing_order(offer)[0]
+            rank = MAX_RANK + 1 if is_slow else self.find_rank(offer)
+            ranks.append(rank)
+            if not is_slow:
+                fits[rank] += count_fits(offer)
+        allowed = _choose_ranks(wish, fits, wanted)
+        chosen = [offer for offer, rank in zip(ordered, ranks, strict=True) if rank in allowed]
+        return chosen or ordered
+
+    def judge(self, wish: SpeedWish, chosen: Sequence[Offer]) -> int:
+        """Return how badly the executors chosen for a gang serve the wish, 0 to `MAX_RANK`.
+
+        For work with little slack it is the rank of the slowest. Other work should take none of
+        the fastest group, or be on that group alone.
+        """
+        if wish is SpeedWish.ANY:
+            return 0
+        ranks = {self.find_rank(offer) for offer in chosen}
+        if wish is SpeedWish.FASTEST:
+            return max(ranks)
+        if 0 not in ranks:
+            return 0
+        return 1 if len(ranks) == 1 else 2
+
+    def _rank_groups(self, pool: str) -> dict[SpeedGroup, int]:
+        known = self._ranks_by_pool.get(pool)
+        if known is None:
+            assert self._speeds is not None, "there are no groups without speeds"
+            groups = self._speeds.list_groups(pool)
+            present = [group for group in SPEEDS_BY_GROUP if group in groups]
+            order = [present[0], SpeedGroup.UNKNOWN, *present[1:]]
+            known = self._ranks_by_pool[pool] = {group: rank for rank, group in enumerate(order)}
+        return known
+
+    def _find_gain(self, instance: ExecutorInstance) -> float:
+        assert self._speeds is not None, "there are no groups without speeds"
+        speed = self._speeds.find(instance)
+        return 1.0 if speed is None else min(MAX_GAIN, max(MIN_GAIN, speed))
+
+
+def _choose_ranks(wish: SpeedWish, fits: list[int], wanted: int) -> frozenset[int]:
+    """Return the ranks that a gang uses; empty if it doesn't fit on the healthy executors."""
+    everything = frozenset(range(MAX_RANK + 1))
+    if wish is SpeedWish.FASTEST:
+        choices = [frozenset(range(rank + 1)) for rank in everything]
+    else:
+        by_speed = sorted(everything - {0}, reverse=True)
+        choices = [frozenset({rank}) for rank in by_speed]
+        choices += [everything - {0}, frozenset({0}), everything]
+    for ranks in choices:
+        if sum(fits[rank] for rank in ranks) >= wanted:
+            return ranks
+    return frozenset()
--- a/packages/heronthread-emulator/src/heronthread_emulator/pool_model.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/pool_model.py
@@ -192,13 +192,14 @@
         self._charge_customers(now)
 
     def _note_speed(self, run: _Run, attempt: Attempt, now: float) -> None:
-        """Report a member's own rate, as members progress independently."""
+        """Report a member's own rate: members are equally long and progress independently."""
         if now - run.began < LEAST_MEASURE_S:
             return
         job = self._known[attempt.task.job]
-        works_s = job.drawn.works_s[attempt.task.member]
-        rate = 100 / (works_s * self._find_factor(attempt.executor))
         step = job.state.steps[0]
+        works = job.drawn.works_s
+        works_s = max(works) if step.spec.gang else works[attempt.task.member]
+        rate = 100 / (works_s * self._find_factor(attempt.executor))
         key = job.state.key_of(step, step.tasks[0])
         self._learned.speeds.note("pool", key, attempt.instance, rate, now)
 
