--- a/packages/heronthread-dispatch/src/heronthread_dispatch/executor_speeds.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/executor_speeds.py
@@ -10,6 +10,8 @@
 
 import math
 from array import array
+from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import StrEnum
 from itertools import pairwise
@@ -17,14 +19,7 @@
 from typing import Any
 
 from .model import ExecutorInstance, TaskKey
-from .speed_clusters import (
-    KEPT_FACTOR,
-    KEPT_SEPARATION,
-    Cluster,
-    are_distinct,
-    find_clusters,
-    summarize,
-)
+from .speed_clusters import Cluster, find_clusters, may_be_kept, summarize
 
 COMPARE_S = 1.0
 """Rates of a step noted within this time are compared; executors report about once a second."""
@@ -187,6 +182,12 @@
         """Return the groups of a pool's executors, slowest first; empty if speeds are alike."""
         return self._pools[pool].groups if pool in self._pools else ()
 
+    def count_groups(self, pool: str, instances: Iterable[ExecutorInstance]) -> dict[str, int]:
+        """Return how many of some executors are in each group; empty where speeds are alike."""
+        if not self.has_groups(pool):
+            return {}
+        return dict(Counter(self.find_group(instance).value for instance in instances))
+
     def forget(self, instance: ExecutorInstance) -> None:
         """Remove what is known of an instance that has ended."""
         self._speeds.pop(instance, None)
@@ -303,7 +304,7 @@
         for speed in known:
             members[pool.choose_level(speed.median, speed.level)].append(speed.median)
         present = [summarize(values) for values in members]
-        return present if are_distinct(present, KEPT_FACTOR, KEPT_SEPARATION) else found
+        return present if may_be_kept(present) else found
 
 
 def _name_groups(clusters: list[Cluster]) -> tuple[SpeedGroup, ...]:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
@@ -92,6 +92,9 @@
 
     def _log_starts(self, group: list[Start], part: list[Start], run: int, now: float) -> None:
         step = group[0].step
+        speeds = self._count_speeds(part)
+        for name, count in speeds.items():
+            self.cell.parts.statistics.count("starts_by_speed", name, count)
         log_event(
             "start.decided",
             job=group[0].job.spec.id,
@@ -105,8 +108,17 @@
             version=self.cell.parts.desired().version,
             waited_s=round(now - (step.ready_at or now), 3),
             term=self.cell.term.number,
+            **({"speeds": speeds} if speeds else {}),
         )
 
+    def _count_speeds(self, starts: list[Start]) -> dict[str, int]:
+        """Return how many executors of some starts are in each speed group."""
+        if not self.cell.parts.policy.executor_speeds:
+            return {}
+        pool = starts[0].executor.executor.pool
+        instances = (start.executor.instance for start in starts)
+        return self.cell.learned.speeds.count_groups(pool, instances)
+
     async def _send_when_named(self, orders: list[tuple[Start, Attempt]], checkpoint: str) -> None:
         """Send the starts of a group once their executors answer and the store lists them."""
         executors = [start.executor for start, _ in orders]
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/speed_clusters.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/speed_clusters.py
@@ -15,6 +15,7 @@
 MIN_SEPARATION = 4.0
 """Distance of two clusters in standard deviations within them. The halves of a normal
 distribution are 2.7 apart and the parts of a uniform one 3.5, so neither is split."""
+KEPT_CLUSTER = 2
 KEPT_FACTOR = 1.1
 KEPT_SEPARATION = 2.5
 """Limits below which existing clusters are given up, so that they don't come and go."""
@@ -57,18 +58,18 @@
     """Return the clusters of logarithmic speeds, slowest first; one if they are all alike."""
     ordered = sorted(values)
     whole = summarize(ordered)
-    least = find_least_count(len(ordered))
+    least = _find_least_count(len(ordered))
     if len(ordered) < 2 * least or _spread(ordered, least) < math.log(MIN_FACTOR):
         return [whole]
     edges = _sum_by_bin(ordered)
     for count in (3, 2):
         found = _partition(edges, count, least)
-        if found and are_distinct(found, MIN_FACTOR, MIN_SEPARATION):
+        if found and _are_distinct(found, MIN_FACTOR, MIN_SEPARATION):
             return found
     return [whole]
 
 
-def find_least_count(total: int) -> int:
+def _find_least_count(total: int) -> int:
     """Return how many of `total` executors a cluster must have."""
     return max(MIN_CLUSTER, math.ceil(MIN_SHARE * total))
 
@@ -81,11 +82,14 @@
     return _Sums(0, 0.0, 0.0).until(sums)
 
 
-def are_distinct(clusters: Sequence[Cluster], factor: float, separation: float) -> bool:
+def may_be_kept(clusters: Sequence[Cluster]) -> bool:
+    """Whether existing clusters are still distinct enough."""
+    is_populated = all(cluster.count >= KEPT_CLUSTER for cluster in clusters)
+    return is_populated and _are_distinct(clusters, KEPT_FACTOR, KEPT_SEPARATION)
+
+
+def _are_distinct(clusters: Sequence[Cluster], factor: float, separation: float) -> bool:
     """Whether neighbouring clusters differ by a factor and are apart compared to their spread."""
-    least = find_least_count(sum(cluster.count for cluster in clusters))
-    if min(cluster.count for cluster in clusters) < least:
-        return False
     for slower, faster in pairwise(clusters):
         distance = faster.mean - slower.mean
         deviation = math.sqrt((slower.variance + faster.variance) / 2)
