--- a/tests/test_planner_equivalence.py
+++ b/tests/test_planner_equivalence.py
@@ -200,6 +200,50 @@
         assert found[1] == found[0], f"seed {seed}"
 
 
+def _learn_speeds(executors: list[ExecutorState], factor: float) -> LearnedState:
+    """Return what gangs over all executors show if every third is faster by `factor`."""
+    learned = LearnedState()
+    for number in range(20):
+        for index, state in enumerate(executors):
+            rate = 10.0 * (factor if index % 3 == 0 else 1.0)
+            step = TaskKey(f"l{number}", 0, 0)
+            pool = state.executor.pool
+            learned.speeds.note(pool, step, state.instance, rate, NOW - 40 + 2 * number)
+    return learned
+
+
+@pytest.mark.parametrize(("factor", "is_on"), [(1.0, True), (2.15, False)])
+def test_decisions_with_equal_speeds_or_without_them_equal_the_reference_planners(
+    factor: float, is_on: bool
+) -> None:
+    """Where executors are alike, or the switch is off, speeds must not change a plan."""
+    policy = Policy(executor_speeds=is_on)
+    for seed in range(200):
+        jobs, executors = _make_state(seed)
+        plain = ReferencePlanner(jobs, executors, DESIRED, NOW, NOW, {"pool": 4}, policy=policy)
+        expected = _describe(plain.make()), _describe_step_changes(jobs)
+        jobs, executors = _make_state(seed)
+        learned = _learn_speeds(executors, factor)
+        planner = Planner(
+            jobs, executors, DESIRED, NOW, NOW, {"pool": 4}, policy=policy, learned=learned
+        )
+        assert (_describe(planner.make()), _describe_step_changes(jobs)) == expected, f"seed {seed}"
+
+
+def test_known_speeds_change_plans() -> None:
+    """Otherwise the comparison above would pass for speeds that are never used."""
+    changed = 0
+    for seed in range(200):
+        found = []
+        for factor in (1.0, 2.15):
+            jobs, executors = _make_state(seed)
+            learned = _learn_speeds(executors, factor)
+            planner = Planner(jobs, executors, DESIRED, NOW, NOW, learned=learned)
+            found.append(_describe(planner.make()))
+        changed += found[0] != found[1]
+    assert changed >= 20
+
+
 @pytest.mark.parametrize("make", [ReferencePlanner, Planner])
 def test_promised_resources_never_exceed_those_freed(make: type[Planner]) -> None:
     """Resources of attempts that end soon count once, also if the plan stops these attempts."""
