Count a run's lost work alike on fast and other executors

A run on a fast executor has done more work in the same time, and its executor does as much more for the work that it is freed for, so the two cancel.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/losses.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/losses.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Container, Iterable
+from collections.abc import Container, Iterable
 from dataclasses import dataclass
 
 from .colocation import is_within_disruption_budget
-from .model import NO_RESOURCES, URGENT, DesiredState, ExecutorInstance, Resources
+from .model import NO_RESOURCES, URGENT, DesiredState, Resources
 from .offers import Offer
 from .progress import Attempt, JobState, Phase
 
@@ -63,8 +63,7 @@
 class Losses:
     """The losses of one plan; `stopped` holds the ids of the attempts it stops already.
 
-    Attempts that end by themselves within `wait_s` are waited for rather than stopped. `find_gain`
-    returns the worth of freeing some executors, relative to typical ones.
+    Attempts that end by themselves within `wait_s` are waited for rather than stopped.
     """
 
     def __init__(
@@ -82,7 +81,6 @@
         self._now = now
         self._stopped = stopped
         self._wait_s = wait_s
-        self.find_gain: Callable[[Iterable[ExecutorInstance]], float] = lambda instances: 1.0
         self._losses_by_executor: dict[str, list[Loss]] = {}
         self._losses_by_member: dict[int, Loss] = {}
         self._cumulative: dict[tuple[bool, bool, str], tuple[int, CumulativeLosses]] = {}
@@ -238,8 +236,6 @@
         spec = job.step_of(attempt.task).spec
         members = self.whole_gang(attempt)
         total = self._sum_loss(members, spec.checkpointing)
-        # Faster executors do more for the urgent work that they are freed for.
-        total /= self.find_gain(member.instance for member in members)
         is_urgent = self._desired.current_queue(job.spec).priority == URGENT
         if is_urgent:
             # Urgent work that has to restart is likely to be late.
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -90,8 +90,8 @@
         self.guaranteed = find_guaranteed(self.jobs, desired, wall_now)
         self._exhausted: set[tuple[object, ...]] = set()
         self._eligible_scopes: dict[tuple[str, str, bool], Scope] = {}
-        self._speeds = SpeedPlacement(self.learned.speeds if policy.executor_speeds else None)
-        self._gangs = GangPlacer(now, policy, self._speeds)
+        speeds = self.learned.speeds if policy.executor_speeds else None
+        self._gangs = GangPlacer(now, policy, SpeedPlacement(speeds))
         self._headroom = Headroom(self.offers, urgent_peaks or {})
         self._headroom_executors: frozenset[str] | None = None
         self._urgent_missing: dict[str, int] = {}
@@ -100,7 +100,6 @@
         self._stopped: set[int] = set()
         wait_s = max(stop_s, ENDS_SOON_S) if policy.wait_for_ends else stop_s
         self._losses = Losses(self.jobs, desired, self.guaranteed, now, self._stopped, wait_s)
-        self._losses.find_gain = self._speeds.find_gain
         self._victims = VictimSelector(self._losses, now)
         self._approvals = approvals
         self._waiting: deque[Candidate] | None = None
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/speed_placement.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/speed_placement.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 from enum import StrEnum
 
 from .executor_speeds import ExecutorSpeeds, SpeedGroup
@@ -12,9 +12,6 @@
 
 MAX_RANK = 3
 """Rank of the slowest executors where there are three groups and unknown ones."""
-MIN_GAIN, MAX_GAIN = 0.5, 3.0
-"""Bounds of the worth of freeing an executor relative to a typical one; faster or slower ones are
-rather misjudged."""
 SPEEDS_BY_GROUP = (SpeedGroup.FAST, SpeedGroup.TYPICAL, SpeedGroup.SLOW)
 
 PackingOrder = Callable[[Offer], tuple[bool, int, int, int]]
@@ -69,13 +66,6 @@
             known = self._ranks[instance] = ranks[self._speeds.find_group(instance)]
         return known
 
-    def find_gain(self, instances: Iterable[ExecutorInstance]) -> float:
-        """Return the mean worth of freeing executors, 1.0 where speeds are alike or unknown."""
-        if self._speeds is None:
-            return 1.0
-        found = [self._find_gain(instance) for instance in instances]
-        return sum(found) / len(found) if found else 1.0
-
     def order_tasks(
         self, wish: SpeedWish, offers: list[Offer], packing_order: PackingOrder
     ) -> list[Offer]:
@@ -143,11 +133,6 @@
             known = self._ranks_by_pool[pool] = {group: rank for rank, group in enumerate(order)}
         return known
 
-    def _find_gain(self, instance: ExecutorInstance) -> float:
-        assert self._speeds is not None, "there are no groups without speeds"
-        speed = self._speeds.find(instance)
-        return 1.0 if speed is None else min(MAX_GAIN, max(MIN_GAIN, speed))
-
 
 def _choose_ranks(wish: SpeedWish, fits: list[int], wanted: int) -> frozenset[int]:
     """Return the ranks that a gang uses; empty if it doesn't fit on the healthy executors."""
