Predict run lengths from earlier runs, and rank waiting steps by them

Callers' estimates are off by up to tenfold, while the lengths of one queue lie close together; observed completions were discarded. Lengths are now measured where a run ends as done, and the order, hopeless work and ends expected soon rest on a combination of the estimate and the queue's usual length, each weighted by its own past error.

Runs that were adopted, resumed from a checkpoint or sent twice are not recorded, as they did not begin at a known time with no work done. Ruled out: predictions within run_lengths.py that need the learned state, as that makes an import cycle.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/executor_watch.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/executor_watch.py
@@ -21,6 +21,7 @@
 )
 from .executor_restart import replace_instance
 from .fleet import ExecutorState
+from .length_measure import find_far_factor
 from .model import Executor, ExecutorInstance, TaskKey
 from .owned_cell import OwnedCell
 from .probing import needs_probe
@@ -387,14 +388,10 @@
     def _far_factor(self, job: JobState, attempt: Attempt) -> float:
         """Return the slowdown of an attempt by its distance from data or gang members."""
         step = job.step_of(attempt.task)
+        states = (self.cell.executors.get(member.executor) for member in step.attempts())
+        racks = (state.executor.rack for state in states if state is not None)
         far = self.cell.parts.timing.far_factor
-        if step.spec.data_rack and self.state.executor.rack != step.spec.data_rack:
-            return far
-        if not (step.spec.gang and step.spec.same_rack):
-            return 1.0
-        states = [self.cell.executors.get(member.executor) for member in step.attempts()]
-        racks = {state.executor.rack for state in states if state is not None}
-        return far if len(racks) > 1 else 1.0
+        return find_far_factor(step, racks, self.state.executor.rack, far)
 
     def _adopt(self, run: RunningRun, received: float) -> None:
         """Create an attempt for a run that an earlier owner started."""
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/losses.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/losses.py
@@ -6,9 +6,12 @@
 from dataclasses import dataclass
 
 from .colocation import is_within_disruption_budget
+from .learned import LearnedState
 from .model import NO_RESOURCES, URGENT, DesiredState, Resources
 from .offers import Offer
-from .progress import Attempt, JobState, Phase
+from .progress import Attempt, JobState, Phase, StepState
+from .run_lengths import Evidence
+from .step_lengths import extrapolate_end_s, find_remaining_s, predict_step
 
 URGENT_LOSS_FACTOR = 6.0
 URGENT_MIN_LOSS_CORE_S = 10.0
@@ -63,7 +66,8 @@
 class Losses:
     """The losses of one plan; `stopped` holds the ids of the attempts it stops already.
 
-    Attempts that end by themselves within `wait_s` are waited for rather than stopped.
+    Attempts that end by themselves within `wait_s` are waited for rather than stopped. With
+    `learned`, this includes those without progress so far that are predicted to end.
     """
 
     def __init__(
@@ -74,6 +78,7 @@
         now: float,
         stopped: set[int],
         wait_s: float,
+        learned: LearnedState | None = None,
     ) -> None:
         self._jobs = {job.spec.id: job for job in jobs}
         self._desired = desired
@@ -81,6 +86,7 @@
         self._now = now
         self._stopped = stopped
         self._wait_s = wait_s
+        self._learned = learned
         self._losses_by_executor: dict[str, list[Loss]] = {}
         self._losses_by_member: dict[int, Loss] = {}
         self._cumulative: dict[tuple[bool, bool, str], tuple[int, CumulativeLosses]] = {}
@@ -179,11 +185,15 @@
             self._ending_soon[executor] = [
                 attempt
                 for attempt in offer.state.attempts.values()
-                if attempt.phase is Phase.RUNNING
-                and expected_end_s(attempt, self._now) <= self._wait_s
+                if attempt.phase is Phase.RUNNING and self._ends_soon(attempt)
             ]
         return self._ending_soon[executor]
 
+    def _ends_soon(self, attempt: Attempt) -> bool:
+        job = self._jobs.get(attempt.task.job)
+        step = None if job is None else job.step_of(attempt.task)
+        return expected_end_s(attempt, self._now, step, self._learned) <= self._wait_s
+
     def find_ending_soon(
         self, offer: Offer, victim_ids: Container[int] = frozenset()
     ) -> frozenset[int]:
@@ -258,10 +268,21 @@
         return total
 
 
-def expected_end_s(attempt: Attempt, now: float) -> float:
-    """Return the time in seconds until an attempt ends at its average speed so far."""
-    gained = attempt.percent - attempt.began_percent
-    if gained <= 0 or attempt.began_at is None:
+def expected_end_s(
+    attempt: Attempt,
+    now: float,
+    step: StepState | None = None,
+    learned: LearnedState | None = None,
+) -> float:
+    """Return the time in seconds until an attempt ends at its average speed so far.
+
+    Without progress it is infinite, unless lengths are learned for its step's queue.
+    """
+    own_s = extrapolate_end_s(attempt, now)
+    if own_s is not None:
+        return own_s
+    if step is None or learned is None or step.spec.lasting:
+        return float("inf")
+    if predict_step(step, now, learned).evidence is Evidence.ESTIMATE:
         return float("inf")
-    worked = attempt.progressed_at - attempt.began_at
-    return worked * (100 - attempt.percent) / gained - (now - attempt.progressed_at)
+    return find_remaining_s(attempt, step, now, learned)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
@@ -74,6 +74,7 @@
             key = start.job.key_of(start.step, start.task)
             attempt = Attempt(key, run, start.executor.instance, start.step.spec.need, now)
             attempt.progressed_at = now
+            attempt.is_resumed = bool(checkpoint)
             if start.step.has_suspects:
                 # Other tasks started there now would be suspected as well if it crashes.
                 start.executor.exclusive_until = now + RECENT_START_S
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
@@ -27,6 +27,7 @@
 from .keystore import KeyStore
 from .late_starts import MAX_ORDER_DELAY_S, LateStarts
 from .learned import LearnedState
+from .length_measure import measure_length
 from .model import NO_RESOURCES, DesiredState, TaskKey, UnresolvedStart
 from .policy import DEFAULT_POLICY, Policy
 from .preassignments import Preassignments
@@ -43,6 +44,7 @@
 from .record import JobRecord, ProgressRecord, round_remaining_s
 from .recorder import Recorder
 from .relay import StoreRelay
+from .run_lengths import LengthPrediction
 from .stalls import StallHistory
 from .statistics import Statistics
 from .task_masks import TaskMasks, keep, unite
@@ -54,6 +56,8 @@
 SLOW_FACTOR = 1.05
 """How much longer a lease may last than requested, because of the executor's own clock."""
 RUNS_PER_TERM = 1000
+PREDICTED_WITHIN = 1.5
+"""Predictions off by a larger factor are counted apart; lengths of one queue spread by 0.3."""
 AVOID_AFTER_FAILURE_S = 2.0
 """How long a task avoids an executor where it failed; short, as the task may fail everywhere."""
 BACKOFF_AFTER_FAILURES = 2
@@ -79,6 +83,13 @@
     return round(state.unresponsive_since - attempt.ordered_at, 3)
 
 
+def _judge(length_s: float, predicted: LengthPrediction) -> str:
+    """Return a label of a prediction's evidence and accuracy, for the metrics."""
+    ratio = length_s / predicted.typical_s if predicted.typical_s > 0 else 0.0
+    accuracy = "within" if 1 / PREDICTED_WITHIN <= ratio <= PREDICTED_WITHIN else "beyond"
+    return f"{predicted.evidence.name.lower()} {accuracy} a factor of {PREDICTED_WITHIN:g}"
+
+
 @dataclass(frozen=True, slots=True)
 class Timing:
     """Deployment timing settings, in seconds.
@@ -603,6 +614,8 @@
             self._log_unowned_end(state, end)
         self.update_checkpoint(task, end.run, end.checkpoint)
         if end.kind is EndKind.DONE:
+            if is_current and attempt is not None and not task.done:
+                self._note_length(job, attempt)
             self._note_done(state, job, task, end)
         elif end.kind is EndKind.FAILED:
             self._note_failed(state, job, task, end)
@@ -616,6 +629,33 @@
         run = describe_run(end.task, end.run, state.instance)
         log_event("attempt.ended", **run, why=end.kind.value)
 
+    def _note_length(self, job: JobState, attempt: Attempt) -> None:
+        """Record the length of a run that has ended as done; a gang's first end counts for all."""
+        step = job.step_of(attempt.task)
+        if step.spec.lasting or not self.parts.policy.run_lengths:
+            return
+        members = [attempt]
+        if step.spec.gang:
+            members += [a for a in step.attempts() if a.run == attempt.run]
+        now, learned = trio.current_time(), self.learned
+        far = self.parts.timing.far_factor
+        length_s = measure_length(step, members, self.executors, learned, far, now)
+        if length_s is None:
+            self.parts.statistics.count("run_lengths", "uncertain")
+            return
+        estimate_s = step.spec.estimate_s
+        predicted = learned.lengths.predict(step.tenant, step.queue, estimate_s, now)
+        learned.lengths.note_end(step.tenant, step.queue, estimate_s, length_s, now)
+        self.parts.statistics.count("run_lengths", _judge(length_s, predicted))
+        log_event(
+            "run.measured",
+            **describe_run(attempt.task, attempt.run, attempt.instance),
+            length_s=round(length_s, 3),
+            estimate_s=estimate_s,
+            predicted_s=round(predicted.typical_s, 3),
+            evidence=predicted.evidence.value,
+        )
+
     def _note_done(
         self, state: ExecutorState, job: JobState, task: TaskState, end: EndedRun
     ) -> None:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -97,7 +97,10 @@
         self._colocation = Colocation(self.jobs)
         self._stopped: set[int] = set()
         wait_s = max(stop_s, ENDS_SOON_S) if policy.wait_for_ends else stop_s
-        self._losses = Losses(self.jobs, desired, self.guaranteed, now, self._stopped, wait_s)
+        lengths = self.learned if policy.run_lengths else None
+        self._losses = Losses(
+            self.jobs, desired, self.guaranteed, now, self._stopped, wait_s, lengths
+        )
         self._victims = VictimSelector(self._losses, now)
         self._approvals = approvals
         self._waiting: deque[Candidate] | None = None
@@ -207,7 +210,9 @@
         allowed_executors: frozenset[str] | None,
     ) -> Candidate:
         guaranteed = job.spec.id in self.guaranteed
-        rank = rank_step(job, step, queue, guaranteed, self.now, self.wall_now, self.policy)
+        rank = rank_step(
+            job, step, queue, guaranteed, self.now, self.wall_now, self.policy, self.learned
+        )
         return Candidate(
             job,
             step,
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -41,7 +41,8 @@
     is in flight. `seen` is set once a report has listed the run. `progressed_at` is when `percent`
     last rose. `rate` is the last measured speed (percent/s) and `best_rate` the highest one;
     `ratio` is the measured over the estimated duration. `is_long` marks an attempt that is slow
-    because of its task, as its executor runs others at normal speed.
+    because of its task, as its executor runs others at normal speed. `is_resumed` is set if the run
+    began from a checkpoint.
     """
 
     task: TaskKey
@@ -68,6 +69,7 @@
     rate: float = 0.0
     best_rate: float = 0.0
     is_long: bool = False
+    is_resumed: bool = False
 
     @property
     def executor(self) -> str:
@@ -194,7 +196,7 @@
     occurrence (Unix time in s), None for at once. `ratios` holds the last ratio of measured to
     estimated duration of each task. `first` is the number of its first task within the job.
     `done_count`, `attempt_count` and `waiting_count` are the numbers of tasks that are done, have
-    an attempt, and wait for one.
+    an attempt, and wait for one. `tenant` and `queue` name the job's customer and queue.
     """
 
     spec: StepSpec
@@ -212,6 +214,8 @@
     done_count: int = 0
     attempt_count: int = 0
     waiting_count: int = 0
+    tenant: str = ""
+    queue: str = ""
 
     def __post_init__(self) -> None:
         for task in self.tasks:
@@ -506,25 +510,41 @@
     step = spec.steps[number]
     due_at = spec.schedule.due_at(occurrence) if spec.schedule else None
     tasks = [TaskState(i) for i in range(step.count)]
-    return StepState(step, tasks, number, occurrence, due_at, first)
+    state = StepState(step, tasks, number, occurrence, due_at, first)
+    state.tenant, state.queue = spec.tenant, spec.queue.name
+    return state
 
 
-def critical_path_s(spec: JobSpec) -> float:
-    """Return the critical path of estimated step durations (s)."""
+def critical_path_s(spec: JobSpec, lengths_s: Sequence[float] | None = None) -> float:
+    """Return the critical path (s) of step durations, by default the estimated ones."""
+    if lengths_s is None:
+        lengths_s = [step.estimate_s for step in spec.steps]
     ends: list[float] = []
-    for step in spec.steps:
+    for step, length_s in zip(spec.steps, lengths_s, strict=True):
         before = max((ends[number] for number in step.after), default=0.0)
-        ends.append(before + step.estimate_s)
+        ends.append(before + length_s)
     return max(ends, default=0.0)
 
 
 def latest_starts(
-    job: JobState, step: StepState, queue: Queue, now: float, wall_now: float
+    job: JobState,
+    step: StepState,
+    queue: Queue,
+    now: float,
+    wall_now: float,
+    lengths_s: Sequence[float] | None = None,
 ) -> tuple[float, float]:
-    """Return the latest times (trio's clock) to start a step on time, and to start it at all."""
-    objective = queue.stretch * job.chain_s + queue.target_s
+    """Return the latest times (trio's clock) to start a step on time, and to start it at all.
+
+    `lengths_s` are the lengths to expect of the steps of its occurrence; None for the estimates.
+    """
+    chain_s = job.chain_s if lengths_s is None else critical_path_s(job.spec, lengths_s)
+    objective = queue.stretch * chain_s + queue.target_s
     asked_at = job.spec.accepted_at if step.due_at is None else step.due_at
     begun = asked_at - wall_now + now
     rest = [s for s in job.steps if s.occurrence == step.occurrence and not s.is_done]
-    left = max((s.spec.estimate_s for s in rest), default=0.0)
+    if lengths_s is None:
+        left = max((s.spec.estimate_s for s in rest), default=0.0)
+    else:
+        left = max((lengths_s[s.number] for s in rest), default=0.0)
     return begun + objective - left, begun + LATE_FACTOR * objective - left
--- /dev/null
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/step_lengths.py
@@ -0,0 +1,86 @@
+"""Expected lengths of steps and remaining times of runs.
+
+A run's own progress counts most, then what was measured of other tasks of its step, which are
+alike, then the prediction for its customer and queue.
+"""
+
+from __future__ import annotations
+
+import math
+from statistics import median
+
+from .learned import LearnedState
+from .progress import Attempt, JobState, Phase, StepState
+from .run_lengths import Evidence, LengthPrediction
+
+MIN_MEASURED_TASKS = 3
+"""With fewer measured tasks of a step a long one may be taken as typical."""
+
+
+def predict_step(step: StepState, now: float, learned: LearnedState) -> LengthPrediction:
+    """Return the predicted length of a step's tasks, from those that were measured if it can be.
+
+    The estimate stands while it is the only evidence for the step's queue.
+    """
+    found = learned.lengths.predict(step.tenant, step.queue, step.spec.estimate_s, now)
+    own_s = None if found.evidence is Evidence.ESTIMATE else _find_own_length_s(step)
+    if own_s is None:
+        return found
+    return LengthPrediction(own_s, max(own_s, _find_longest_s(step)), Evidence.LEARNED)
+
+
+def predict_steps(
+    job: JobState, occurrence: int, now: float, learned: LearnedState
+) -> list[float] | None:
+    """Return the lengths (s) to expect of the steps of an occurrence, None if all are estimates."""
+    first = occurrence * len(job.spec.steps)
+    steps = job.steps[first : first + len(job.spec.steps)]
+    found = [predict_step(step, now, learned) for step in steps]
+    if all(prediction.evidence is Evidence.ESTIMATE for prediction in found):
+        return None
+    return [prediction.typical_s for prediction in found]
+
+
+def _find_own_length_s(step: StepState) -> float | None:
+    """Return the typical length of a step's measured tasks, None with too few of them."""
+    if len(step.ratios) < min(MIN_MEASURED_TASKS, len(step.tasks)):
+        return None
+    return step.spec.estimate_s * median(step.ratios.values())
+
+
+def _find_longest_s(step: StepState) -> float:
+    return step.spec.estimate_s * max(step.ratios.values())
+
+
+def extrapolate_end_s(attempt: Attempt, now: float) -> float | None:
+    """Return the time (s) until an attempt ends at its average speed so far, None if unknown.
+
+    Negative if it should have ended, but has made no progress of late.
+    """
+    gained = attempt.percent - attempt.began_percent
+    if gained <= 0 or attempt.began_at is None:
+        return None
+    worked = attempt.progressed_at - attempt.began_at
+    return worked * (100 - attempt.percent) / gained - (now - attempt.progressed_at)
+
+
+def find_remaining_s(attempt: Attempt, step: StepState, now: float, learned: LearnedState) -> float:
+    """Return the remaining time (s) of a run; infinite if it outlasts all that is predicted.
+
+    Rests on its own progress if it has any, else on its step's other tasks, else on the prediction.
+    """
+    own_s = extrapolate_end_s(attempt, now)
+    if own_s is not None:
+        return max(0.0, own_s)
+    typical_s = _find_own_length_s(step)
+    if typical_s is not None:
+        high_s = _find_longest_s(step)
+    else:
+        found = learned.lengths.predict(step.tenant, step.queue, step.spec.estimate_s, now)
+        typical_s, high_s = found.typical_s, found.high_s
+    speed = learned.speeds.find(attempt.instance) or 1.0
+    elapsed_s = 0.0 if attempt.phase is Phase.STARTING else now - attempt.ordered_at
+    for length_s in (typical_s, high_s):
+        if length_s / speed > elapsed_s:
+            return length_s / speed - elapsed_s
+    return math.inf
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/step_rank.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/step_rank.py
@@ -8,9 +8,11 @@
 
 from dataclasses import dataclass
 
+from .learned import LearnedState
 from .model import URGENT, Queue
 from .policy import Policy
 from .progress import JobState, StepState, latest_starts
+from .step_lengths import predict_steps
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,14 +36,19 @@
     now: float,
     wall_now: float,
     policy: Policy,
+    learned: LearnedState | None = None,
 ) -> StepRank:
     """Return a step's rank; times are on trio's clock, `wall_now` in seconds since the epoch.
 
     Urgent work comes first, and within it work covered by a customer's guarantee. With
     `hopeless_last`, urgent work outside a guarantee loses this priority once it can no longer end
-    in time to be useful.
+    in time to be useful. With `run_lengths` and `learned`, the objective and the work that is left
+    rest on predicted lengths.
     """
-    latest_start, last_useful = latest_starts(job, step, queue, now, wall_now)
+    lengths_s = None
+    if learned is not None and policy.run_lengths:
+        lengths_s = predict_steps(job, step.occurrence, now, learned)
+    latest_start, last_useful = latest_starts(job, step, queue, now, wall_now, lengths_s)
     guarantee_rank = 0 if is_guaranteed else 1
     is_worthless = policy.hopeless_last and last_useful < now and not is_guaranteed
     if queue.priority == URGENT and not is_worthless:
--- a/packages/heronthread-emulator/src/heronthread_emulator/pool_model.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/pool_model.py
@@ -199,6 +199,7 @@
         works_s = job.drawn.works_s[attempt.task.member]
         rate = 100 / (works_s * self._find_factor(attempt.executor))
         step = job.state.steps[0]
+        step.ratios[attempt.task.member] = 100 / rate / job.drawn.estimate_s
         key = job.state.key_of(step, step.tasks[0])
         self._learned.speeds.note("pool", key, attempt.instance, rate, now)
 
@@ -309,11 +310,15 @@
             task = known.state.task(attempt.task)
             assert task is not None, "a run is of one of its job's tasks"
             task.done = True
-            length_s = known.drawn.works_s[attempt.task.member]
-            estimate_s = known.drawn.estimate_s
-            self._learned.lengths.note_end(
-                known.state.spec.tenant, known.drawn.kind.name, estimate_s, length_s, self.env.now
-            )
+        # Members of a gang end together, so that only the length of the longest one is seen.
+        length_s = max(known.drawn.works_s[attempt.task.member] for attempt in run.attempts)
+        self._learned.lengths.note_end(
+            known.state.spec.tenant,
+            known.drawn.kind.name,
+            known.drawn.estimate_s,
+            length_s,
+            self.env.now,
+        )
         if known.state.is_done and known.outcome.done_at is None:
             known.outcome.done_at = self.env.now
             self._active.pop(known.drawn.id, None)
