Keep predictions of run lengths between plans

Predictions are now kept until their queue's percentiles change, and the end of the evidence is a time.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
@@ -519,6 +519,8 @@
     """Return the critical path (s) of step durations, by default the estimated ones."""
     if lengths_s is None:
         lengths_s = [step.estimate_s for step in spec.steps]
+    if len(lengths_s) == 1:
+        return lengths_s[0]
     ends: list[float] = []
     for step, length_s in zip(spec.steps, lengths_s, strict=True):
         before = max((ends[number] for number in step.after), default=0.0)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/run_lengths.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/run_lengths.py
@@ -33,7 +33,7 @@
 """Estimates that are off by less, from the 10th to the 90th percentile, are used unchanged."""
 REFRESH_DIVISOR = 16
 """Percentiles are computed again once the evidence has grown by one part in so many."""
-MAX_QUEUES = 64
+MAX_QUEUES = 48
 """Histograms take 35 kB a queue; the queue that was first seen is dropped beyond this."""
 MAX_CUSTOMERS = 3072
 """Customers and queues with an own offset, at 0.4 kB each; 790 customers of 3 queues fit."""
@@ -41,6 +41,8 @@
 """Residuals of single runs are clipped to it (log), so that a long tail does not move an offset."""
 SIGNIFICANT_OFFSET_ERRORS = 2.0
 """A customer's offset counts once it is so many times its standard error."""
+MAX_CACHED = 1024
+"""Predictions kept, at 0.4 kB each; some 100 jobs wait."""
 PERCENTILES = (10, 16, 50, 84, 90)
 
 
@@ -115,32 +117,69 @@
         return _Distribution(p50, p90, spread * spread, p10, p90)
 
 
+@dataclass(frozen=True, slots=True)
+class _Model:
+    """The weighted geometric mean of a queue's two predictors; all values are logarithms.
+
+    A prediction is `share` of the estimate, plus a constant. `share` is 1 if the estimate's errors
+    have no spread, and a half if they are spread as much as the lengths.
+    """
+
+    length: _Distribution
+    ratio: _Distribution
+    share: float = field(init=False)
+    typical: float = field(init=False)
+    high: float = field(init=False)
+    is_estimate_accurate: bool = field(init=False)
+
+    def __post_init__(self) -> None:
+        length, ratio = self.length, self.ratio
+        share = length.variance / (length.variance + ratio.variance)
+        typical = share * ratio.median + (1 - share) * length.median
+        high = share * ratio.high + (1 - share) * length.high
+        object.__setattr__(self, "share", share)
+        object.__setattr__(self, "typical", typical)
+        object.__setattr__(self, "high", max(typical, high))
+        is_accurate = max(abs(ratio.p10), abs(ratio.p90)) <= ACCURATE_SHARE
+        object.__setattr__(self, "is_estimate_accurate", is_accurate)
+
+    def predict(self, estimate_s: float, offset: float) -> LengthPrediction:
+        if self.is_estimate_accurate:
+            return LengthPrediction(estimate_s, estimate_s, Evidence.ESTIMATE)
+        base = self.share * math.log(estimate_s) + offset
+        typical_s, high_s = math.exp(base + self.typical), math.exp(base + self.high)
+        return LengthPrediction(typical_s, high_s, Evidence.LEARNED)
+
+
 @dataclass(slots=True)
 class _QueueLengths:
-    """The lengths of a queue's runs and their ratios to the estimates; `ends` counts all runs."""
+    """The lengths of a queue's runs and their ratios to the estimates.
+
+    `ends` counts all runs. They are evidence for a prediction until `valid_until`.
+    """
 
     lengths: _DecayingHistogram
     ratios: _DecayingHistogram
     ends: int = 0
-    summarised_ends: int = 0
-    length: _Distribution | None = None
-    ratio: _Distribution | None = None
+    valid_until: float = -math.inf
+    _model: _Model | None = None
+    _model_ends: int = 0
 
     def note(self, estimate_s: float, length_s: float, now: float) -> None:
         self.lengths.record(length_s, now)
         self.ratios.record(length_s / estimate_s, now)
         self.ends += 1
+        if self.ends >= MIN_COMPLETIONS:
+            half_lives = math.log2(self.lengths.weigh(now) / MIN_WEIGHT)
+            self.valid_until = now + half_lives * HALF_LIFE_S
 
-    def has_evidence(self, now: float) -> bool:
-        return self.ends >= MIN_COMPLETIONS and self.lengths.weigh(now) >= MIN_WEIGHT
-
-    def summarise(self) -> tuple[_Distribution, _Distribution]:
-        """Return the distributions of lengths and ratios, which may lack the latest ends."""
-        grown = self.ends - self.summarised_ends
-        if self.length is None or self.ratio is None or grown * REFRESH_DIVISOR > self.ends:
-            self.length, self.ratio = self.lengths.summarise(), self.ratios.summarise()
-            self.summarised_ends = self.ends
-        return self.length, self.ratio
+    def find_model(self) -> _Model:
+        """Return a model that may lack the latest ends."""
+        grown = self.ends - self._model_ends
+        if self._model is None or grown * REFRESH_DIVISOR > self.ends:
+            self._model = _Model(self.lengths.summarise(), self.ratios.summarise())
+            self._model_ends = self.ends
+        return self._model
 
 
 @dataclass(slots=True)
@@ -170,6 +209,8 @@
 
     def find(self, now: float) -> float:
         """Return the offset to add to a prediction's logarithm, 0.0 without clear evidence."""
+        if self.weight < MIN_COMPLETIONS:
+            return 0.0
         weight = self.weight * 2.0 ** ((self.noted_at - now) / HALF_LIFE_S)
         if weight < MIN_COMPLETIONS:
             return 0.0
@@ -181,9 +222,15 @@
 
 @dataclass(slots=True)
 class RunLengths:
-    """The lengths of runs seen so far, by customer and queue."""
+    """The lengths of runs seen so far, by customer and queue.
+
+    Each plan asks for each waiting step, so predictions are kept with the model they come from.
+    """
 
     _queues: dict[str, _QueueLengths] = field(default_factory=dict)
+    _predicted: dict[tuple[str, str, float], tuple[_Model, LengthPrediction]] = field(
+        default_factory=dict
+    )
     _customers: dict[tuple[str, str], _CustomerOffset] = field(default_factory=dict)
 
     def note_end(
@@ -193,9 +240,9 @@
         if estimate_s <= 0 or length_s <= 0:
             return
         known = self._find_queue(queue, now)
-        if known.has_evidence(now):
+        if now <= known.valid_until:
             # Compared with what was predicted before this end was known.
-            expected = _combine(known, estimate_s)
+            expected = known.find_model().predict(estimate_s, 0.0)
             residual = math.log(length_s / expected.typical_s)
             self._find_customer(tenant, queue).note(residual, estimate_s, now)
         known.note(estimate_s, length_s, now)
@@ -203,15 +250,26 @@
     def predict(self, tenant: str, queue: str, estimate_s: float, now: float) -> LengthPrediction:
         """Return the predicted length of a task with the caller's estimate."""
         known = self._queues.get(queue)
-        if known is None or estimate_s <= 0 or not known.has_evidence(now):
+        if known is None or estimate_s <= 0 or now > known.valid_until:
             return LengthPrediction(estimate_s, estimate_s, Evidence.ESTIMATE)
-        found = _combine(known, estimate_s)
+        model = known.find_model()
+        key = (tenant, queue, estimate_s)
+        cached = self._predicted.get(key)
+        if cached is not None and cached[0] is model:
+            return cached[1]
         customer = self._customers.get((tenant, queue))
-        offset = 0.0 if customer is None else customer.find(now)
-        if not offset:
-            return found
-        factor = math.exp(offset)
-        return LengthPrediction(found.typical_s * factor, found.high_s * factor, found.evidence)
+        found = model.predict(estimate_s, 0.0 if customer is None else customer.find(now))
+        if len(self._predicted) >= MAX_CACHED:
+            self._predicted.clear()
+        self._predicted[key] = (model, found)
+        return found
+
+    def has_evidence(self, queue: str, now: float) -> bool:
+        """Return whether predictions for a queue may differ from the estimates."""
+        known = self._queues.get(queue)
+        if known is None or now > known.valid_until:
+            return False
+        return not known.find_model().is_estimate_accurate
 
     def describe(self, now: float) -> list[dict[str, Any]]:
         """Return one row for each queue, for operators."""
@@ -236,35 +294,18 @@
         return known
 
 
-def _combine(known: _QueueLengths, estimate_s: float) -> LengthPrediction:
-    """Return the weighted geometric mean of a queue's two predictors."""
-    length, ratio = known.summarise()
-    if max(abs(ratio.p10), abs(ratio.p90)) <= ACCURATE_SHARE:
-        return LengthPrediction(estimate_s, estimate_s, Evidence.ESTIMATE)
-    share = _weigh_estimate(length, ratio)
-    estimate = math.log(estimate_s)
-    typical = share * (estimate + ratio.median) + (1 - share) * length.median
-    high = share * (estimate + ratio.high) + (1 - share) * length.high
-    return LengthPrediction(math.exp(typical), math.exp(max(typical, high)), Evidence.LEARNED)
-
-
-def _weigh_estimate(length: _Distribution, ratio: _Distribution) -> float:
-    """Return how much the estimate counts: all if its errors have no spread, half if they are
-    spread as much as the lengths."""
-    return length.variance / (length.variance + ratio.variance)
-
-
 def _describe(name: str, known: _QueueLengths, now: float) -> dict[str, Any]:
-    length, ratio = known.summarise()
+    model = known.find_model()
+    has_evidence = now <= known.valid_until and not model.is_estimate_accurate
     return {
         "queue": name,
         "ends": known.ends,
         "recent_ends": round(known.lengths.weigh(now), 1),
-        "evidence": (Evidence.LEARNED if known.has_evidence(now) else Evidence.ESTIMATE).value,
-        "typical_s": round(math.exp(length.median), 3),
-        "high_s": round(math.exp(length.high), 3),
-        "ratio": round(math.exp(ratio.median), 3),
-        "length_spread": round(math.sqrt(length.variance), 3),
-        "estimate_spread": round(math.sqrt(ratio.variance), 3),
-        "estimate_share": round(_weigh_estimate(length, ratio), 3),
+        "evidence": (Evidence.LEARNED if has_evidence else Evidence.ESTIMATE).value,
+        "typical_s": round(math.exp(model.length.median), 3),
+        "high_s": round(math.exp(model.length.high), 3),
+        "ratio": round(math.exp(model.ratio.median), 3),
+        "length_spread": round(math.sqrt(model.length.variance), 3),
+        "estimate_spread": round(math.sqrt(model.ratio.variance), 3),
+        "estimate_share": round(model.share, 3),
     }
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/step_lengths.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/step_lengths.py
@@ -23,7 +23,9 @@
     The estimate stands while it is the only evidence for the step's queue.
     """
     found = learned.lengths.predict(step.tenant, step.queue, step.spec.estimate_s, now)
-    own_s = None if found.evidence is Evidence.ESTIMATE else _find_own_length_s(step)
+    if found.evidence is Evidence.ESTIMATE or not step.ratios:
+        return found
+    own_s = _find_own_length_s(step)
     if own_s is None:
         return found
     return LengthPrediction(own_s, max(own_s, _find_longest_s(step)), Evidence.LEARNED)
@@ -33,12 +35,11 @@
     job: JobState, occurrence: int, now: float, learned: LearnedState
 ) -> list[float] | None:
     """Return the lengths (s) to expect of the steps of an occurrence, None if all are estimates."""
+    if not learned.lengths.has_evidence(job.spec.queue.name, now):
+        return None
     first = occurrence * len(job.spec.steps)
     steps = job.steps[first : first + len(job.spec.steps)]
-    found = [predict_step(step, now, learned) for step in steps]
-    if all(prediction.evidence is Evidence.ESTIMATE for prediction in found):
-        return None
-    return [prediction.typical_s for prediction in found]
+    return [predict_step(step, now, learned).typical_s for step in steps]
 
 
 def _find_own_length_s(step: StepState) -> float | None:
--- a/packages/heronthread-dispatch/tests/test_run_lengths.py
+++ b/packages/heronthread-dispatch/tests/test_run_lengths.py
@@ -199,6 +199,7 @@
     for number in range(2 * MAX_CUSTOMERS):
         for _ in range(10):
             lengths.note_end(f"u{number}", f"q{number % (2 * MAX_QUEUES)}", 1.0, 5.0, NOW)
+            lengths.predict(f"u{number}", f"q{number % (2 * MAX_QUEUES)}", 1.0 + number, NOW)
     # Dropped histograms refer to themselves, so that the garbage collector frees them.
     gc.collect()
     size, _ = tracemalloc.get_traced_memory()
