Rank customers above their fair share after those that wait below theirs

Change: the owner charges each customer before a plan for its dominant share of processor, memory and accelerators (half-life 60 s), and `rank_step` puts steps of a customer above its weighted share last within their priority and lateness class, while another customer below its share waits. Work within a guarantee goes first as before. Operators see it in `heronthread cell load`, `cell job`, in `customer.share` and `start.decided`, and in the metrics.

--- a/packages/heronthread-cli/src/heronthread_cli/cell.py
+++ b/packages/heronthread-cli/src/heronthread_cli/cell.py
@@ -11,7 +11,7 @@
 from heronthread_dispatch.wire.ttypes import Operation
 
 from .exits import BadInput, CommandError, HostUnreachable
-from .output import note, print_line, show_rows
+from .output import note, print_line, show_object, show_rows
 
 ADDRESS_VARIABLE = "HERONTHREAD_HOST"
 TIMEOUT_S = 3.0
@@ -73,6 +73,24 @@
         """List each tenant's guaranteed accelerators: in use, and reclaimable from others."""
         show_rows(_ask(host, Operation.CELL_OVERVIEW, {})["guarantees"], as_json=json)
 
+    def load(self, section: str | None = None, host: str | None = None, json: bool = False) -> None:
+        """Show what waits, each customer's share, and what the owner has learned and keeps free.
+
+        Each section lists its 16 largest rows; --section=NAME shows one of them.
+        """
+        sections: dict[str, list[dict[str, Any]]] = _ask(host, Operation.CELL_OVERVIEW, {})["load"]
+        if section is not None and section not in sections:
+            raise BadInput(f"{section}: no such section; there are {', '.join(sections)}")
+        if section is not None:
+            show_rows(sections[section], as_json=json)
+        elif json:
+            show_object(sections)
+        else:
+            for name, rows in sections.items():
+                print_line(name if rows else f"{name}: nothing to show")
+                if rows:
+                    show_rows(rows, as_json=False)
+
     def job(self, job: str, host: str | None = None, json: bool = False) -> None:
         """Tell where a job's tasks are, how far they are, and which executors crashed there."""
         found = _ask(host, Operation.JOB_STORY, {"job": str(job)})
@@ -82,6 +100,8 @@
             )
             if found.get("why"):
                 note(found["why"])
+            if found.get("order"):
+                note(f"place in the order: {found['order']}")
         show_rows(found["tasks"], as_json=json)
 
 
--- a/packages/heronthread-cli/src/heronthread_cli/output.py
+++ b/packages/heronthread-cli/src/heronthread_cli/output.py
@@ -4,7 +4,7 @@
 
 import json
 import sys
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Any
 
 from .table import format_table
@@ -20,6 +20,11 @@
     sys.stderr.write(text + "\n")
 
 
+def show_object(value: Mapping[str, Any]) -> None:
+    """Print an object as JSON."""
+    print_line(json.dumps(value))
+
+
 def show_rows(
     rows: Sequence[dict[str, Any]], columns: Sequence[str] | None = None, *, as_json: bool
 ) -> None:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Mapping
 from dataclasses import asdict
 from typing import Any
 
@@ -23,6 +24,7 @@
 from .host_state import HostParts, HostSettings, HostState
 from .intake import NoSuchJob, NotTaken, PendingWrite, Taken
 from .keystore import Item, KeyRemoved, Listing
+from .load_overview import explain_order, measure_load
 from .loop_lag import LoopLagMonitor
 from .model import JobSpec
 from .news import MAX_NOTIFIED, NewsExchange
@@ -257,8 +259,13 @@
             self.store.revisions.find_age_s,
             self._learn_revisions,
             preassignments,
+            self.find_reported_shares,
         )
 
+    def find_reported_shares(self) -> Mapping[str, Mapping[str, float]]:
+        """Return the customers' use that the last owner reported, by pool; empty if none did."""
+        return {}
+
     async def _learn_revisions(self) -> None:
         peers = self.news.others()[:MAX_NOTIFIED]
         await learn_revisions(self.store.revisions, peers, self.ask_peer, self.note_malformed)
@@ -324,6 +331,7 @@
             gauges["longest_stand_s"] = self.owner.stall_monitor.longest_stall_s
             gauges["executors"] = len(self.owner.cell.executors)
             gauges["entries_set_aside"] = self.owner.directory.invalid_count
+            gauges.update(measure_load(self.owner.cell))
         for call, count in self.store.calls.items():
             gauges[f"store_{call}_calls"] = count
         for call, count in self.store.failures.items():
@@ -398,7 +406,8 @@
         job = owner.cell.jobs.get(body["job"])
         if job is None:
             return 410, {"reason": "there is no such job"}
-        return OK, describe_job(job, owner.stall_monitor.find_stall(job.spec.id))
+        order = explain_order(owner.cell, job, self.configuration.state)
+        return OK, describe_job(job, owner.stall_monitor.find_stall(job.spec.id), order)
 
     async def _handle_job(self, operation: int, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         """Answer a request about accepted jobs, which the owner knows best."""
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
@@ -104,9 +104,14 @@
             accelerators=step.spec.need.accelerators,
             version=self.cell.parts.desired().version,
             waited_s=round(now - (step.ready_at or now), 3),
+            share_rank=self._find_share_rank(group[0].job, now),
             term=self.cell.term.number,
         )
 
+    def _find_share_rank(self, job: JobState, now: float) -> int:
+        pool = self.cell.parts.desired().current_queue(job.spec).pool
+        return self.cell.learned.shares.rank(pool, job.spec.tenant, now)
+
     async def _send_when_named(self, orders: list[tuple[Start, Attempt]], checkpoint: str) -> None:
         """Send the starts of a group once their executors answer and the store lists them."""
         executors = [start.executor for start, _ in orders]
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/overview.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/overview.py
@@ -8,6 +8,7 @@
 
 from .domains import describe_domains, find_shortfall
 from .guarantee import find_guaranteed
+from .load_overview import describe_load
 from .model import URGENT, DesiredState
 from .owned_cell import OwnedCell
 from .progress import JobState
@@ -25,6 +26,7 @@
         "guarantees": _describe_guarantees(cell, desired),
         "domains": describe_domains(cell),
         "short by": find_shortfall(cell),
+        "load": describe_load(cell, desired),
     }
 
 
@@ -100,10 +102,11 @@
     )
 
 
-def describe_job(job: JobState, stand: JobStall | None = None) -> dict[str, Any]:
+def describe_job(job: JobState, stand: JobStall | None = None, order: str = "") -> dict[str, Any]:
     """Return a job's tasks with their executors, progress and failures.
 
-    `stand` says why nothing of the job runs, None if it is not known to be stalled.
+    `stand` says why nothing of the job runs, None if it is not known to be stalled; `order` why its
+    waiting tasks have their place in the order.
     """
     tasks = []
     for step in job.steps:
@@ -130,6 +133,7 @@
         "tenant": job.spec.tenant,
         "status": job.shown.value,
         "why": "; ".join(filter(None, (_explain_failures(job), _describe_stand(stand)))),
+        "order": order,
         "tasks": tasks,
     }
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Awaitable, Callable, Collection
+from collections.abc import Awaitable, Callable, Collection, Mapping
 from dataclasses import dataclass, field
 
 import trio
@@ -27,6 +27,7 @@
 from .keystore import KeyStore
 from .late_starts import MAX_ORDER_DELAY_S, LateStarts
 from .learned import LearnedState
+from .load_sources import LoadSources
 from .model import NO_RESOURCES, DesiredState, TaskKey, UnresolvedStart
 from .policy import DEFAULT_POLICY, Policy
 from .preassignments import Preassignments
@@ -120,7 +121,8 @@
     `relay` writes to the store by way of another host. `can_write_store` returns whether either way
     to the store accepts writes. `find_revision_age_s` returns for how long (s) the store has had a
     revision at least, and `learn_revisions` asks peers for what they know of that. Without
-    `preassignments`, all that is recorded in advance counts as used.
+    `preassignments`, all that is recorded in advance counts as used. `find_reported_shares` returns
+    what the earlier owner reported of the customers' use, by pool (`FairShares.list_largest`).
     """
 
     store: KeyStore
@@ -142,6 +144,7 @@
     find_revision_age_s: Callable[[int], float] = lambda revision: 0.0
     learn_revisions: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint
     preassignments: Preassignments | None = None
+    find_reported_shares: Callable[[], Mapping[str, Mapping[str, float]]] = dict
     random: random.Random = field(default_factory=random.Random)
 
 
@@ -156,6 +159,7 @@
         self.active: dict[str, JobState] = {}
         self.executors: dict[str, ExecutorState] = {}
         self.learned = LearnedState()
+        self.load_sources = LoadSources()
         self.changed = trio.Event()
         self.use_changed = trio.Event()
         self.approvals = Approvals(parts.approver, self.wake_planner)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -37,6 +37,7 @@
 from .recorder import PROGRESS_PREFIX, Deposed, progress_key
 from .retention import remove_expired_jobs
 from .run_monitor import RunMonitor
+from .share_accounting import ShareAccounting, log_changes
 from .spares import Spares
 from .stall_monitor import StallMonitor, describe_unresponsive
 from .stalls import JobStall
@@ -84,6 +85,7 @@
         self._set_aside: set[str] = set()
         self._used_executors = UsedExecutors(self.cell, self.depose)
         self.stall_monitor = StallMonitor(self.cell)
+        self._accounting = ShareAccounting(self.cell.learned.shares)
         self._names_written_at = trio.current_time()
         self._waits_logged_at = float("-inf")
         self.directory = Directory(self.cell, parts.directory, self._watch)
@@ -103,6 +105,8 @@
     async def run(self) -> None:
         """Take over, then plan until deposed."""
         started = trio.current_time()
+        for pool, used in self.parts.find_reported_shares().items():
+            self.cell.learned.shares.restore(pool, used, started)
         with self._scope:
             jobs = PrefixWatcher(
                 self.parts.store, JOB_PREFIX, self._load_jobs, self._apply_job_event
@@ -457,6 +461,7 @@
         now = trio.current_time()
         self.directory.retry_unknown_pools()
         self.directory.listings.tell()
+        self._charge_customers(now)
         planner = Planner(
             self.cell.active.values(),
             self.cell.executors.values(),
@@ -487,6 +492,22 @@
             if not self.parts.may_send_orders():
                 return recheck
 
+    def _charge_customers(self, now: float) -> None:
+        """Charge customers for what they hold, and find and log who is above its fair share."""
+        if not self.parts.policy.fair_shares:
+            return
+        changed = self._accounting.update(
+            self.cell.active.values(),
+            self.cell.executors.values(),
+            self.parts.desired(),
+            now,
+            self.parts.wall_clock(),
+        )
+        for standing in changed.values():
+            kind = "above" if standing.is_above else "within"
+            self.parts.statistics.count("customer_shares", kind)
+        log_changes(changed)
+
     def _carry_out(self, plan: Plan) -> None:
         assert self._orders is not None
         for attempt in plan.stops:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -207,7 +207,14 @@
         allowed_executors: frozenset[str] | None,
     ) -> Candidate:
         guaranteed = job.spec.id in self.guaranteed
-        rank = rank_step(job, step, queue, guaranteed, self.now, self.wall_now, self.policy)
+        share_rank = (
+            self.learned.shares.rank(queue.pool, job.spec.tenant, self.now)
+            if self.policy.fair_shares
+            else 0
+        )
+        rank = rank_step(
+            job, step, queue, guaranteed, self.now, self.wall_now, self.policy, share_rank
+        )
         return Candidate(
             job,
             step,
--- /dev/null
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/share_accounting.py
@@ -0,0 +1,116 @@
+"""Charging of customers for the capacity that their attempts hold, and finding their ranks."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from .events import log_event
+from .fair_shares import Demand, FairShares, ShareStanding
+from .fleet import ExecutorState
+from .model import NO_RESOURCES, DesiredState, Resources
+from .progress import JobState, StepState
+
+MAX_CHARGED_S = 2.0
+"""The longest time charged at once: plans are made twice a second, and what is held now may not
+have been held over a longer pause."""
+
+
+@dataclass(slots=True)
+class _PoolUse:
+    """What customers hold of a pool, and which of them have tasks that wait."""
+
+    held: dict[str, Resources] = field(default_factory=dict)
+    waiting: set[str] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class ShareAccounting:
+    """Charges the customers of a cell before each plan."""
+
+    shares: FairShares
+    _charged_at: float | None = None
+
+    def update(
+        self,
+        jobs: Iterable[JobState],
+        executors: Iterable[ExecutorState],
+        desired: DesiredState,
+        now: float,
+        wall_now: float,
+    ) -> dict[tuple[str, str], ShareStanding]:
+        """Charge what is held, find ranks; return the changed ones by pool and customer."""
+        uses = sum_use(jobs, desired, wall_now)
+        elapsed_s = 0.0 if self._charged_at is None else min(MAX_CHARGED_S, now - self._charged_at)
+        self._charged_at = now
+        capacities = sum_capacities(executors)
+        weights = {tenant.name: float(max(1, tenant.guaranteed)) for tenant in desired.tenants}
+        self.shares.retain({*desired.pools, *uses})
+        changed = {}
+        for pool in {*desired.pools, *uses}:
+            use = uses.get(pool, _PoolUse())
+            capacity = capacities.get(pool, NO_RESOURCES)
+            for tenant, held in use.held.items():
+                self.shares.charge(pool, tenant, held, capacity, elapsed_s, now)
+            names = {*use.held, *use.waiting}
+            demand = Demand({n: weights.get(n, 1.0) for n in names}, frozenset(use.waiting))
+            for tenant, standing in self.shares.assess(pool, demand, now).items():
+                changed[pool, tenant] = standing
+        return changed
+
+
+def sum_use(
+    jobs: Iterable[JobState], desired: DesiredState, wall_now: float
+) -> dict[str, _PoolUse]:
+    """Return what customers hold and wait for, by pool.
+
+    Tasks that only use idle processor time hold nothing.
+    """
+    found: dict[str, _PoolUse] = {}
+    for job in jobs:
+        pool = desired.current_queue(job.spec).pool
+        use, tenant = found.setdefault(pool, _PoolUse()), job.spec.tenant
+        for step in job.steps:
+            if step.attempt_count and not step.spec.fills:
+                held = _multiply(step.spec.need, step.attempt_count)
+                use.held[tenant] = use.held.get(tenant, NO_RESOURCES).plus(held)
+            if step.spec.fills or tenant in use.waiting:
+                continue
+            if is_waiting(job, step, wall_now):
+                use.waiting.add(tenant)
+    return found
+
+
+def sum_capacities(executors: Iterable[ExecutorState]) -> dict[str, Resources]:
+    """Return the capacity of the listed executors by pool."""
+    found: dict[str, Resources] = {}
+    for state in executors:
+        if state.listed:
+            pool = state.executor.pool
+            found[pool] = found.get(pool, NO_RESOURCES).plus(state.executor.capacity)
+    return found
+
+
+def log_changes(changed: Mapping[tuple[str, str], ShareStanding]) -> None:
+    """Log the customers that came to be above their fair share, or no longer are."""
+    for (pool, tenant), standing in changed.items():
+        log_event(
+            "customer.share",
+            pool=pool,
+            tenant=tenant,
+            is_above=standing.is_above,
+            use=round(standing.use, 4),
+            share=round(standing.share, 4),
+            fair_share=round(standing.fair, 4),
+        )
+
+
+def is_waiting(job: JobState, step: StepState, wall_now: float) -> bool:
+    """Return whether tasks of a step wait for capacity."""
+    if not step.waiting_count or not job.is_active:
+        return False
+    return not (step.spec.gang and step.attempt_count) and job.is_ready(step, wall_now)
+
+
+def _multiply(need: Resources, count: int) -> Resources:
+    return Resources(need.cpu * count, need.memory_mb * count, need.accelerators * count)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/step_rank.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/step_rank.py
@@ -12,6 +12,15 @@
 from .policy import Policy
 from .progress import JobState, StepState, latest_starts
 
+URGENT_GROUP, ORDINARY_GROUP, FILLING_GROUP = range(3)
+"""The first element of sort keys."""
+LATENESS = (
+    "can still be on time",
+    "late, after work that can be on time",
+    "too late to be of use, after other work",
+)
+"""Descriptions of the lateness classes of ordinary work."""
+
 
 @dataclass(frozen=True, slots=True)
 class StepRank:
@@ -25,6 +34,16 @@
     latest_start: float
     may_preempt: bool
 
+    def describe(self) -> str:
+        """Return what decides the step's place in the order besides its customer's fair share."""
+        group, second, third = self.sort_key[:3]
+        if group == URGENT_GROUP:
+            coverage = "outside" if second else "within"
+            return f"urgent, {coverage} its customer's guarantee" + (", late" if third else "")
+        if group == FILLING_GROUP:
+            return "uses idle processor time, after all other work"
+        return f"priority {self.sort_key[3]:.0f}, {LATENESS[int(second)]}"
+
 
 def rank_step(
     job: JobState,
@@ -34,24 +53,40 @@
     now: float,
     wall_now: float,
     policy: Policy,
+    share_rank: int = 0,
 ) -> StepRank:
     """Return a step's rank; times are on trio's clock, `wall_now` in seconds since the epoch.
 
     Urgent work comes first, and within it work covered by a customer's guarantee. With
     `hopeless_last`, urgent work outside a guarantee loses this priority once it can no longer end
-    in time to be useful.
+    in time to be useful. Among steps of one priority and one lateness class, those of customers
+    with `share_rank` 1 (`FairShares.rank`) come last, except for work covered by a guarantee.
     """
     latest_start, last_useful = latest_starts(job, step, queue, now, wall_now)
     guarantee_rank = 0 if is_guaranteed else 1
+    share_rank = 0 if is_guaranteed else share_rank
     is_worthless = policy.hopeless_last and last_useful < now and not is_guaranteed
     if queue.priority == URGENT and not is_worthless:
         return StepRank(
-            (0, guarantee_rank, latest_start < now, queue.priority, latest_start),
+            (
+                URGENT_GROUP,
+                guarantee_rank,
+                latest_start < now,
+                queue.priority,
+                share_rank,
+                latest_start,
+            ),
             latest_start,
             True,
         )
     if step.spec.fills:
-        return StepRank((2, queue.priority, latest_start), latest_start, False)
+        return StepRank(
+            (FILLING_GROUP, queue.priority, share_rank, latest_start), latest_start, False
+        )
     lateness = (latest_start < now) + (last_useful < now)
     due = last_useful if lateness else latest_start
-    return StepRank((1, lateness, guarantee_rank, queue.priority, due), latest_start, False)
+    return StepRank(
+        (ORDINARY_GROUP, lateness, guarantee_rank, queue.priority, share_rank, due),
+        latest_start,
+        False,
+    )
--- a/packages/heronthread-emulator/src/heronthread_emulator/load.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/load.py
@@ -63,7 +63,11 @@
 
 
 class LoadPattern(_Strict):
-    """A pool and the jobs that come; executors take `speeds` in turn (times as long)."""
+    """A pool and the jobs that come; executors take `speeds` in turn (times as long).
+
+    `largest_customer_share` is the share of the jobs that the first customer sends; by default all
+    customers send the same.
+    """
 
     name: str
     seconds: float = Field(gt=0)
@@ -81,6 +85,7 @@
     checkpoint_s: float = 0.5
     far_factor: float = 3.0
     customers: int = Field(default=10, ge=1)
+    largest_customer_share: float | None = Field(default=None, ge=0, le=1)
     guaranteed: int = 0
     swing: float = Field(default=0.0, ge=0, lt=1)
     period_s: float = Field(default=11.0, gt=0)
@@ -150,6 +155,14 @@
     return mean * math.exp(source.gauss(0.0, spread) - spread * spread / 2)
 
 
+def _draw_customer(pattern: LoadPattern, source: random.Random) -> int:
+    if pattern.largest_customer_share is None:
+        return source.randrange(pattern.customers)
+    if pattern.customers == 1 or source.random() < pattern.largest_customer_share:
+        return 0
+    return source.randrange(1, pattern.customers)
+
+
 def _draw_job(
     pattern: LoadPattern, kind: JobKind, source: random.Random, name: str, at: float
 ) -> DrawnJob:
@@ -164,7 +177,7 @@
         name,
         kind,
         at,
-        source.randrange(pattern.customers),
+        _draw_customer(pattern, source),
         source.choice(kind.accelerators),
         is_gang,
         is_gang and source.random() < kind.rack_share,
--- a/packages/heronthread-emulator/src/heronthread_emulator/pool_model.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/pool_model.py
@@ -28,6 +28,7 @@
 from heronthread_dispatch.policy import Policy
 from heronthread_dispatch.progress import Attempt, JobState, Phase, StepState, make_job
 from heronthread_dispatch.recent_peaks import RecentPeaks
+from heronthread_dispatch.share_accounting import ShareAccounting
 from heronthread_dispatch.urgent_forecast import GangShape
 
 from .load import DrawnJob, LoadPattern
@@ -104,7 +105,7 @@
         self._changed = self.env.event()
         self._peaks = RecentPeaks(URGENT_WINDOW_S)
         self._learned = LearnedState()
-        self._charged_at = 0.0
+        self._accounting = ShareAccounting(self._learned.shares)
         self._desired = _make_desired(pattern)
         self._executors = {state.id: state for state in _make_executors(pattern)}
         source = random.Random(f"slow {pattern.name} {len(drawn)}")
@@ -203,10 +204,9 @@
         self._learned.speeds.note("pool", key, attempt.instance, rate, now)
 
     def _charge_customers(self, now: float) -> None:
-        elapsed, self._charged_at = now - self._charged_at, now
-        for job in self._active.values():
-            self._learned.shares.charge(
-                "pool", job.spec.tenant, job.accelerators_held * elapsed, now
+        if self.policy.fair_shares:
+            self._accounting.update(
+                self._active.values(), self._executors.values(), self._desired, now, now
             )
 
     def _carry_out(self, plan: Plan) -> None:
