--- a/benchmarks/planning.py
+++ b/benchmarks/planning.py
@@ -104,12 +104,12 @@
 ) -> float:
     """Return the processor time of one plan, in ms."""
     started = time.process_time()
-    if make is ReferencePlanner:
-        make(jobs, states, DESIRED, NOW, NOW).make()
-    else:
+    if issubclass(make, Planner):
         learned = LearnedState()
         ShareAccounting(learned.shares).update(jobs, states, DESIRED, NOW, NOW)
         make(jobs, states, DESIRED, NOW, NOW, learned=learned).make()
+    else:
+        make(jobs, states, DESIRED, NOW, NOW).make()
     return (time.process_time() - started) * 1000
 
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/fair_shares.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/fair_shares.py
@@ -97,6 +97,7 @@
     above: set[str] = field(default_factory=set)
     below: set[str] = field(default_factory=set)
     assessed_at: float = float("-inf")
+    is_compared: bool = False
     is_restored: bool = False
 
     def find_use(self, tenant: str, now: float) -> _Use:
@@ -166,6 +167,10 @@
         shares = self._pools.setdefault(pool, _PoolShares())
         shares.demand, shares.assessed_at = demand, now
         before, found = shares.above, shares.list_shares(now)
+        shares.is_compared = bool(found)
+        if not found:
+            # Who was above or below stays so until it can be compared with others again.
+            return {}
         shares.above = {
             name
             for name, (share, fair) in found.items()
@@ -191,7 +196,9 @@
         Ranks are those of the last `assess`, and 0 once it is `RANK_VALID_S` old.
         """
         shares = self._pools.get(pool)
-        if shares is None or tenant not in shares.above or now > shares.assessed_at + RANK_VALID_S:
+        if shares is None or not shares.is_compared or tenant not in shares.above:
+            return 0
+        if now > shares.assessed_at + RANK_VALID_S:
             return 0
         return int(not shares.below.isdisjoint(shares.demand.waiting))
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -11,7 +11,7 @@
 
 from .directory import Directory
 from .domains import log_evacuation_limits
-from .events import describe_instance, log_event
+from .events import RepeatedEvents, describe_instance, log_event
 from .executor_watch import ExecutorWatch
 from .executors_in_use import USED_KEY, UsedExecutors
 from .fleet import ExecutorState
@@ -86,6 +86,7 @@
         self._used_executors = UsedExecutors(self.cell, self.depose)
         self.stall_monitor = StallMonitor(self.cell)
         self._accounting = ShareAccounting(self.cell.learned.shares)
+        self._share_events = RepeatedEvents()
         self._names_written_at = trio.current_time()
         self._waits_logged_at = float("-inf")
         self.directory = Directory(self.cell, parts.directory, self._watch)
@@ -506,7 +507,7 @@
         for standing in changed.values():
             kind = "above" if standing.is_above else "within"
             self.parts.statistics.count("customer_shares", kind)
-        log_changes(changed)
+        log_changes(changed, self._share_events)
 
     def _carry_out(self, plan: Plan) -> None:
         assert self._orders is not None
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/share_accounting.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/share_accounting.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from .events import log_event
+from .events import RepeatedEvents
 from .fair_shares import Demand, FairShares, ShareStanding
 from .fleet import ExecutorState
 from .model import NO_RESOURCES, DesiredState, Resources
@@ -103,11 +103,12 @@
     return found
 
 
-def log_changes(changed: Mapping[tuple[str, str], ShareStanding]) -> None:
+def log_changes(changed: Mapping[tuple[str, str], ShareStanding], events: RepeatedEvents) -> None:
     """Log the customers that came to be above their fair share, or no longer are."""
     for (pool, tenant), standing in changed.items():
-        log_event(
+        events.log(
             "customer.share",
+            (pool, tenant, standing.is_above),
             pool=pool,
             tenant=tenant,
             is_above=standing.is_above,
--- a/packages/heronthread-dispatch/tests/test_fair_shares.py
+++ b/packages/heronthread-dispatch/tests/test_fair_shares.py
@@ -165,6 +165,17 @@
     assert shares.find_standing("pool", "large", 1.0).use > 0
 
 
+def test_pause_of_all_others_changes_nobodys_standing() -> None:
+    """Guards against a log line and a new comparison each time that the others' work ends."""
+    shares = _make_uneven()
+    _assess(shares, 60.0)
+    assert _assess(shares, 60.1, waiting="large", large=1.0) == {}
+    assert shares.find_standing("pool", "large", 60.1).is_above
+    assert shares.rank("pool", "large", 60.1) == 0
+    assert _assess(shares, 60.2) == {}
+    assert shares.rank("pool", "large", 60.2) == 1
+
+
 # Bounds
 
 
--- a/packages/heronthread-dispatch/tests/test_step_rank.py
+++ b/packages/heronthread-dispatch/tests/test_step_rank.py
@@ -1,4 +1,4 @@
-"""Planning order: urgent before ordinary work, guaranteed before other, no useless preemption."""
+"""Planning order: urgent work, guarantees, lateness, fair shares, and no useless preemption."""
 
 from dataclasses import replace
 
@@ -17,13 +17,18 @@
 
 
 def _rank(
-    queue: Queue, asked_s_ago: float, guaranteed: bool = False, hopeless_last: bool = True, **more
+    queue: Queue,
+    asked_s_ago: float,
+    guaranteed: bool = False,
+    hopeless_last: bool = True,
+    share_rank: int = 0,
+    **more,
 ) -> StepRank:
     step = StepSpec(2, Resources(1000, 100, 1), WORK_S, gang=True, **more)
     spec = JobSpec("j", queue, "customer", "", (step,), NOW - asked_s_ago)
     job = make_job(spec, NOW)
     policy = replace(DEFAULT_POLICY, hopeless_last=hopeless_last)
-    return rank_step(job, job.steps[0], queue, guaranteed, NOW, NOW, policy)
+    return rank_step(job, job.steps[0], queue, guaranteed, NOW, NOW, policy, share_rank)
 
 
 def test_urgent_work_comes_before_ordinary_and_guaranteed_before_other_urgent() -> None:
@@ -57,3 +62,58 @@
     assert _rank(ORDINARY_QUEUE, 0.0).sort_key < late.sort_key
     fills = _rank(ORDINARY_QUEUE, 0.0, fills=True)
     assert late.sort_key < fills.sort_key
+
+
+@pytest.mark.parametrize("queue", [URGENT_QUEUE, ORDINARY_QUEUE], ids=["urgent", "ordinary"])
+def test_customer_above_its_share_comes_last_in_its_priority_and_lateness_class(
+    queue: Queue,
+) -> None:
+    """Guards against a large customer's earlier jobs that delay the small customers' later ones."""
+    early_above = _rank(queue, 0.5, share_rank=1)
+    late_below = _rank(queue, 0.1)
+    assert late_below.sort_key < early_above.sort_key
+    assert _rank(queue, 0.5).sort_key < late_below.sort_key
+
+
+def test_filling_work_of_a_customer_above_its_share_comes_last() -> None:
+    above = _rank(ORDINARY_QUEUE, 0.5, share_rank=1, fills=True)
+    assert _rank(ORDINARY_QUEUE, 0.1, fills=True).sort_key < above.sort_key
+
+
+@pytest.mark.parametrize("queue", [URGENT_QUEUE, ORDINARY_QUEUE], ids=["urgent", "ordinary"])
+def test_share_does_not_count_within_a_guarantee(queue: Queue) -> None:
+    """Guards against a guarantee that is kept late because its customer uses much otherwise."""
+    assert _rank(queue, 1.0, guaranteed=True, share_rank=1) == _rank(queue, 1.0, guaranteed=True)
+    above = _rank(queue, 1.0, guaranteed=True, share_rank=1)
+    assert above.sort_key < _rank(queue, 1.0).sort_key
+
+
+def test_share_counts_less_than_priority_and_lateness() -> None:
+    """Guards against small customers' batch work, or lost work, before work that can be on time."""
+    batch = replace(ORDINARY_QUEUE, priority=2)
+    assert _rank(ORDINARY_QUEUE, 0.0, share_rank=1).sort_key < _rank(batch, 0.0).sort_key
+    late_below = _rank(ORDINARY_QUEUE, 20.0)
+    assert _rank(ORDINARY_QUEUE, 0.0, share_rank=1).sort_key < late_below.sort_key
+    assert late_below.sort_key < _rank(ORDINARY_QUEUE, 20.0, share_rank=1).sort_key
+    urgent_above = _rank(URGENT_QUEUE, 0.0, share_rank=1)
+    assert urgent_above.may_preempt
+    assert urgent_above.sort_key < _rank(ORDINARY_QUEUE, 0.0).sort_key
+
+
+@pytest.mark.parametrize(
+    ("rank", "place"),
+    [
+        (_rank(URGENT_QUEUE, 0.0, guaranteed=True), "urgent, within its customer's guarantee"),
+        (_rank(URGENT_QUEUE, 2.0), "urgent, outside its customer's guarantee, late"),
+        (_rank(ORDINARY_QUEUE, 0.0), "priority 1, can still be on time"),
+        (_rank(ORDINARY_QUEUE, 10.0), "priority 1, late, after work that can be on time"),
+        (_rank(ORDINARY_QUEUE, 90.0), "priority 1, too late to be of use, after other work"),
+        (
+            _rank(ORDINARY_QUEUE, 0.0, fills=True),
+            "uses idle processor time, after all other work",
+        ),
+    ],
+)
+def test_rank_describes_its_place(rank: StepRank, place: str) -> None:
+    """Guards against a description that no longer follows the layout of the sort keys."""
+    assert rank.describe() == place
--- a/tests/test_planner_equivalence.py
+++ b/tests/test_planner_equivalence.py
@@ -9,6 +9,7 @@
 import pytest
 import trio
 from heronthread_dispatch import owner as owner_module
+from heronthread_dispatch.fair_shares import Demand
 from heronthread_dispatch.fleet import ExecutorState
 from heronthread_dispatch.learned import LearnedState
 from heronthread_dispatch.losses import expected_end_s
@@ -290,3 +291,84 @@
             await trio.sleep(0.2)
         await trio.sleep(10.0)
     assert _BothPlanners.compared > 60
+
+
+def _set_tenants(jobs: list[JobState], name: str) -> None:
+    for job in jobs:
+        job.spec = replace(job.spec, tenant=name)
+
+
+def _learn_use(jobs: list[JobState], **held: int) -> LearnedState:
+    """Return what an owner knows after a minute in which customers held some accelerators."""
+    learned, capacity = LearnedState(), Resources(100_000, 100_000, 100)
+    for pool in ("pool", "second"):
+        for second in range(60):
+            for tenant, count in held.items():
+                need, at = Resources(0, 0, count), NOW - 60.0 + second
+                learned.shares.charge(pool, tenant, need, capacity, 1.0, at)
+        names = frozenset(job.spec.tenant for job in jobs)
+        weights = dict.fromkeys(names, 1.0)
+        learned.shares.assess(pool, Demand(weights, names), NOW)
+    return learned
+
+
+def _plan_with_shares(
+    seed: int, policy: Policy, tenant: str = "", **held: int
+) -> dict[str, object]:
+    jobs, executors = _make_state(seed)
+    if tenant:
+        _set_tenants(jobs, tenant)
+    learned = _learn_use(jobs, **held)
+    planner = Planner(jobs, executors, DESIRED, NOW, NOW, policy=policy, learned=learned)
+    return _describe(planner.make())
+
+
+@pytest.mark.parametrize(
+    ("tenant", "held", "is_on"),
+    [
+        ("a", {"a": 90, "b": 5}, True),
+        ("", {"a": 30, "b": 30, "c": 30}, True),
+        ("", {"a": 90, "b": 5, "c": 5}, False),
+    ],
+    ids=["one customer", "even use", "switched off"],
+)
+def test_fair_shares_change_nothing_where_use_is_fair(
+    tenant: str, held: dict[str, int], is_on: bool
+) -> None:
+    """Guards against another order for deployments whose customers are alike or single."""
+    for seed in range(300):
+        found = _plan_with_shares(seed, Policy(fair_shares=is_on), tenant, **held)
+        plain = _plan_with_shares(seed, Policy(fair_shares=False), tenant)
+        assert found == plain, f"seed {seed}"
+
+
+def test_fair_shares_change_plans_where_use_is_uneven() -> None:
+    """Shows that the equal plans of the test above are not equal for want of any effect."""
+    held = {"a": 90, "b": 5, "c": 5}
+    found = [_plan_with_shares(seed, Policy(), **held) for seed in range(300)]
+    plain = [_plan_with_shares(seed, Policy(fair_shares=False), **held) for seed in range(300)]
+    assert sum(one != other for one, other in zip(found, plain, strict=True)) >= 30
+
+
+def test_shares_idle_no_capacity() -> None:
+    """Without gangs and reservations each plan starts as many tasks in either order."""
+    started = 0
+    for seed in range(100):
+        totals = []
+        for is_on in (True, False):
+            generator = _Generator(seed)
+            generator.has_lasting = False
+            for number in range(25):
+                job = generator.make_job(f"w{number}")
+                job.spec = replace(
+                    job.spec, steps=(StepSpec(3, Resources(2_000, 1_000, 2), 2.0),), schedule=None
+                )
+                generator.jobs[-1] = make_job(job.spec, NOW)
+            jobs, executors = generator.jobs, generator.executors
+            learned = _learn_use(jobs, a=90, b=5, c=5)
+            policy = Policy(fair_shares=is_on, headroom=False, reserve=False)
+            planner = Planner(jobs, executors, DESIRED, NOW, NOW, policy=policy, learned=learned)
+            totals.append(sum(len(group) for group in planner.make().groups))
+        assert totals[0] == totals[1], f"seed {seed}"
+        started += totals[0] > 0
+    assert started >= 80
