Test cell load and the share in cell job over the command line

Cause: the commands had no test against a running cell. Change: one test with a customer charged for 40 s of the pool; it waits until the first job runs, as the small customer's job otherwise rightly starts in its place.

--- a/packages/heronthread-cli/tests/test_cell.py
+++ b/packages/heronthread-cli/tests/test_cell.py
@@ -6,7 +6,7 @@
 from heronthread_cli.cell import Cell
 from heronthread_cli.commands import Heronthread
 from heronthread_cli.exits import BadInput, CommandError, HostUnreachable
-from heronthread_dispatch.model import TaskKey
+from heronthread_dispatch.model import Resources, TaskKey
 from heronthread_dispatch.peer import serve_peers
 from heronthread_emulator import EmulatedSite
 
@@ -114,6 +114,49 @@
         place.is_cut = False
 
 
+async def test_load_is_shown_by_section_and_a_job_says_that_its_customer_is_above_its_share(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """Guards against a place in the order that a fair share decides without being told."""
+    async with EmulatedSite.open(executors=1) as site:
+        owner = await site.wait_for_owner()
+        other = next(name for name in site.hosts if name != owner)
+        address = await _serve(site, other)
+        cell = site.hosts[owner].owner.cell  # type: ignore[union-attr]
+        use = Resources(0, 0, 8)
+        cell.learned.shares.charge("pool", "first", use, use, 40.0, trio.current_time())
+        for name, tenant in (("run", "first"), ("a", "first"), ("b", "second")):
+            record = site.make_job(name, tenant=tenant, count=8, work_s=60)
+            await site.hosts[owner].requests.accept(record, 2)
+            with trio.fail_after(10):
+                while not cell.jobs["run"].has_attempts:
+                    await trio.sleep(0.05)
+        with trio.fail_after(10):
+            while not cell.learned.shares.rank("pool", "first", trio.current_time()):
+                await trio.sleep(0.05)
+
+        async def run(command: object, *args: str, **more: object) -> tuple[str, str]:
+            await trio.to_thread.run_sync(lambda: command(*args, host=address, **more))  # type: ignore[operator]
+            shown = capsys.readouterr()
+            return shown.out, shown.err
+
+        out, _ = await run(Cell().load, json=True)
+        load = json.loads(out)
+        assert load["backlog"][0]["waiting tasks"] == 16
+        out, _ = await run(Cell().load)
+        assert "backlog\n" in out and "reserved: nothing to show\n" in out
+        out, _ = await run(Cell().load, section="customers", json=True)
+        ranks = {row["tenant"]: row["rank"] for row in json.loads(out)}
+        assert ranks == {"first": 1, "second": 0}
+        with pytest.raises(BadInput, match="nothing: no such section; there are backlog, "):
+            await run(Cell().load, section="nothing")
+        _, err = await run(Cell().job, "a")
+        assert "first is above its fair share of pool" in err
+        assert "fair is 50% (2.0 times)" in err
+        _, err = await run(Cell().job, "b")
+        assert err == "place in the order: priority 1, can still be on time\n"
+
+
 def test_missing_host_is_bad_input(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.delenv("HERONTHREAD_HOST", raising=False)
     with pytest.raises(BadInput, match="--host"):
