Have the soak check that no customer is without starts while others of its rank start

Cause: nothing in a soak would notice a customer that starves. Change: `check_starving` names a customer with a waiting ungrouped, unscheduled, ordinary job and no start for 15 s in a calm stretch in which others of its priority, with a lateness class that comes no earlier and at least its needs, start three later jobs. Ruled out: judging urgent work (guarantees decide), gangs (room for all members) and jobs late before the others (their class comes later).

--- a/packages/heronthread-emulator/src/heronthread_emulator/soak_checks.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak_checks.py
@@ -13,6 +13,7 @@
 from .soak_history import IN_TOUCH_S, NOT_ENDED, SoakHistory
 from .soak_site import DRAIN_S, GRACE_S, STOP_S
 from .soak_standing import check_standing
+from .soak_starving import check_starving
 
 CANCEL_S = 3.0
 APPLY_S = 2.0
@@ -54,6 +55,7 @@
     found += _check_stops(history, slack_s)
     found += _check_recovery(history, slack_s)
     found += check_standing(history, slack_s)
+    found += check_starving(history, slack_s)
     return found
 
 
