Reject jobs that can't begin while they are useful, by the newest load digest

Cause: every job is accepted whatever the backlog, and callers of work that can't be served wait in vain. Change: the owner estimates backlog, drain rate and expected wait each second; hosts pass the digest on with its age. A host rejects a job only if the expected wait is beyond its last useful start, and the owner that made the digest says that it doesn't know the job. Retry-After is spread by a hash of the job's id. Log fields, counters by reason and a histogram of the expected wait are added; the modelled pool decides likewise. Ruled out: counting late work, or work due later, before a new job: the plan places the new job first.

--- a/packages/heronthread-coordination/src/heronthread_coordination/histogram.py
+++ b/packages/heronthread-coordination/src/heronthread_coordination/histogram.py
@@ -15,13 +15,15 @@
 class Measure(StrEnum):
     """Measured durations, in milliseconds.
 
-    `WAITING`: from acceptance of a job to its start; `START`: from the decision to start until
+    `WAITING`: from acceptance of a job to its start; `EXPECTED_WAITING`: the wait expected at
+    acceptance; `START`: from the decision to start until
     the job runs on all workers; `COMPLETION`: from acceptance to completion; `ANSWER`: from
     request to response at an entry host; `PLAN`: one planning pass of an owner; `LATENESS`:
     delay of a timer.
     """
 
     WAITING = "waiting"
+    EXPECTED_WAITING = "expected_waiting"
     START = "start"
     COMPLETION = "completion"
     ANSWER = "answer"
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -257,6 +257,7 @@
             self.store.revisions.find_age_s,
             self._learn_revisions,
             preassignments,
+            self.known_load,
         )
 
     async def _learn_revisions(self) -> None:
@@ -404,7 +405,9 @@
         """Answer a request about accepted jobs, which the owner knows best."""
         if operation == Operation.JOB_STATE:
             view = self.owner.view(body["job"]) if self.owner else None
-            return (OK, _encode_view(view)) if view else (NOT_HERE, {})
+            return (
+                (OK, _encode_view(view)) if view else (NOT_HERE, self.describe_unknown(body["job"]))
+            )
         if operation == Operation.QUEUE_COUNT:
             count = self.owner.count_pending(body["queue"]) if self.owner else None
             return (OK, {"count": count}) if count is not None else (NOT_HERE, {})
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host_state.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host_state.py
@@ -18,6 +18,7 @@
 from .executor_link import ExecutorLink
 from .host_lease import HostLease, HostRecord, Strength
 from .keystore import KeyStore
+from .known_load import KnownLoad
 from .observed_store import ObservedStore
 from .owned_cell import Timing
 from .owner import Owner
@@ -74,6 +75,7 @@
         self.members: dict[str, HostRecord] = {}
         self.member_revisions: dict[str, int] = {}
         self.preassignment_log = PreassignmentLog()
+        self.known_load = KnownLoad()
         self.owner: Owner | None = None
         self.known_owner: HostRecord | None = None
         self.seen_owners: deque[SeenOwner] = deque(maxlen=MAX_SEEN_OWNERS)
@@ -91,6 +93,16 @@
         """
         return 0.0 if self.owner is not None else max(0.0, boot_time() - self.no_orders_since)
 
+    def describe_unknown(self, job_id: str) -> dict[str, Any]:
+        """Return the answer to a query for a job that the local owner doesn't know.
+
+        It names the owner's term only if the owner would know the job had it been accepted.
+        """
+        owner = self.owner
+        if owner is None or not self.host_lease.is_valid or not owner.would_know(job_id):
+            return {}
+        return {"unknown_in_term": owner.cell.term.number}
+
     def note_owner(self, seen: SeenOwner) -> None:
         """Note an owner of the cell, unless it is already known."""
         if all(owner.revision != seen.revision for owner in self.seen_owners):
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/news.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/news.py
@@ -5,13 +5,15 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 import trio
 from heronthread_coordination import is_store_down_for_all
 
 from .clock import boot_time
-from .events import log_event
+from .events import RepeatedEvents, log_event
 from .host_state import HostState
+from .load_digest import MAX_PASSED_ON_S, MalformedDigest, decode_digest, encode_digest
 from .peer_messages import (
     OK,
     News,
@@ -51,6 +53,7 @@
         self.heard: dict[str, HeardNews] = {}
         self.wanted = trio.Event()
         self._is_fetching = False
+        self._malformed_loads = RepeatedEvents()
 
     def _forget_old(self) -> None:
         since = boot_time() - NEWS_EXPIRY_S
@@ -74,8 +77,16 @@
             self._host.host_lease.member_revision,
             self._host.preassignment_log.encode(),
             self._host.preassignment_log.closed,
+            self._encode_load(),
         )
 
+    def _encode_load(self) -> dict[str, Any]:
+        """Return the newest load digest with its age, empty without one."""
+        known = self._host.known_load.find(boot_time())
+        if known is None or known.age_s > MAX_PASSED_ON_S:
+            return {}
+        return encode_digest(known.digest, known.age_s)
+
     def others(self) -> list[str]:
         """Return the addresses of the known other hosts, or the seeds if there are none."""
         self._forget_old()
@@ -119,6 +130,7 @@
                 await self.wanted.wait()
             to_all = self.wanted.is_set() or not self._host.store.is_answering
             self.wanted = trio.Event()
+            self._host.known_load.tick(boot_time())
             others = self.others()
             for address in self._choose_recipients(others, MAX_NOTIFIED if to_all else FAN_OUT):
                 nursery.start_soon(self._send, address)
@@ -149,9 +161,10 @@
             domains = self._host.evacuations.domains
 
     async def _send(self, address: str) -> None:
+        sent_at = boot_time()
         reply = await self._exchange(address)
         if reply is not None:
-            await self.take(decode_news(reply.body))
+            await self.take(decode_news(reply.body), boot_time() - sent_at)
 
     async def ask(self, address: str) -> News | None:
         """Return the news of the host at an address, None if it does not answer."""
@@ -164,8 +177,11 @@
         reply = await self._host.ask_peer(address, Operation.NEWS, body)
         return reply if isinstance(reply, PeerReply) and reply.status == OK else None
 
-    async def take(self, news: News | None) -> None:
-        """Record a peer's news, and fetch its configuration if that is newer."""
+    async def take(self, news: News | None, transit_s: float = 0.0) -> None:
+        """Record a peer's news, and fetch its configuration if that is newer.
+
+        `transit_s` is how long (s) the news may have been under way.
+        """
         if news is None:
             self._host.note_malformed(Operation.NEWS, "", "malformed news")
             return
@@ -173,9 +189,23 @@
         self._host.store.revisions.note(news.store_revision)
         self._host.preassignment_log.take(news)
         self._host.evacuations.merge_encoded(news.evacuations, news.host)
+        self._take_load(news, transit_s)
         if news.version > self._host.configuration.state.version:
             await self._fetch_configuration()
 
+    def _take_load(self, news: News, transit_s: float) -> None:
+        """Keep a peer's load digest if it is newer; drop a malformed one."""
+        if not news.load:
+            return
+        found = decode_digest(news.load)
+        if isinstance(found, MalformedDigest):
+            self._malformed_loads.log(
+                "load.malformed", (news.host,), host=news.host, error=found.reason
+            )
+            return
+        digest, age_s = found
+        self._host.known_load.offer(digest, age_s + transit_s, boot_time())
+
     async def _fetch_configuration(self) -> None:
         """Fetch a peer's newer configuration unless the store's watch delivers it first.
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
@@ -25,8 +25,10 @@
 )
 from .host_lease import Term
 from .keystore import KeyStore
+from .known_load import KnownLoad
 from .late_starts import MAX_ORDER_DELAY_S, LateStarts
 from .learned import LearnedState
+from .load_estimate import Drain, RunEnd
 from .model import NO_RESOURCES, DesiredState, TaskKey, UnresolvedStart
 from .policy import DEFAULT_POLICY, Policy
 from .preassignments import Preassignments
@@ -142,6 +144,7 @@
     find_revision_age_s: Callable[[int], float] = lambda revision: 0.0
     learn_revisions: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint
     preassignments: Preassignments | None = None
+    known_load: KnownLoad = field(default_factory=KnownLoad)
     random: random.Random = field(default_factory=random.Random)
 
 
@@ -163,6 +166,7 @@
         self.stops_requested = trio.Event()
         self.late_starts = LateStarts(parts.timing.longest_run_s)
         now = trio.current_time()
+        self.drain = Drain(now)
         self.late_orders_until = now + MAX_ORDER_DELAY_S
         self.unreported_runs_until = now + parts.timing.max_unreported_run_s
         self.crashes = Crashes(self.find_task, self._handle_crash, parts.statistics)
@@ -505,6 +509,7 @@
             else:
                 self.recorder.mark(job)
         self.crashes.end_trial(attempt.task, attempt.instance)
+        self._note_drain(attempt, why)
         log_event(
             "attempt.closed",
             **describe_run(attempt.task, attempt.run, attempt.instance),
@@ -519,6 +524,18 @@
         )
         self.wake_planner()
 
+    def _note_drain(self, attempt: Attempt, why: str) -> None:
+        """Record the capacity that a run has freed, unless its task waits for capacity again."""
+        job = self.jobs.get(attempt.task.job)
+        is_done = why == EndKind.DONE
+        if job is None or not (is_done or (why == EndKind.STOPPED and not job.is_active)):
+            return
+        now, queue = trio.current_time(), self.parts.desired().current_queue(job.spec)
+        is_whole = is_done and attempt.began_at is not None and not attempt.began_percent
+        length_s = now - attempt.began_at if is_whole and attempt.began_at is not None else None
+        need = attempt.need.accelerators
+        self.drain.note_end(RunEnd(now, queue.pool, queue.priority, need, length_s))
+
     def request_stop(self, attempt: Attempt, reason: str) -> None:
         """Queue a stop of an attempt."""
         if attempt.phase is not Phase.STOPPING:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -17,6 +17,7 @@
 from .fleet import ExecutorState
 from .host_lease import Term
 from .keystore import Item, KeyRemoved, Listing
+from .load_report import LoadReport
 from .model import JobSpec, PreassignmentEpoch
 from .orders import Orders
 from .owned_cell import JOB_PREFIX, STALE_OWNER_S, OwnedCell, OwnerParts
@@ -146,6 +147,7 @@
                 nursery.start_soon(self.cell.approvals.run)
                 nursery.start_soon(self.stall_monitor.run)
                 nursery.start_soon(Spares(self.cell).run)
+                nursery.start_soon(LoadReport(self.cell).run)
                 self.is_ready = True
                 nursery.start_soon(self._wait_for_earlier_runs)
                 nursery.start_soon(self._find_end_of_earlier_orders)
@@ -412,6 +414,15 @@
         stall = self.stall_monitor.find_stall(job_id)
         return JobView(job.shown, job.spec.tenant, job.spec.queue.name, stall)
 
+    def would_know(self, job_id: str) -> bool:
+        """Return whether this owner would list a job that was accepted.
+
+        It can't without the store, whose watch delivers jobs, and not of a job whose record it
+        could not read.
+        """
+        is_able = self.is_ready and self.parts.is_store_available()
+        return is_able and job_id not in self._set_aside and job_id not in self.cell.jobs
+
     def check_fit(self, spec: JobSpec) -> tuple[str, list[Kind]]:
         """Return the reason why a job can never be placed, "" if it can, and the kinds of its pool.
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/requests.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/requests.py
@@ -9,6 +9,8 @@
 import trio
 from heronthread_coordination import Measure, Unavailable
 
+from .admission import Admission, AdmissionReason, Admitted, Rejected
+from .admission_check import AdmissionCheck
 from .events import log_event
 from .host_state import HostState
 from .intake import (
@@ -66,14 +68,22 @@
         self._host = host
         self._news = news
         self._fitting = PlacementCheck(host)
+        self._admission = AdmissionCheck(host)
         self._final_views: dict[str, JobView] = {}
 
     async def accept(self, record: JobRecord, budget_s: float) -> IntakeOutcome:
         """Accept a job."""
         body = encode_record(record)
         started = trio.current_time()
+        known = self._admission.find_digest()
+        admission: Admission = Admitted(AdmissionReason.UNPLACEABLE)
         outcome: IntakeOutcome | None = await self._reject_unplaceable(record)
         if outcome is None:
+            admission = await self._admission.decide(record.spec)
+        if isinstance(admission, Rejected):
+            outcome = NotTaken(str(admission), admission.retry_after_s)
+        if outcome is None:
+            self._admission.note_accepting(record.spec.id)
             left_s = budget_s - (trio.current_time() - started)
             outcome = await self._intake(
                 partial(self.accept_at_store, record), Operation.ACCEPT_JOB, body, left_s
@@ -83,6 +93,7 @@
         self._host.statistics.record(
             record.spec.tenant, record.spec.queue.name, Measure.ANSWER, elapsed
         )
+        self._count_admission(record, admission, outcome)
         log_event(
             "job.accept",
             job=record.spec.id,
@@ -93,9 +104,25 @@
             version=self._host.configuration.state.version,
             outcome=type(outcome).__name__,
             reason=getattr(outcome, "reason", ""),
+            admission=admission.reason.value,
+            expected_wait_s=_round(admission.expected_wait_s),
+            digest_age_s=_round(known.age_s if known is not None else None),
+            retry_after_s=_round(getattr(outcome, "retry_after_s", None)),
         )
         return outcome
 
+    def _count_admission(
+        self, record: JobRecord, admission: Admission, outcome: IntakeOutcome
+    ) -> None:
+        """Count a decision by its reason, and record the wait expected for an accepted job."""
+        kind = "admission_rejects" if isinstance(admission, Rejected) else "admission_accepts"
+        self._host.statistics.count(kind, admission.reason.name.lower())
+        spec, wait_s = record.spec, admission.expected_wait_s
+        if wait_s is not None and isinstance(outcome, Taken):
+            self._host.statistics.record(
+                spec.tenant, spec.queue.name, Measure.EXPECTED_WAITING, wait_s
+            )
+
     async def _reject_unplaceable(self, record: JobRecord) -> NotTaken | None:
         """Reject a job that can never be placed, unless it was accepted before.
 
@@ -117,6 +144,7 @@
     ) -> IntakeOutcome:
         """Accept a job by writing to the store from this host."""
         store = self._host.store
+        self._admission.note_accepting(record.spec.id)
         if store.is_answering:
             return await accept_job(store, record, pending_write)
         return await accept_after_read(store, record, pending_write, store.patience_s)
@@ -283,6 +311,11 @@
         return None
 
 
+def _round(seconds: float | None) -> float | None:
+    """Return a duration for the log."""
+    return None if seconds is None else round(seconds, 3)
+
+
 def _decode_view(body: dict[str, Any]) -> JobView:
     tenant, queue = body["tenant"], body["queue"]
     if not isinstance(tenant, str) or not isinstance(queue, str):
--- a/packages/heronthread-emulator/src/heronthread_emulator/load.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/load.py
@@ -63,7 +63,9 @@
 
 
 class LoadPattern(_Strict):
-    """A pool and the jobs that come; executors take `speeds` in turn (times as long)."""
+    """A pool and the jobs that come; executors take `speeds` in turn (times as long).
+
+    `return_share` of the rejected callers come back when they were told to."""
 
     name: str
     seconds: float = Field(gt=0)
@@ -82,6 +84,7 @@
     far_factor: float = 3.0
     customers: int = Field(default=10, ge=1)
     guaranteed: int = 0
+    return_share: float = Field(default=1.0, ge=0, le=1)
     swing: float = Field(default=0.0, ge=0, lt=1)
     period_s: float = Field(default=11.0, gt=0)
     kinds: list[JobKind] = Field(min_length=1)
--- a/packages/heronthread-emulator/src/heronthread_emulator/pool_model.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/pool_model.py
@@ -11,8 +11,12 @@
 from dataclasses import dataclass, field
 
 import simpy
+from heronthread_dispatch.admission import Rejected, decide_admission
 from heronthread_dispatch.fleet import ExecutorState, make_executor_state
+from heronthread_dispatch.known_load import AgedDigest
 from heronthread_dispatch.learned import LearnedState
+from heronthread_dispatch.load_digest import LoadDigest
+from heronthread_dispatch.load_estimate import Drain, RunEnd, estimate_load, measure_capacity
 from heronthread_dispatch.model import (
     URGENT,
     DesiredState,
@@ -36,6 +40,9 @@
 RECHECK_S = 0.5
 ORDER_S = 0.005
 MOST_ATTEMPTS = 4
+DIGEST_S = 1.0
+MOST_ASKS = 5
+"""How often a caller asks at most, as the platform's callers do."""
 URGENT_WINDOW_S = 12.0
 LEAST_MEASURE_S = 0.6
 DRAIN_FACTOR = 2.5
@@ -65,6 +72,7 @@
     begun_at: float | None = None
     done_at: float | None = None
     taken_back: int = 0
+    rejected: int = 0
     is_failed: bool = False
 
 
@@ -105,6 +113,9 @@
         self._peaks = RecentPeaks(URGENT_WINDOW_S)
         self._learned = LearnedState()
         self._charged_at = 0.0
+        self._drain = Drain(0.0)
+        self._digest: LoadDigest | None = None
+        self._digest_at = 0.0
         self._desired = _make_desired(pattern)
         self._executors = {state.id: state for state in _make_executors(pattern)}
         source = random.Random(f"slow {pattern.name} {len(drawn)}")
@@ -115,6 +126,7 @@
         """Play the whole pattern."""
         self.env.process(self._arrive())
         self.env.process(self._plan_for_ever())
+        self.env.process(self._report_load())
         self.env.run(until=self.pattern.seconds * DRAIN_FACTOR)
         return self.outcome
 
@@ -123,19 +135,59 @@
     def _arrive(self) -> Steps:
         for drawn in self._drawn:
             yield self.env.timeout(drawn.at - self.env.now)
-            queue = self._desired.by_name[drawn.kind.name]
-            state = make_job(_make_spec(drawn, queue), self.env.now)
-            known = _Known(drawn, state, JobOutcome(drawn))
-            self._known[drawn.id] = known
-            self._active[drawn.id] = state
-            self.outcome.jobs.append(known.outcome)
-            if queue.priority == URGENT:
-                spec = state.steps[0].spec
-                shape = GangShape(spec.count, spec.need, spec.same_rack)
-                self._learned.forecast.note_arrival("pool", shape, spec.estimate_s, self.env.now)
-            if drawn.cancel_after_s is not None:
-                self.env.process(self._cancel(known, drawn.cancel_after_s))
-            self._wake()
+            outcome = JobOutcome(drawn)
+            self.outcome.jobs.append(outcome)
+            self.env.process(self._ask(drawn, outcome))
+
+    def _ask(self, drawn: DrawnJob, outcome: JobOutcome) -> Steps:
+        """Ask until the job is accepted; a caller returns when it was told to, if it does."""
+        spec = _make_spec(drawn, self._desired.by_name[drawn.kind.name], self.env.now)
+        while self.policy.admission and outcome.rejected < MOST_ASKS:
+            known = None
+            if self._digest is not None:
+                known = AgedDigest(self._digest, self.env.now - self._digest_at)
+            decision = decide_admission(
+                spec, spec.queue, self.pattern.guaranteed, known, self.env.now
+            )
+            if not isinstance(decision, Rejected):
+                break
+            outcome.rejected += 1
+            returns = random.Random(f"{drawn.id} {outcome.rejected}").random()
+            if returns >= self.pattern.return_share or outcome.rejected == MOST_ASKS:
+                return
+            yield self.env.timeout(decision.retry_after_s)
+            spec = _make_spec(drawn, spec.queue, self.env.now)
+        self._accept(drawn, spec, outcome)
+
+    def _accept(self, drawn: DrawnJob, spec: JobSpec, outcome: JobOutcome) -> None:
+        state = make_job(spec, self.env.now)
+        known = _Known(drawn, state, outcome)
+        self._known[drawn.id] = known
+        self._active[drawn.id] = state
+        if spec.queue.priority == URGENT:
+            step = state.steps[0].spec
+            shape = GangShape(step.count, step.need, step.same_rack)
+            self._learned.forecast.note_arrival("pool", shape, step.estimate_s, self.env.now)
+        if drawn.cancel_after_s is not None:
+            self.env.process(self._cancel(known, drawn.cancel_after_s))
+        self._wake()
+
+    def _report_load(self) -> Steps:
+        """Make a load digest each second, as an owner does."""
+        while True:
+            now = self.env.now
+            self._drain.note_capacity(measure_capacity(self._executors.values(), now), now)
+            pools = estimate_load(
+                self._active.values(),
+                self._executors.values(),
+                self._desired,
+                self._drain,
+                self._learned,
+                now,
+                now,
+            )
+            self._digest, self._digest_at = LoadDigest(1, round(now), pools), now
+            yield self.env.timeout(DIGEST_S)
 
     def _cancel(self, known: _Known, after_s: float) -> Steps:
         yield self.env.timeout(after_s)
@@ -306,6 +358,7 @@
 
     def _note_done(self, known: _Known, run: _Run) -> None:
         for attempt in run.attempts:
+            self._note_drain(known, run, attempt)
             task = known.state.task(attempt.task)
             assert task is not None, "a run is of one of its job's tasks"
             task.done = True
@@ -318,6 +371,12 @@
             known.outcome.done_at = self.env.now
             self._active.pop(known.drawn.id, None)
 
+    def _note_drain(self, known: _Known, run: _Run, attempt: Attempt) -> None:
+        length_s = None if run.saved_s and known.outcome.taken_back else self.env.now - run.began
+        need = attempt.need.accelerators
+        priority = known.drawn.kind.priority
+        self._drain.note_end(RunEnd(self.env.now, "pool", priority, need, length_s))
+
     def _stop(self, attempt: Attempt) -> None:
         run = self._runs.get(id(attempt))
         if run is None or attempt.phase is Phase.STOPPING:
@@ -359,7 +418,7 @@
     return found
 
 
-def _make_spec(drawn: DrawnJob, queue: Queue) -> JobSpec:
+def _make_spec(drawn: DrawnJob, queue: Queue, now: float) -> JobSpec:
     step = StepSpec(
         len(drawn.works_s),
         Resources(drawn.kind.millicores, drawn.kind.memory_mb, drawn.accelerators),
@@ -368,4 +427,4 @@
         same_rack=drawn.same_rack,
         checkpointing=drawn.checkpoints,
     )
-    return JobSpec(drawn.id, queue, f"c{drawn.customer}", "", (step,), drawn.at)
+    return JobSpec(drawn.id, queue, f"c{drawn.customer}", "", (step,), now)
