Test admission control at emulated sites, in the news and in the HTTP API

Cause: what a host does with stale, lost, late or malformed digests, without the owner, the store or its peers, and with a job that another host accepts, is decided by more than the pure decision.

--- a/packages/heronthread-dispatch/tests/test_news.py
+++ b/packages/heronthread-dispatch/tests/test_news.py
@@ -1,12 +1,26 @@
-"""Distribution of new configurations to hosts that the store's watch doesn't reach."""
+"""News between hosts: configurations that the store's watch doesn't deliver, and the load."""
+
+import json
+from dataclasses import replace
 
 import pytest
 import trio
+from heronthread_dispatch.admission import MAX_DIGEST_AGE_S
+from heronthread_dispatch.clock import boot_time
+from heronthread_dispatch.fair_shares import FairShares
 from heronthread_dispatch.keystore import WatchOutcome
+from heronthread_dispatch.owner import Owner
 from heronthread_dispatch.peer import PeerUnreachable
-from heronthread_dispatch.peer_messages import OK, make_reply
+from heronthread_dispatch.peer_messages import (
+    NEWS_FIELD_TYPES,
+    OK,
+    decode_news,
+    encode_news,
+    make_reply,
+)
 from heronthread_dispatch.wire.ttypes import Frame, Operation
-from heronthread_emulator import EmulatedSite
+from heronthread_emulator import EmulatedSite, captured_events
+from heronthread_emulator.site import POOL
 from heronthread_emulator.store import StoreView
 
 Clock = trio.testing.MockClock
@@ -97,3 +111,110 @@
         site.views["h2"].is_silent = False
         await trio.sleep(5.0)
         assert site.hosts["h2"].configuration.state.version == 2
+
+
+def _find_owner(site: EmulatedSite) -> Owner:
+    owner = next(host.owner for host in site.hosts.values() if host.owner is not None)
+    assert owner is not None
+    return owner
+
+
+async def test_every_host_learns_the_load_and_its_age(autojump_clock: Clock) -> None:
+    """Guards against hosts that decide by a digest older than the owner's last ones."""
+    async with EmulatedSite.open(hosts=5) as site:
+        await site.wait_for_owner()
+        await trio.sleep(10.0)
+        for host in site.hosts.values():
+            known = host.known_load.find(boot_time())
+            assert known is not None
+            assert known.digest.term == _find_owner(site).cell.term.number
+            assert [load.pool for load in known.digest.pools] == [POOL]
+            newest = site.hosts[site.owner_name() or ""].known_load.find(boot_time())
+            assert newest is not None
+            behind = newest.digest.sequence - known.digest.sequence
+            assert known.age_s == pytest.approx(behind + newest.age_s, abs=0.1)
+            assert known.age_s < MAX_DIGEST_AGE_S
+
+
+@pytest.mark.parametrize("load", [7, [], "x", {"v": 2}, {"v": 1, "a": 0.1, "d": "not base64!"}])
+async def test_malformed_digest_is_dropped_and_not_the_news(
+    autojump_clock: Clock, load: object
+) -> None:
+    """Guards against losing a peer's store health or owner with a digest that can't be read."""
+    async with EmulatedSite.open(hosts=2) as site:
+        await site.wait_for_owner()
+        await trio.sleep(2.0)
+        host = site.hosts["h0"]
+        before = host.known_load.find(boot_time())
+        assert before is not None
+        news = decode_news({**encode_news(site.hosts["h1"].news.make()), "load": load})
+        assert news is not None
+        with captured_events() as messages:
+            for _ in range(3):
+                await host.news.take(replace(news, host="h9"))
+        assert "h9" in host.news.heard
+        known = host.known_load.find(boot_time())
+        assert known is not None
+        assert known.digest == before.digest
+        lines = [m for m in messages if m["message_type"] == "load.malformed"]
+        assert len(lines) == (1 if load else 0)
+
+
+async def test_news_of_earlier_versions_and_for_them_can_be_read(autojump_clock: Clock) -> None:
+    """Guards against hosts of two versions that don't understand each other's news."""
+    async with EmulatedSite.open(hosts=2) as site:
+        await site.wait_for_owner()
+        await trio.sleep(2.0)
+        body = json.loads(json.dumps(encode_news(site.hosts["h0"].news.make())))
+        assert body["load"]
+        for name in NEWS_FIELD_TYPES:
+            assert isinstance(body[name], NEWS_FIELD_TYPES[name])
+        del body["load"]
+        earlier = decode_news(body)
+        assert earlier is not None
+        await site.hosts["h1"].news.take(earlier)
+        assert site.hosts["h1"].news.heard["h0"].news == earlier
+
+
+async def test_late_and_lost_news_keep_the_newest_digest(autojump_clock: Clock) -> None:
+    """Guards against an earlier digest that replaces a later one, or a lost one that stays new."""
+    async with EmulatedSite.open(hosts=2) as site:
+        owner = await site.wait_for_owner()
+        await trio.sleep(2.0)
+        late = site.hosts[owner].news.make()
+        await trio.sleep(3.0)
+        host = next(host for name, host in site.hosts.items() if name != owner)
+        newest = host.known_load.find(boot_time())
+        assert newest is not None
+        await host.news.take(late)
+        kept = host.known_load.find(boot_time())
+        assert kept is not None
+        assert kept.digest == newest.digest
+        assert kept.age_s == pytest.approx(newest.age_s, abs=0.001)
+        site.peers.cut = set(site.hosts)
+        await trio.sleep(4.0)
+        known = host.known_load.find(boot_time())
+        assert known is not None
+        assert known.age_s > MAX_DIGEST_AGE_S
+
+
+async def test_next_owner_starts_from_the_use_in_the_digest(
+    autojump_clock: Clock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a takeover that favours the customers with the largest use."""
+    restored: list[tuple[str, dict[str, float]]] = []
+
+    def restore(shares: FairShares, pool: str, used: dict[str, float], now: float) -> None:
+        restored.append((pool, dict(used)))
+
+    monkeypatch.setattr(FairShares, "restore", restore)
+    monkeypatch.setattr(FairShares, "list_largest", lambda shares, pool, now: {"first": 640.0})
+    async with EmulatedSite.open(hosts=3) as site:
+        owner = await site.wait_for_owner()
+        await trio.sleep(5.0)
+        assert restored == []
+        site.kill_host(owner)
+        while site.owner_name() is None:
+            await trio.sleep(0.05)
+        await trio.sleep(0.1)
+        assert restored == [(POOL, {"first": 640.0})]
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -6,7 +6,9 @@
 
 import pytest
 import trio
+from heronthread_dispatch.clock import boot_time
 from heronthread_dispatch.intake import DEFAULT_RETRY_AFTER_S
+from heronthread_dispatch.load_digest import LoadDigest, PoolLoad, PriorityLoad
 from heronthread_dispatch.model import DesiredState, Queue, Tenant
 from heronthread_emulator import EmulatedSite
 from heronthread_platform.callers import make_app
@@ -123,3 +125,25 @@
         response = await call_app(client.app, "POST", PATH, HEADERS, data=json.dumps(JOB))
         assert response.status == 503
         assert int(response.headers["retry-after"]) == math.ceil(DEFAULT_RETRY_AFTER_S)
+
+
+async def test_rejection_for_load_tells_when_to_come_back(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against a `Retry-After` of 1 s for a backlog that takes longer."""
+    async with EmulatedSite.open(hosts=1) as site:
+        client = await _open_client(site)
+        host = site.hosts["h0"]
+        assert host.owner is not None
+        row = PriorityLoad(1, 900, 90.0, 90.0)
+        digest = LoadDigest(host.owner.cell.term.number, 10**9, (PoolLoad("pool", 10.0, (row,)),))
+        host.known_load.publish(digest, boot_time())
+        step = {**JOB["steps"][0], "gpus": 1}
+        job = json.dumps({**JOB, "steps": [step]})
+        response = await call_app(client.app, "POST", PATH, HEADERS, data=job)
+        assert response.status == 503
+        assert 20 <= int(response.headers["retry-after"]) <= 30
+        assert "can't begin while it is useful" in json.loads(response.body)["error"]
+        await trio.sleep(4.0)
+        assert (await client.send("GET"))[0] == 410
+        assert (await client.send("POST", data=job))[0] == 200
