Bound what the owner keeps of ends, and test the check for untrue rejections

Cause: at 5,000 ends a second each digest went over all ends of the window once for each pool and priority; and no test showed that a job which was only rejected and ran is found. Change: running sums by pool, and at most 100 lengths by pool and priority.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/load_estimate.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/load_estimate.py
@@ -24,6 +24,8 @@
 which a plan keeps room for urgent work."""
 DUE_BEFORE_SHARE = 0.75
 """Part of the waiting work of a priority that must be due before a new job to count for it."""
+MAX_LENGTHS = 100
+"""Runs of a pool and priority whose lengths are kept; enough for a median."""
 MIN_LENGTH_S = 0.1
 """Least length of a task, so that an estimate of nearly zero gives no infinite rate."""
 
@@ -39,28 +41,48 @@
     length_s: float | None
 
 
+@dataclass(slots=True)
+class _Freed:
+    """What a pool freed within the window: (time, accelerators) of each end, and their sum."""
+
+    ends: deque[tuple[float, int]] = field(default_factory=deque)
+    accelerators: int = 0
+
+    def add(self, at: float, accelerators: int) -> None:
+        self.ends.append((at, accelerators))
+        self.accelerators += accelerators
+
+    def forget(self, since: float) -> None:
+        while self.ends and self.ends[0][0] < since:
+            self.accelerators -= self.ends.popleft()[1]
+
+
 @dataclass(slots=True)
 class Drain:
-    """The ends of runs within the last `DRAIN_WINDOW_S`, and the capacity of the pools then."""
+    """The ends of runs within the last `DRAIN_WINDOW_S`, and the capacity of the pools then.
+
+    `since` is when the term began (trio's clock).
+    """
 
     since: float
-    _ends: deque[RunEnd] = field(default_factory=deque)
+    _freed: dict[str, _Freed] = field(default_factory=dict)
+    _lengths: dict[tuple[str, int], deque[tuple[float, float]]] = field(default_factory=dict)
     _capacities: deque[tuple[float, dict[str, int]]] = field(default_factory=deque)
 
     def note_end(self, end: RunEnd) -> None:
         """Add an end; preempted runs, which wait again, are not to be added."""
-        self._ends.append(end)
-        self._forget(end.at)
+        freed = self._freed.setdefault(end.pool, _Freed())
+        freed.add(end.at, end.accelerators)
+        freed.forget(end.at - DRAIN_WINDOW_S)
+        if end.length_s is not None:
+            key = (end.pool, end.priority)
+            lengths = self._lengths.setdefault(key, deque(maxlen=MAX_LENGTHS))
+            lengths.append((end.at, end.length_s))
 
     def note_capacity(self, capacity: dict[str, int], now: float) -> None:
         """Add the accelerators of each pool."""
         self._capacities.append((now, capacity))
-        self._forget(now)
-
-    def _forget(self, now: float) -> None:
-        while self._ends and self._ends[0].at < now - DRAIN_WINDOW_S:
-            self._ends.popleft()
-        while self._capacities and self._capacities[0][0] < now - DRAIN_WINDOW_S:
+        while self._capacities[0][0] < now - DRAIN_WINDOW_S:
             self._capacities.popleft()
 
     def find_rate(self, pool: str, now: float) -> float | None:
@@ -68,24 +90,21 @@
 
         It is not known early in a term, after few ends, or while the pool is empty or growing.
         """
-        self._forget(now)
-        ends = [end.accelerators for end in self._ends if end.pool == pool]
-        if now - self.since < DRAIN_WINDOW_S or len(ends) < MIN_ENDS or self._is_growing(pool):
+        freed = self._freed.get(pool)
+        if freed is None or now - self.since < DRAIN_WINDOW_S or self._is_growing(pool):
             return None
-        return sum(ends) / DRAIN_WINDOW_S
+        freed.forget(now - DRAIN_WINDOW_S)
+        return freed.accelerators / DRAIN_WINDOW_S if len(freed.ends) >= MIN_ENDS else None
 
     def _is_growing(self, pool: str) -> bool:
         """Return whether a pool is empty, or has more accelerators than earlier in the window."""
         sizes = [capacity.get(pool, 0) for _, capacity in self._capacities]
         return not sizes or not sizes[-1] or sizes[-1] > min(sizes)
 
-    def find_length_s(self, pool: str, priority: int) -> float:
+    def find_length_s(self, pool: str, priority: int, now: float) -> float:
         """Return the median length (s) of the runs done lately, 0.0 if there were few."""
-        lengths = [
-            end.length_s
-            for end in self._ends
-            if end.pool == pool and end.priority == priority and end.length_s is not None
-        ]
+        known = self._lengths.get((pool, priority), ())
+        lengths = [length_s for at, length_s in known if at >= now - DRAIN_WINDOW_S]
         return median(lengths) if len(lengths) >= MIN_ENDS else 0.0
 
 
@@ -214,7 +233,7 @@
     if rate is not None:
         rate = max(rate, pool.running)
     rows = tuple(
-        _describe_priority(priority, pool, rate, drain.find_length_s(name, priority))
+        _describe_priority(priority, pool, rate, drain.find_length_s(name, priority, now))
         for priority in sorted(priorities)
     )
     largest = learned.shares.list_largest(name, now)
--- a/packages/heronthread-emulator/tests/test_checker.py
+++ b/packages/heronthread-emulator/tests/test_checker.py
@@ -1,12 +1,15 @@
-"""When a start in an evacuated failure domain counts as a broken promise."""
+"""When a start in an evacuated domain, or of a rejected job, counts as a broken promise."""
 
 import pytest
-from heronthread_dispatch.model import Executor, Resources, TaskKey
+from heronthread_dispatch.model import Executor, JobSpec, Resources, StepSpec, TaskKey
+from heronthread_dispatch.record import JobRecord
 from heronthread_emulator import (
     EmulatedExecutors,
     check_evacuations,
 )
+from heronthread_emulator.checker import Told, check_promises
 from heronthread_emulator.executors import EmulatedExecutor, Event
+from heronthread_emulator.site import make_queue
 from heronthread_emulator.spans import Span
 
 TASK = TaskKey("a", 0, 0)
@@ -41,3 +44,17 @@
     assert [violation.promise for violation in found] == (
         ["nothing starts in an evacuated domain"] if broken else []
     )
+
+
+@pytest.mark.parametrize(
+    ("taken", "unsettled", "broken"),
+    [(False, False, True), (True, False, False), (False, True, False)],
+)
+def test_job_with_rejections_only_must_not_run(taken: bool, unsettled: bool, broken: bool) -> None:
+    """Guards against an untrue rejection that a soak would not find."""
+    step = StepSpec(1, Resources(), 1.0)
+    record = JobRecord(JobSpec("a", make_queue("ordinary"), "first", "", (step,), 0.0))
+    told = Told(record, taken=taken, refused=True, unsettled=unsettled)
+    found = check_promises(_executors(1.0, 1.0), {"a": told})
+    promises = [violation.promise for violation in found]
+    assert ("not taken means never run" in promises) == broken
