--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -325,6 +325,9 @@
             gauges["longest_stand_s"] = self.owner.stall_monitor.longest_stall_s
             gauges["executors"] = len(self.owner.cell.executors)
             gauges["entries_set_aside"] = self.owner.directory.invalid_count
+        known_load = self.known_load.find(boot_time())
+        if known_load is not None:
+            gauges["load_digest_age_s"] = known_load.age_s
         for call, count in self.store.calls.items():
             gauges[f"store_{call}_calls"] = count
         for call, count in self.store.failures.items():
