--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Mapping
 from dataclasses import asdict
 from typing import Any
 
@@ -259,13 +258,9 @@
             self.store.revisions.find_age_s,
             self._learn_revisions,
             preassignments,
-            self.find_reported_shares,
+            self.known_load,
         )
 
-    def find_reported_shares(self) -> Mapping[str, Mapping[str, float]]:
-        """Return the customers' use that the last owner reported, by pool; empty if none did."""
-        return {}
-
     async def _learn_revisions(self) -> None:
         peers = self.news.others()[:MAX_NOTIFIED]
         await learn_revisions(self.store.revisions, peers, self.ask_peer, self.note_malformed)
@@ -332,6 +327,9 @@
             gauges["executors"] = len(self.owner.cell.executors)
             gauges["entries_set_aside"] = self.owner.directory.invalid_count
             gauges.update(measure_load(self.owner.cell))
+        known_load = self.known_load.find(boot_time())
+        if known_load is not None:
+            gauges["load_digest_age_s"] = known_load.age_s
         for call, count in self.store.calls.items():
             gauges[f"store_{call}_calls"] = count
         for call, count in self.store.failures.items():
@@ -413,7 +411,9 @@
         """Answer a request about accepted jobs, which the owner knows best."""
         if operation == Operation.JOB_STATE:
             view = self.owner.view(body["job"]) if self.owner else None
-            return (OK, _encode_view(view)) if view else (NOT_HERE, {})
+            return (
+                (OK, _encode_view(view)) if view else (NOT_HERE, self.describe_unknown(body["job"]))
+            )
         if operation == Operation.QUEUE_COUNT:
             count = self.owner.count_pending(body["queue"]) if self.owner else None
             return (OK, {"count": count}) if count is not None else (NOT_HERE, {})
--- a/packages/heronthread-dispatch/tests/test_load_overview.py
+++ b/packages/heronthread-dispatch/tests/test_load_overview.py
@@ -5,8 +5,8 @@
 import pytest
 import trio
 from heronthread_dispatch.fair_shares import MAX_CUSTOMERS, Demand
-from heronthread_dispatch.host import Host
 from heronthread_dispatch.load_overview import MAX_ROWS, describe_load, explain_order, measure_load
+from heronthread_dispatch.load_report import LoadReport
 from heronthread_dispatch.model import Resources
 from heronthread_dispatch.owned_cell import OwnedCell
 from heronthread_dispatch.policy import Policy
@@ -163,14 +163,11 @@
     is_reported: bool, autojump_clock: MockClock, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """An owner is killed: only the reported use tells the next one who is above its share."""
-    reported: dict[str, dict[str, float]] = {}
-    monkeypatch.setattr(Host, "find_reported_shares", lambda host: dict(reported))
+    if not is_reported:
+        monkeypatch.setattr(LoadReport, "restore_shares", lambda report: None)
     async with EmulatedSite.open(hosts=2, executors=2) as site:
         cell = await _fill(site, 20.0)
         before = cell.learned.shares.find_standing("pool", "first", trio.current_time())
-        if is_reported:
-            now = trio.current_time()
-            reported["pool"] = cell.learned.shares.list_largest("pool", now)
         killed = await site.wait_for_owner()
         site.kill_host(killed)
         while site.owner_name() in (None, killed):
--- a/packages/heronthread-emulator/src/heronthread_emulator/load.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/load.py
@@ -67,6 +67,7 @@
 
     `largest_customer_share` is the share of the jobs that the first customer sends; by default all
     customers send the same.
+    `return_share` of the rejected callers come back when they were told to.
     """
 
     name: str
@@ -87,6 +88,7 @@
     customers: int = Field(default=10, ge=1)
     largest_customer_share: float | None = Field(default=None, ge=0, le=1)
     guaranteed: int = 0
+    return_share: float = Field(default=1.0, ge=0, le=1)
     swing: float = Field(default=0.0, ge=0, lt=1)
     period_s: float = Field(default=11.0, gt=0)
     kinds: list[JobKind] = Field(min_length=1)
