--- a/packages/heronthread-dispatch/src/heronthread_dispatch/gangs.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/gangs.py
@@ -28,7 +28,7 @@
     def __init__(self, now: float, policy: Policy, speeds: SpeedPlacement | None = None) -> None:
         self._now = now
         self._policy = policy
-        self._speeds = speeds or SpeedPlacement(None)
+        self._speeds = speeds or SpeedPlacement(None, now)
         self._min_unplaceable: dict[tuple[object, ...], int] = {}
         self._reserved = 0
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -91,7 +91,7 @@
         self._exhausted: set[tuple[object, ...]] = set()
         self._eligible_scopes: dict[tuple[str, str, bool], Scope] = {}
         speeds = self.learned.speeds if policy.executor_speeds else None
-        self._gangs = GangPlacer(now, policy, SpeedPlacement(speeds))
+        self._gangs = GangPlacer(now, policy, SpeedPlacement(speeds, now))
         self._headroom = Headroom(self.offers, urgent_peaks or {})
         self._headroom_executors: frozenset[str] | None = None
         self._urgent_missing: dict[str, int] = {}
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/speed_placement.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/speed_placement.py
@@ -6,7 +6,7 @@
 from enum import StrEnum
 
 from .executor_speeds import ExecutorSpeeds, SpeedGroup
-from .model import URGENT, ExecutorInstance
+from .model import URGENT
 from .offers import Offer
 from .plan import Candidate
 
@@ -29,6 +29,13 @@
     """The step has slack; faster executors are left to urgent work."""
 
 
+CHOICES = {
+    SpeedWish.FASTEST: ((0,), (1, 0), (2, 1, 0), (3, 2, 1, 0)),
+    SpeedWish.SLOWEST: ((3,), (2,), (1,), (3, 2, 1), (0,), (3, 2, 1, 0)),
+}
+"""The ranks that a gang uses, in the order of use; the first choice on which it fits is taken."""
+
+
 class SpeedPlacement:
     """The speeds of executors as one plan uses them; without `speeds` all are alike.
 
@@ -36,10 +43,11 @@
     comes after the fastest group.
     """
 
-    def __init__(self, speeds: ExecutorSpeeds | None) -> None:
+    def __init__(self, speeds: ExecutorSpeeds | None, now: float) -> None:
         self._speeds = speeds
+        self._now = now
         self._has_groups: dict[str, bool] = {}
-        self._ranks: dict[ExecutorInstance, int] = {}
+        self._ranks: dict[str, int] = {}
         self._ranks_by_pool: dict[str, dict[SpeedGroup, int]] = {}
 
     def has_groups(self, pool: str) -> bool:
@@ -58,12 +66,12 @@
 
     def find_rank(self, offer: Offer) -> int:
         """Return an executor's rank in a pool with groups."""
-        instance = offer.state.instance
-        known = self._ranks.get(instance)
+        known = self._ranks.get(offer.state.id)
         if known is None:
             assert self._speeds is not None, "there are no groups without speeds"
             ranks = self._rank_groups(offer.state.executor.pool)
-            known = self._ranks[instance] = ranks[self._speeds.find_group(instance)]
+            known = ranks[self._speeds.find_group(offer.state.instance)]
+            self._ranks[offer.state.id] = known
         return known
 
     def order_tasks(
@@ -95,18 +103,17 @@
         """
         if wish is SpeedWish.ANY:
             return sorted(offers, key=packing_order)
-        ordered = self.order_tasks(SpeedWish.SLOWEST, offers, packing_order)
-        fits = [0] * (MAX_RANK + 1)
-        ranks = []
-        for offer in ordered:
-            is_slow = packing_order(offer)[0]
-            rank = MAX_RANK + 1 if is_slow else self.find_rank(offer)
-            ranks.append(rank)
-            if not is_slow:
-                fits[rank] += count_fits(offer)
-        allowed = _choose_ranks(wish, fits, wanted)
-        chosen = [offer for offer, rank in zip(ordered, ranks, strict=True) if rank in allowed]
-        return chosen or ordered
+        by_rank: list[list[Offer]] = [[] for _ in range(MAX_RANK + 1)]
+        for offer in offers:
+            if offer.state.slow_until <= self._now:
+                by_rank[self.find_rank(offer)].append(offer)
+        fits = [_RankFits(members, wanted, count_fits) for members in by_rank]
+        for ranks in CHOICES[wish]:
+            if sum(fits[rank].count() for rank in ranks) >= wanted:
+                return [
+                    offer for rank in ranks for offer in sorted(by_rank[rank], key=packing_order)
+                ]
+        return self.order_tasks(SpeedWish.SLOWEST, offers, packing_order)
 
     def judge(self, wish: SpeedWish, chosen: Sequence[Offer]) -> int:
         """Return how badly the executors chosen for a gang serve the wish, 0 to `MAX_RANK`.
@@ -134,16 +141,20 @@
         return known
 
 
-def _choose_ranks(wish: SpeedWish, fits: list[int], wanted: int) -> frozenset[int]:
-    """Return the ranks that a gang uses; empty if it doesn't fit on the healthy executors."""
-    everything = frozenset(range(MAX_RANK + 1))
-    if wish is SpeedWish.FASTEST:
-        choices = [frozenset(range(rank + 1)) for rank in everything]
-    else:
-        by_speed = sorted(everything - {0}, reverse=True)
-        choices = [frozenset({rank}) for rank in by_speed]
-        choices += [everything - {0}, frozenset({0}), everything]
-    for ranks in choices:
-        if sum(fits[rank] for rank in ranks) >= wanted:
-            return ranks
-    return frozenset()
+class _RankFits:
+    """How many members of a gang fit on the offers of one rank, up to the number wanted."""
+
+    __slots__ = ("_count", "_count_fits", "_offers", "_wanted")
+
+    def __init__(self, offers: list[Offer], wanted: int, count_fits: CountFits) -> None:
+        self._offers, self._wanted, self._count_fits = offers, wanted, count_fits
+        self._count: int | None = None
+
+    def count(self) -> int:
+        if self._count is None:
+            self._count = 0
+            for offer in self._offers:
+                self._count += self._count_fits(offer)
+                if self._count >= self._wanted:
+                    break
+        return self._count
