--- a/packages/heronthread-dispatch/src/heronthread_dispatch/speed_placement.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/speed_placement.py
@@ -80,13 +80,14 @@
         """Return offers in the order in which tasks outside a gang take them."""
         if wish is SpeedWish.ANY:
             return sorted(offers, key=packing_order)
-        sign = 1 if wish is SpeedWish.FASTEST else -1
-
-        def order(offer: Offer) -> tuple[bool, int, int, int, int]:
-            is_slow, *packing = packing_order(offer)
-            return (is_slow, sign * self.find_rank(offer), packing[0], packing[1], packing[2])
-
-        return sorted(offers, key=order)
+        ranks = range(MAX_RANK + 1) if wish is SpeedWish.FASTEST else range(MAX_RANK, -1, -1)
+        healthy, slow = self._split_by_rank(offers)
+        return [
+            offer
+            for by_rank in (healthy, slow)
+            for rank in ranks
+            for offer in sorted(by_rank[rank], key=packing_order)
+        ]
 
     def order_members(
         self,
@@ -103,10 +104,7 @@
         """
         if wish is SpeedWish.ANY:
             return sorted(offers, key=packing_order)
-        by_rank: list[list[Offer]] = [[] for _ in range(MAX_RANK + 1)]
-        for offer in offers:
-            if offer.state.slow_until <= self._now:
-                by_rank[self.find_rank(offer)].append(offer)
+        by_rank, _ = self._split_by_rank(offers)
         fits = [_RankFits(members, wanted, count_fits) for members in by_rank]
         for ranks in CHOICES[wish]:
             if sum(fits[rank].count() for rank in ranks) >= wanted:
@@ -130,6 +128,18 @@
             return 0
         return 1 if len(ranks) == 1 else 2
 
+    def _split_by_rank(self, offers: list[Offer]) -> tuple[list[list[Offer]], list[list[Offer]]]:
+        """Return the offers of each rank, of healthy executors and of those slow for a while."""
+        healthy: list[list[Offer]] = [[] for _ in range(MAX_RANK + 1)]
+        slow: list[list[Offer]] = [[] for _ in range(MAX_RANK + 1)]
+        ranks, now = self._ranks, self._now
+        for offer in offers:
+            rank = ranks.get(offer.state.executor.id)
+            if rank is None:
+                rank = self.find_rank(offer)
+            (slow if offer.state.slow_until > now else healthy)[rank].append(offer)
+        return healthy, slow
+
     def _rank_groups(self, pool: str) -> dict[SpeedGroup, int]:
         known = self._ranks_by_pool.get(pool)
         if known is None:
