Rank wide steps by their expected longest task

A job is judged by its longest task, and the typical length of 39 tasks made wide steps late too early. The order now takes the expected longest of a step's tasks, with a spread of 0.2.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/step_lengths.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/step_lengths.py
@@ -7,12 +7,15 @@
 from __future__ import annotations
 
 import math
-from statistics import median
+from functools import cache
+from statistics import NormalDist, median
 
 from .learned import LearnedState
 from .progress import Attempt, JobState, Phase, StepState
 from .run_lengths import Evidence, LengthPrediction
 
+TASK_SPREAD = 0.2
+"""The spread of the lengths of one step's tasks (log): callers' tasks vary by 0.15 to 0.3."""
 MIN_MEASURED_TASKS = 3
 """With fewer measured tasks of a step a long one may be taken as typical."""
 
@@ -34,12 +37,27 @@
 def predict_steps(
     job: JobState, occurrence: int, now: float, learned: LearnedState
 ) -> list[float] | None:
-    """Return the lengths (s) to expect of the steps of an occurrence, None if all are estimates."""
+    """Return the expected longest task (s) of each step of an occurrence, None without evidence.
+
+    A job is done, and its objective is judged, by the longest task of its steps.
+    """
     if not learned.lengths.has_evidence(job.spec.queue.name, now):
         return None
     first = occurrence * len(job.spec.steps)
     steps = job.steps[first : first + len(job.spec.steps)]
-    return [predict_step(step, now, learned).typical_s for step in steps]
+    return [_expect_longest_s(step, now, learned) for step in steps]
+
+
+def _expect_longest_s(step: StepState, now: float, learned: LearnedState) -> float:
+    """Return how long the longest task of a step is expected to take; a gang is learned whole."""
+    typical_s = predict_step(step, now, learned).typical_s
+    return typical_s if step.spec.gang else typical_s * _find_longest_factor(len(step.tasks))
+
+
+@cache
+def _find_longest_factor(tasks: int) -> float:
+    """Return the expected longest of some lengths, relative to their median."""
+    return math.exp(TASK_SPREAD * NormalDist().inv_cdf((tasks - 0.375) / (tasks + 0.25)))
 
 
 def _find_own_length_s(step: StepState) -> float | None:
--- a/packages/heronthread-dispatch/tests/test_step_rank.py
+++ b/packages/heronthread-dispatch/tests/test_step_rank.py
@@ -96,6 +96,18 @@
     assert rank == _rank(ORDINARY_QUEUE, 1.0)
 
 
+def test_latest_start_of_a_wide_step_rests_on_its_longest_task() -> None:
+    """Guards against the typical task of 39, while the job is judged by its longest one.
+
+    The longest of 39 lengths with a spread of 0.2 is expected to be 1.54 times the median.
+    """
+    step = StepSpec(39, Resources(1, 1, 1), 2.0)
+    job = make_job(JobSpec("j", ORDINARY_QUEUE, "customer", "", (step,), NOW), NOW)
+    learned, queue = _learn(ORDINARY_QUEUE, 4.0), ORDINARY_QUEUE
+    rank = rank_step(job, job.steps[0], queue, False, NOW, NOW, DEFAULT_POLICY, learned)
+    assert rank.latest_start - NOW == pytest.approx(2.0 * 8.0 * 1.54 + 1.0, rel=0.03)
+
+
 def test_a_chain_of_steps_rests_on_the_predicted_length_of_each() -> None:
     """Guards against the estimate's chain beside predicted steps."""
     steps = (StepSpec(1, Resources(1, 1, 1), 1.0), StepSpec(1, Resources(1, 1, 1), 2.0, (0,)))
