--- a/packages/heronthread-cli/src/heronthread_cli/cell.py
+++ b/packages/heronthread-cli/src/heronthread_cli/cell.py
@@ -78,7 +78,10 @@
 
         Each section lists its 16 largest rows; --section=NAME shows one of them.
         """
-        sections: dict[str, list[dict[str, Any]]] = _ask(host, Operation.CELL_OVERVIEW, {})["load"]
+        found = _ask(host, Operation.CELL_OVERVIEW, {})
+        if "load" not in found:
+            raise CommandError(f"{found['owner']} decides, in a version without a load overview")
+        sections: dict[str, list[dict[str, Any]]] = found["load"]
         if section is not None and section not in sections:
             raise BadInput(f"{section}: no such section; there are {', '.join(sections)}")
         if section is not None:
--- a/packages/heronthread-cli/tests/test_cell.py
+++ b/packages/heronthread-cli/tests/test_cell.py
@@ -3,6 +3,7 @@
 
 import pytest
 import trio
+from heronthread_cli import cell as cell_module
 from heronthread_cli.cell import Cell
 from heronthread_cli.commands import Heronthread
 from heronthread_cli.exits import BadInput, CommandError, HostUnreachable
@@ -157,6 +158,15 @@
         assert err == "place in the order: priority 1, can still be on time\n"
 
 
+def test_owner_of_a_version_without_a_load_overview_is_named(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a stack trace while versions are mixed."""
+    monkeypatch.setattr(cell_module, "_ask", lambda *given: {"owner": "h7"})
+    with pytest.raises(CommandError, match="h7 decides, in a version without a load overview"):
+        Cell().load()
+
+
 def test_missing_host_is_bad_input(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.delenv("HERONTHREAD_HOST", raising=False)
     with pytest.raises(BadInput, match="--host"):
