Keep the groups of a plan that is made in parts

Cause: reports are processed between the parts of a plan, so groups could change or vanish under it, and the planner would fail on a group without a rank. Change: the groups are those at the plan's first use; an executor of another group counts as unknown. The start's log line and counter, and the log of group changes, have a test.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/speed_placement.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/speed_placement.py
@@ -40,23 +40,19 @@
     """The speeds of executors as one plan uses them; without `speeds` all are alike.
 
     An executor's rank is 0 in its pool's fastest group and higher in slower ones; an unknown one
-    comes after the fastest group.
+    comes after the fastest group. The groups are those at the first use: they may change while a
+    plan is made in parts.
     """
 
     def __init__(self, speeds: ExecutorSpeeds | None, now: float) -> None:
         self._speeds = speeds
         self._now = now
-        self._has_groups: dict[str, bool] = {}
         self._ranks: dict[str, int] = {}
         self._ranks_by_pool: dict[str, dict[SpeedGroup, int]] = {}
 
     def has_groups(self, pool: str) -> bool:
         """Whether a pool's executors are known to differ in speed."""
-        known = self._has_groups.get(pool)
-        if known is None:
-            known = self._speeds is not None and self._speeds.has_groups(pool)
-            self._has_groups[pool] = known
-        return known
+        return self._speeds is not None and bool(self._rank_groups(self._speeds, pool))
 
     def find_wish(self, candidate: Candidate) -> SpeedWish:
         """Return which executors a step takes first."""
@@ -69,9 +65,9 @@
         known = self._ranks.get(offer.state.id)
         if known is None:
             assert self._speeds is not None, "there are no groups without speeds"
-            ranks = self._rank_groups(offer.state.executor.pool)
-            known = ranks[self._speeds.find_group(offer.state.instance)]
-            self._ranks[offer.state.id] = known
+            ranks = self._rank_groups(self._speeds, offer.state.executor.pool)
+            group = self._speeds.find_group(offer.state.instance)
+            known = self._ranks[offer.state.id] = ranks.get(group, ranks[SpeedGroup.UNKNOWN])
         return known
 
     def order_tasks(
@@ -140,13 +136,13 @@
             (slow if offer.state.slow_until > now else healthy)[rank].append(offer)
         return healthy, slow
 
-    def _rank_groups(self, pool: str) -> dict[SpeedGroup, int]:
+    def _rank_groups(self, speeds: ExecutorSpeeds, pool: str) -> dict[SpeedGroup, int]:
+        """Return the rank of each group of a pool, fastest first; empty without groups."""
         known = self._ranks_by_pool.get(pool)
         if known is None:
-            assert self._speeds is not None, "there are no groups without speeds"
-            groups = self._speeds.list_groups(pool)
+            groups = speeds.list_groups(pool)
             present = [group for group in SPEEDS_BY_GROUP if group in groups]
-            order = [present[0], SpeedGroup.UNKNOWN, *present[1:]]
+            order = [present[0], SpeedGroup.UNKNOWN, *present[1:]] if present else []
             known = self._ranks_by_pool[pool] = {group: rank for rank, group in enumerate(order)}
         return known
 
--- a/packages/heronthread-dispatch/tests/test_executor_speeds.py
+++ b/packages/heronthread-dispatch/tests/test_executor_speeds.py
@@ -5,6 +5,7 @@
 
 import pytest
 import trio
+from heronthread_dispatch import executor_watch, orders
 from heronthread_dispatch.executor_speeds import (
     MAX_RATES,
     MIN_SAMPLES,
@@ -271,6 +272,30 @@
         assert _find_speeds(site) == expected | {"e0": TYPICAL}
 
 
+async def test_starts_and_groups_are_logged_and_counted(
+    autojump_clock: Clock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """An operator must see on which executors urgent work starts, and when groups change."""
+    lines: list[tuple[str, dict[str, object]]] = []
+
+    def record(kind: str, **fields: object) -> None:
+        lines.append((kind, fields))
+
+    monkeypatch.setattr(orders, "log_event", record)
+    monkeypatch.setattr(executor_watch, "log_event", record)
+    async with EmulatedSite.open(hosts=2, executors=9, racks=1) as site:
+        owner = await site.wait_for_owner()
+        _set_speeds(site)
+        await _run_gangs(site, "a", 18.0)
+        counts = site.hosts[owner].statistics.counts
+        assert counts["starts_by_speed", "fast"] and counts["starts_by_speed", "typical"]
+    grouped = [fields for kind, fields in lines if kind == "speeds.grouped"]
+    assert grouped and grouped[0]["pool"] == "pool"
+    starts = [fields for kind, fields in lines if kind == "start.decided"]
+    assert "speeds" not in starts[0]
+    assert any("speeds" in fields for fields in starts)
+
+
 async def test_an_executor_that_is_slow_for_a_while_keeps_its_group(autojump_clock: Clock) -> None:
     async with EmulatedSite.open(hosts=2, executors=9, racks=1) as site:
         await site.wait_for_owner()
--- a/packages/heronthread-dispatch/tests/test_speed_placement.py
+++ b/packages/heronthread-dispatch/tests/test_speed_placement.py
@@ -8,6 +8,7 @@
 import pytest
 from heronthread_dispatch.executor_speeds import ExecutorSpeeds, SpeedGroup
 from heronthread_dispatch.fleet import ExecutorState
+from heronthread_dispatch.gangs import GangPlacer
 from heronthread_dispatch.learned import LearnedState
 from heronthread_dispatch.model import (
     URGENT,
@@ -21,10 +22,12 @@
     TaskKey,
     Tenant,
 )
+from heronthread_dispatch.offers import make_offers
 from heronthread_dispatch.plan import Plan
 from heronthread_dispatch.planner import Planner
 from heronthread_dispatch.policy import DEFAULT_POLICY, Policy
 from heronthread_dispatch.progress import Attempt, JobState, Phase, make_job
+from heronthread_dispatch.speed_placement import SpeedPlacement, SpeedWish
 from heronthread_emulator.load import LoadPattern, draw_jobs
 from heronthread_emulator.pool_model import PoolModel
 
@@ -34,7 +37,6 @@
 BATCH_QUEUE = Queue("batch", "h", "/b/", "pool", 2, 3, 3.0, 3.0)
 DESIRED = DesiredState.build(1, [URGENT_QUEUE, BATCH_QUEUE], [Tenant("t", ())], 1)
 OFF = replace(DEFAULT_POLICY, executor_speeds=False)
-FAST_FACTOR = 0.56 / 1.2
 
 
 class _Pool:
@@ -214,6 +216,23 @@
         assert mixed.place(job, policy=OFF) == expected
 
 
+@pytest.mark.parametrize("later", [[1.0] * 12, [0.5, 1.0, 2.0] * 4, [0.4, 1.0, 1.0] * 4])
+def test_groups_may_change_while_a_plan_is_made_in_parts(later: list[float]) -> None:
+    """Reports are processed between the parts, and must not make the plan fail."""
+    pool = _Pool(MIXED)
+    jobs = [_urgent("u", 2, 1), _batch("b", 2, 1), _urgent("v", 2, 1, same_rack=True)]
+    placement = SpeedPlacement(pool.learned.speeds, NOW)
+    assert placement.has_groups("pool")
+    speeds = learn(dict(zip((s.instance for s in pool.states), later, strict=True)))
+    pool.learned.speeds._pools, pool.learned.speeds._speeds = speeds._pools, speeds._speeds
+    offers = make_offers(pool.states, NOW)["pool"]
+    gangs = GangPlacer(NOW, DEFAULT_POLICY, placement)
+    for wish in (SpeedWish.FASTEST, SpeedWish.SLOWEST):
+        ordered = placement.order_tasks(wish, offers, gangs.packing_order)
+        assert sorted(offer.number for offer in ordered) == list(range(12))
+    assert pool.place(*jobs).keys() == {"u", "b", "v"}
+
+
 def _make_pattern() -> LoadPattern:
     """A pool with a quarter of fast executors, urgent gangs, and batch work that half fills it."""
     urgent = {
