--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -263,7 +263,7 @@
         )
 
     def find_reported_shares(self) -> Mapping[str, Mapping[str, float]]:
-        """Return the customers' use that the last owner reported, by pool; empty if none did."""
+        """Return the customers' use that the last owner just reported, by pool, if any."""
         return {}
 
     async def _learn_revisions(self) -> None:
