Sum what customers hold in place

Cause: two named tuples for each running step made the charging 8% to 12% of a small plan. Change: `sum_use` adds to one list for each customer; nothing is summed up for the first charge.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/share_accounting.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/share_accounting.py
@@ -20,9 +20,12 @@
 
 @dataclass(slots=True)
 class _PoolUse:
-    """What customers hold of a pool, and which of them have tasks that wait."""
+    """What customers hold of a pool, and which of them have tasks that wait.
 
-    held: dict[str, Resources] = field(default_factory=dict)
+    `held` has the fields of `Resources`, as lists that sums over many jobs change in place.
+    """
+
+    held: dict[str, list[int]] = field(default_factory=dict)
     waiting: set[str] = field(default_factory=set)
 
 
@@ -64,11 +67,15 @@
         if self._charged_at is not None and elapsed_s < CHARGE_INTERVAL_S:
             return
         self._charged_at = now
+        if not elapsed_s:
+            return
         capacities = sum_capacities(executors)
         for pool, use in uses.items():
             capacity = capacities.get(pool, NO_RESOURCES)
             for tenant, held in use.held.items():
-                self.shares.charge(pool, tenant, held, capacity, min(MAX_CHARGED_S, elapsed_s), now)
+                self.shares.charge(
+                    pool, tenant, Resources(*held), capacity, min(MAX_CHARGED_S, elapsed_s), now
+                )
 
 
 def sum_use(
@@ -85,12 +92,14 @@
         if use is None:
             use = found[pool] = _PoolUse()
         for step in job.steps:
-            if step.attempt_count and not step.spec.fills:
-                held = _multiply(step.spec.need, step.attempt_count)
-                use.held[tenant] = use.held.get(tenant, NO_RESOURCES).plus(held)
-            if step.spec.fills or tenant in use.waiting:
+            spec, count = step.spec, step.attempt_count
+            if spec.fills:
                 continue
-            if is_waiting(job, step, wall_now):
+            if count:
+                total = use.held.get(tenant) or use.held.setdefault(tenant, [0, 0, 0])
+                for index, amount in enumerate(spec.need):
+                    total[index] += count * amount
+            if tenant not in use.waiting and is_waiting(job, step, wall_now):
                 use.waiting.add(tenant)
     return found
 
@@ -125,7 +134,3 @@
     if not step.waiting_count or not job.is_active:
         return False
     return not (step.spec.gang and step.attempt_count) and job.is_ready(step, wall_now)
-
-
-def _multiply(need: Resources, count: int) -> Resources:
-    return Resources(need.cpu * count, need.memory_mb * count, need.accelerators * count)
