Count a job that can never be placed among the rejected ones

Cause: its admission reason was counted as accepted. Change: admission_rejects has the reason unplaceable. Result: test_requests.py and test_placement_check.py pass.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/requests.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/requests.py
@@ -115,7 +115,9 @@
         self, record: JobRecord, admission: Admission, outcome: IntakeOutcome
     ) -> None:
         """Count a decision by its reason, and record the wait expected for an accepted job."""
-        kind = "admission_rejects" if isinstance(admission, Rejected) else "admission_accepts"
+        is_placeable = admission.reason is not AdmissionReason.UNPLACEABLE
+        is_admitted = isinstance(admission, Admitted) and is_placeable
+        kind = "admission_accepts" if is_admitted else "admission_rejects"
         self._host.statistics.count(kind, admission.reason.name.lower())
         spec, wait_s = record.spec, admission.expected_wait_s
         if wait_s is not None and isinstance(outcome, Taken):
--- a/packages/heronthread-dispatch/tests/test_requests.py
+++ b/packages/heronthread-dispatch/tests/test_requests.py
@@ -17,6 +17,7 @@
 from heronthread_dispatch.owner import JobView
 from heronthread_dispatch.peer import PeerUnreachable
 from heronthread_dispatch.policy import DEFAULT_POLICY, Policy
+from heronthread_dispatch.pool_contents import SETTLE_WINDOW_S
 from heronthread_dispatch.record import JobStatus
 from heronthread_dispatch.wire.ttypes import ForwardReply, Frame, Operation
 from heronthread_emulator import EmulatedSite, captured_events
@@ -240,6 +241,17 @@
         assert site.executors.starts() == []
 
 
+async def test_job_that_can_never_be_placed_counts_as_rejected(autojump_clock: Clock) -> None:
+    """Guards against counting a rejection by the pool's contents among the accepted jobs."""
+    async with EmulatedSite.open(hosts=2) as site:
+        (host,) = await _open_followers(site)
+        await trio.sleep(SETTLE_WINDOW_S + 1.0)
+        outcome = await host.requests.accept(site.make_job("a", accelerators=9), 2.0)
+        assert isinstance(outcome, NotTaken)
+        assert host.statistics.counts["admission_rejects", "unplaceable"] == 1
+        assert host.statistics.counts["admission_accepts", "unplaceable"] == 0
+
+
 async def test_switched_off_admission_accepts(autojump_clock: Clock) -> None:
     """Guards against a switch without effect."""
     async with EmulatedSite.open(hosts=2, policy=NO_ADMISSION) as site:
