Reserve capacity for urgent work by a forecast, and lend it

Cause: capacity was kept by the peak of 12 s and idle beside waiting jobs. Change: a forecast of concurrent urgent demand, lending to checkpointing and short work, waits for certain ends within the slack, and a limit on preemptions outside guarantees.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/losses.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/losses.py
@@ -22,7 +22,8 @@
 class Loss:
     """An attempt that may be stopped, and the work lost with its whole gang.
 
-    `members` holds the attempts of the gang, or only this attempt outside a gang.
+    `members` holds the attempts of the gang, or only this attempt outside a gang. With `is_spared`
+    it may be stopped for a guarantee only, as its job was preempted too often.
     """
 
     core_seconds: float
@@ -30,6 +31,7 @@
     members: list[Attempt]
     is_urgent: bool
     is_lasting: bool
+    is_spared: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,7 +65,8 @@
 class Losses:
     """The losses of one plan; `stopped` holds the ids of the attempts it stops already.
 
-    Attempts that end by themselves within `wait_s` are waited for rather than stopped.
+    Attempts that end by themselves within `wait_s` are waited for rather than stopped. Jobs
+    preempted `max_preemptions` times outside guarantees are spared; None spares none.
     """
 
     def __init__(
@@ -74,6 +77,7 @@
         now: float,
         stopped: set[int],
         wait_s: float,
+        max_preemptions: int | None = None,
     ) -> None:
         self._jobs = {job.spec.id: job for job in jobs}
         self._desired = desired
@@ -81,6 +85,7 @@
         self._now = now
         self._stopped = stopped
         self._wait_s = wait_s
+        self._max_preemptions = max_preemptions
         self._losses_by_executor: dict[str, list[Loss]] = {}
         self._losses_by_member: dict[int, Loss] = {}
         self._cumulative: dict[tuple[bool, bool, str], tuple[int, CumulativeLosses]] = {}
@@ -94,7 +99,7 @@
         """
         known = self._list_all(offer)
         if not guaranteed:
-            known = [loss for loss in known if not loss.is_urgent]
+            known = [loss for loss in known if not (loss.is_urgent or loss.is_spared)]
         if offer.stops:
             known = [loss for loss in known if id(loss.attempt) not in self._stopped]
         return known
@@ -118,7 +123,7 @@
 
     def _holds_urgent(self, offer: Offer) -> bool:
         """Whether a guarantee makes a difference to what may be stopped on an executor."""
-        return any(loss.is_urgent for loss in self._list_all(offer))
+        return any(loss.is_urgent or loss.is_spared for loss in self._list_all(offer))
 
     def _list_all(self, offer: Offer) -> list[Loss]:
         """Return all losses on an executor, including those of attempts already being stopped."""
@@ -240,10 +245,12 @@
         if is_urgent:
             # Urgent work that has to restart is likely to be late.
             total = (total + URGENT_MIN_LOSS_CORE_S) * URGENT_LOSS_FACTOR
+        limit = self._max_preemptions
+        is_spared = limit is not None and job.open_preemptions >= limit
         if len(members) == 1:
-            return Loss(total, attempt, members, is_urgent, spec.lasting)
+            return Loss(total, attempt, members, is_urgent, spec.lasting, is_spared)
         for member in members:
-            loss = Loss(total, member, members, is_urgent, spec.lasting)
+            loss = Loss(total, member, members, is_urgent, spec.lasting, is_spared)
             self._losses_by_member[id(member)] = loss
         return self._losses_by_member[id(attempt)]
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/plan.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/plan.py
@@ -9,6 +9,7 @@
 from .model import Queue, TaskKey
 from .progress import Attempt, JobState, StepState, TaskState
 from .step_rank import StepRank
+from .urgent_room import LendReason
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,14 +22,30 @@
     executor: ExecutorState
 
 
+@dataclass(frozen=True, slots=True)
+class Preemption:
+    """A job whose runs are stopped for an urgent job; `times` counts its preemptions so far."""
+
+    job: str
+    urgent_job: str
+    is_for_guarantee: bool
+    times: int
+
+
 @dataclass(slots=True)
 class Plan:
-    """Starts in groups (a gang is one group), attempts to stop, and approvals to request."""
+    """Starts in groups (a gang is one group), attempts to stop, and approvals to request.
+
+    `preemptions` names the jobs stopped for urgent work, and `loans` the steps that may use
+    capacity reserved for it, by the keys of their first tasks.
+    """
 
     groups: list[list[Start]] = field(default_factory=list)
     stops: list[Attempt] = field(default_factory=list)
     approval_requests: list[ApprovalRequest] = field(default_factory=list)
     replan_in_s: float | None = None
+    preemptions: list[Preemption] = field(default_factory=list)
+    loans: dict[TaskKey, LendReason] = field(default_factory=dict)
 
 
 @dataclass(slots=True, eq=False)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -25,11 +25,12 @@
 from .losses import Losses
 from .model import URGENT, DesiredState, Queue, Resources, TaskKey
 from .offers import Offer, Scope, count_free, count_with_reserved, make_offers
-from .plan import Candidate, Plan, Start
+from .plan import Candidate, Plan, Preemption, Start
 from .policy import DEFAULT_POLICY, Policy
-from .progress import Attempt, JobState, Phase, StepState, TaskState
+from .progress import Attempt, JobState, Phase, StepState, TaskState, latest_starts
 from .step_rank import rank_step
 from .task_masks import find_executors
+from .urgent_room import MAX_PREEMPTIONS, Borrower, UrgentRoom, find_end_wait_s, may_borrow
 from .victim_selection import ENDS_SOON_S, VictimSelector
 from .wait_causes import WaitCause
 
@@ -71,6 +72,7 @@
         self.policy = policy
         self.learned = learned or LearnedState()
         self.jobs = list(jobs)
+        self._jobs_by_id = {job.spec.id: job for job in self.jobs}
         self.desired = desired
         self._may_run = may_run
         self._can_write_store = can_write_store
@@ -90,19 +92,35 @@
         self._exhausted: set[tuple[object, ...]] = set()
         self._eligible_scopes: dict[tuple[str, str, bool], Scope] = {}
         self._gangs = GangPlacer(now, policy)
-        self._headroom = Headroom(self.offers, urgent_peaks or {})
         self._headroom_executors: frozenset[str] | None = None
         self._urgent_missing: dict[str, int] = {}
         self._blocks_others: dict[str, bool] = {}
         self._colocation = Colocation(self.jobs)
         self._stopped: set[int] = set()
         wait_s = max(stop_s, ENDS_SOON_S) if policy.wait_for_ends else stop_s
-        self._losses = Losses(self.jobs, desired, self.guaranteed, now, self._stopped, wait_s)
-        self._victims = VictimSelector(self._losses, now)
+        self._stop_s = stop_s
+        self.room = self._make_room()
+        peaks = {p: n for p, n in (urgent_peaks or {}).items() if p not in self.room.demands}
+        self._headroom = Headroom(self.offers, peaks)
+        self._losses = self._make_losses(wait_s)
+        self._victims = VictimSelector(self._losses, now, self._make_losses)
         self._approvals = approvals
         self._waiting: deque[Candidate] | None = None
         self._orphaned_runs: dict[tuple[str, int, int], Counter[str]] = {}
 
+    def _make_room(self) -> UrgentRoom:
+        """Return the capacity for urgent work in the pools where a forecast expects any."""
+        pools = self.offers if self.policy.urgent_room else ()
+        expected = {pool: self.learned.forecast.predict(pool, self.now) for pool in pools}
+        demands = {pool: demand for pool, demand in expected.items() if demand is not None}
+        return UrgentRoom(self.offers, demands, self.jobs, self.desired, self.learned.speeds)
+
+    def _make_losses(self, wait_s: float) -> Losses:
+        limit = MAX_PREEMPTIONS if self.room.demands else None
+        return Losses(
+            self.jobs, self.desired, self.guaranteed, self.now, self._stopped, wait_s, limit
+        )
+
     @property
     def is_complete(self) -> bool:
         """Whether the plan has reached every waiting step."""
@@ -368,14 +386,34 @@
         """
         if candidate.queue.priority == URGENT or not self.policy.headroom:
             return False
+        if candidate.queue.pool in self.room.demands and self._may_borrow(candidate):
+            return False
         if candidate.job.has_attempts or candidate.waited_s(self.now) < HEADROOM_WAIT_S:
             return True
         is_due = self.now >= candidate.rank.latest_start - DUE_MARGIN_S
         return not (is_due or self._headroom.is_mostly_idle(candidate.queue.pool))
 
+    def _may_borrow(self, candidate: Candidate) -> bool:
+        """Whether a candidate may use the capacity reserved for urgent work."""
+        job, spec, queue = candidate.job, candidate.step.spec, candidate.queue
+        length = self.learned.lengths.predict(
+            job.spec.tenant, queue.name, spec.estimate_s, self.now
+        )
+        borrower = Borrower(
+            spec.checkpointing,
+            length.high_s,
+            job.preemptions,
+            0.0 if job.has_attempts else candidate.waited_s(self.now),
+        )
+        decision = may_borrow(borrower, self.room.slack_s(queue.pool))
+        if decision.is_lent:
+            self.plan.loans[candidate.key] = decision.reason
+        return decision.is_lent
+
     def _find_headroom_executors(self) -> frozenset[str]:
         if self._headroom_executors is None:
-            self._headroom_executors = self._headroom.choose(self.urgent_in_use())
+            used = self.urgent_in_use()
+            self._headroom_executors = self._headroom.choose(used) | self.room.choose(used)
         return self._headroom_executors
 
     def urgent_demand(self) -> dict[str, int]:
@@ -625,21 +663,54 @@
         """Place tasks on capacity that stops will free, stopping more attempts if needed."""
         spec = candidate.step.spec
         scopes = self._gangs.list_scopes(candidate, eligible) if spec.gang else [eligible]
+        wait_s = None
+        if candidate.queue.pool in self.room.demands:
+            if self._is_past_use(candidate):
+                return
+            wait_s = self._find_end_wait_s(candidate)
         best: tuple[float, list[Attempt], list[Offer]] | None = None
         for scope in scopes:
             max_cost = float("inf") if best is None else best[0]
-            best = self._victims.find_victims(candidate, missing, scope, max_cost) or best
+            found = self._victims.find_victims(candidate, missing, scope, max_cost, wait_s)
+            best = found or best
         if best is None:
             if spec.gang:
                 self._request_replan(max(0.05, SPREAD_WAIT_S - candidate.waited_s(self.now)))
             return
         _, victims, chosen = best
+        self._count_preemptions(candidate, victims)
         for attempt in victims:
             for member in self._losses.whole_gang(attempt):
                 self._stop(member)
         for offer in chosen:
             offer.allocate(spec.need)
 
+    def _is_past_use(self, candidate: Candidate) -> bool:
+        """Whether urgent work outside a guarantee can no longer end while it is useful."""
+        _, last_useful = latest_starts(
+            candidate.job, candidate.step, candidate.queue, self.now, self.wall_now
+        )
+        return last_useful < self.now and not candidate.guaranteed
+
+    def _find_end_wait_s(self, candidate: Candidate) -> float | None:
+        """Return within what time runs must end for urgent work to wait for them."""
+        return find_end_wait_s(
+            candidate.guaranteed,
+            candidate.waited_s(self.now),
+            candidate.rank.latest_start - self.now,
+            self._stop_s,
+        )
+
+    def _count_preemptions(self, candidate: Candidate, victims: list[Attempt]) -> None:
+        """Count a preemption of each victim's job; once, however many of its attempts stop."""
+        for name in {victim.task.job for victim in victims}:
+            job = self._jobs_by_id[name]
+            job.preemptions += 1
+            job.open_preemptions += not candidate.guaranteed
+            self.plan.preemptions.append(
+                Preemption(name, candidate.job.spec.id, candidate.guaranteed, job.preemptions)
+            )
+
     def _stop(self, attempt: Attempt) -> None:
         if attempt.phase is Phase.STOPPING or id(attempt) in self._stopped:
             return
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
@@ -270,7 +270,8 @@
     those of the next one, and so on. `created` is the store revision at which the job was accepted,
     0 if unknown. `chain_s` is the critical path of estimated step durations. `crash_notes` counts
     the changes to the crashes of its tasks, and `crash_notes_recorded` those that are in the store.
-    `places` tracks where runs may be.
+    `places` tracks where runs may be. `preemptions` counts how often runs of it were stopped for
+    urgent work, and `open_preemptions` how often for work outside guarantees, both in this term.
     """
 
     spec: JobSpec
@@ -287,6 +288,8 @@
     crash_notes: int = 0
     crash_notes_recorded: int = 0
     places: JobPlacements = field(default_factory=JobPlacements)
+    preemptions: int = 0
+    open_preemptions: int = 0
 
     @property
     def is_done(self) -> bool:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/victim_search.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/victim_search.py
@@ -16,13 +16,14 @@
     """The inputs of a search beside the executors; equal criteria give equal results.
 
     `guaranteed` marks a job within its customer's guarantee. With `waits_for_ends`, resources of
-    attempts that end soon by themselves count as free.
+    attempts that end by themselves within `wait_s` count as free; 0 stands for the plan's default.
     """
 
     need: Resources
     guaranteed: bool
     waits_for_ends: bool
     spread_limit: int
+    wait_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/victim_selection.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/victim_selection.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from .losses import Losses
 from .offers import Offer, Scope
 from .plan import Candidate
@@ -17,24 +19,42 @@
 class VictimSelector:
     """Selects attempts to stop for urgent steps by the work that each stop loses."""
 
-    def __init__(self, losses: Losses, now: float) -> None:
+    def __init__(
+        self, losses: Losses, now: float, make_losses: Callable[[float], Losses] | None = None
+    ) -> None:
         self.losses = losses
         self._now = now
+        self._make_losses = make_losses
+        self._losses_by_wait: dict[float, Losses] = {}
+
+    def _find_losses(self, wait_s: float) -> Losses:
+        """Return the losses with attempts waited for that end within `wait_s`, 0 for the default.
+
+        Raises KeyError for another time if there is no way to make them.
+        """
+        if wait_s and wait_s not in self._losses_by_wait and self._make_losses is not None:
+            self._losses_by_wait[wait_s] = self._make_losses(wait_s)
+        return self._losses_by_wait[wait_s] if wait_s else self.losses
 
     def find_victims(
-        self, candidate: Candidate, count: int, scope: Scope, max_cost: float = float("inf")
+        self,
+        candidate: Candidate,
+        count: int,
+        scope: Scope,
+        max_cost: float = float("inf"),
+        wait_s: float | None = None,
     ) -> tuple[float, list[Attempt], list[Offer]] | None:
         """Return the cheapest victims that make `count` tasks fit, as (cost, victims, offers).
 
         For tasks outside a gang, the result may cover fewer than `count`. Returns None if the cost
-        would reach `max_cost`.
+        would reach `max_cost`. With `wait_s`, runs that end within so many seconds are waited for.
         """
         spec = candidate.step.spec
-        waits_for_ends = candidate.waited_s(self._now) < END_WAIT_S
+        waits_for_ends = wait_s is not None or candidate.waited_s(self._now) < END_WAIT_S
         criteria = SearchCriteria(
-            spec.need, candidate.guaranteed, waits_for_ends, spec.spread_limit
+            spec.need, candidate.guaranteed, waits_for_ends, spec.spread_limit, wait_s or 0.0
         )
-        search = find_search(scope, criteria, self.losses)
+        search = find_search(scope, criteria, self._find_losses(criteria.wait_s))
         if spec.gang and search.upper_bound < count:
             return None
         search.extend(count, max_cost)
