--- a/packages/heronthread-dispatch/src/heronthread_dispatch/losses.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/losses.py
@@ -18,6 +18,12 @@
 """Work lost since the last checkpoint; a stop triggers a checkpoint of its own."""
 
 
+MIN_UNSAVED_LOSS_S = 2 * CHECKPOINT_LOSS_S
+"""With capacity reserved for urgent work, the least loss of work that takes no checkpoints: work
+that does is stopped first, also by a new owner, to which all runs look as if they had just begun.
+"""
+
+
 @dataclass(frozen=True, slots=True)
 class Loss:
     """An attempt that may be stopped, and the work lost with its whole gang.
@@ -261,6 +267,8 @@
             elapsed = max(0.0, self._now - (member.began_at or member.ordered_at))
             if checkpoints:
                 elapsed = min(elapsed, CHECKPOINT_LOSS_S)
+            elif self._max_preemptions is not None:
+                elapsed = max(elapsed, MIN_UNSAVED_LOSS_S)
             total += elapsed * member.need.cores
         return total
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
@@ -27,7 +27,7 @@
 from .keystore import KeyStore
 from .late_starts import MAX_ORDER_DELAY_S, LateStarts
 from .learned import LearnedState
-from .model import NO_RESOURCES, DesiredState, TaskKey, UnresolvedStart
+from .model import NO_RESOURCES, URGENT, DesiredState, TaskKey, UnresolvedStart
 from .policy import DEFAULT_POLICY, Policy
 from .preassignments import Preassignments
 from .progress import (
@@ -47,6 +47,8 @@
 from .statistics import Statistics
 from .task_masks import TaskMasks, keep, unite
 from .uncertainty import Deadlines, is_sole_instance, list_lapsed, list_uncertain
+from .urgent_forecast import GangShape
+from .urgent_room import RoomUse
 
 JOB_PREFIX = "job/"
 STALE_OWNER_S = 1.2
@@ -156,6 +158,7 @@
         self.active: dict[str, JobState] = {}
         self.executors: dict[str, ExecutorState] = {}
         self.learned = LearnedState()
+        self.urgent_room: dict[str, RoomUse] = {}
         self.changed = trio.Event()
         self.use_changed = trio.Event()
         self.approvals = Approvals(parts.approver, self.wake_planner)
@@ -200,11 +203,28 @@
             self.jobs[record.spec.id] = job
             self.active[record.spec.id] = job
             self._log_known(job)
+            self._note_urgent_arrival(job)
         job.created = job.created or created
         if record.cancelled and not job.cancelled:
             self._cancel(job)
         self.wake_planner()
 
+    def _note_urgent_arrival(self, job: JobState) -> None:
+        """Add an urgent job to the forecast, at the time it was accepted.
+
+        After a takeover the jobs in the store thus restore the forecast. The occurrences of a
+        schedule are left out, as they do not show what arrives unannounced.
+        """
+        spec, now = job.spec, trio.current_time()
+        queue = self.parts.desired().current_queue(spec)
+        if queue.priority != URGENT or spec.schedule is not None:
+            return
+        step = max(spec.steps, key=lambda step: step.count * step.need.accelerators)
+        length = self.learned.lengths.predict(spec.tenant, queue.name, step.estimate_s, now)
+        age_s = max(0.0, self.parts.wall_clock() - spec.accepted_at)
+        shape = GangShape(step.count, step.need, step.same_rack)
+        self.learned.forecast.note_arrival(queue.pool, shape, length.typical_s, now - age_s)
+
     def forget(self, job: JobState) -> None:
         """Remove a job from the plan and from all listings."""
         self.jobs.pop(job.spec.id, None)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from typing import Any
 
 import trio
@@ -11,7 +11,7 @@
 
 from .directory import Directory
 from .domains import log_evacuation_limits
-from .events import describe_instance, log_event
+from .events import RepeatedEvents, describe_instance, log_event
 from .executor_watch import ExecutorWatch
 from .executors_in_use import USED_KEY, UsedExecutors
 from .fleet import ExecutorState
@@ -40,6 +40,7 @@
 from .spares import Spares
 from .stall_monitor import StallMonitor, describe_unresponsive
 from .stalls import JobStall
+from .urgent_room import RoomUse
 
 PAUSE_S = 0.15
 PREDECESSOR_RETRY_S = 0.3
@@ -81,6 +82,7 @@
         self._nursery: trio.Nursery | None = None
         self._orders: Orders | None = None
         self._urgent_demand = RecentPeaks(URGENT_WINDOW_S)
+        self._room_events = RepeatedEvents()
         self._set_aside: set[str] = set()
         self._used_executors = UsedExecutors(self.cell, self.depose)
         self.stall_monitor = StallMonitor(self.cell)
@@ -481,14 +483,38 @@
             if plan.replan_in_s is not None:
                 recheck = min(recheck, max(0.02, plan.replan_in_s))
             if planner.is_complete:
+                self._note_room(planner.room.use)
                 self.stall_monitor.record_plan(planner.causes, trio.current_time())
                 return recheck
             await trio.sleep(0)
             if not self.parts.may_send_orders():
                 return recheck
 
+    def _note_room(self, use: dict[str, RoomUse]) -> None:
+        """Keep what is reserved for urgent work and lent, and log it periodically by pool."""
+        self.cell.urgent_room = use
+        for pool, found in use.items():
+            self._room_events.log("room.reserved", (pool,), pool=pool, **asdict(found))
+
+    def _log_room_decisions(self, plan: Plan) -> None:
+        """Log the jobs preempted for urgent work, and the starts on capacity lent to them."""
+        for preemption in plan.preemptions:
+            log_event("room.preempted", **asdict(preemption))
+        for group in plan.groups:
+            first = group[0]
+            reason = plan.loans.get(first.job.key_of(first.step, first.step.tasks[0]))
+            if reason is not None:
+                log_event(
+                    "room.lent",
+                    job=first.job.spec.id,
+                    step=first.step.number,
+                    tasks=len(group),
+                    why=reason.value,
+                )
+
     def _carry_out(self, plan: Plan) -> None:
         assert self._orders is not None
+        self._log_room_decisions(plan)
         for attempt in plan.stops:
             self.cell.request_stop(attempt, "taken back for urgent work")
         for group in plan.groups:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/plan.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/plan.py
@@ -36,7 +36,7 @@
 class Plan:
     """Starts in groups (a gang is one group), attempts to stop, and approvals to request.
 
-    `preemptions` names the jobs stopped for urgent work, and `loans` the steps that may use
+    `preemptions` names the jobs stopped for urgent work, and `loans` why steps start on
     capacity reserved for it, by the keys of their first tasks.
     """
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -30,7 +30,15 @@
 from .progress import Attempt, JobState, Phase, StepState, TaskState, latest_starts
 from .step_rank import rank_step
 from .task_masks import find_executors
-from .urgent_room import MAX_PREEMPTIONS, Borrower, UrgentRoom, find_end_wait_s, may_borrow
+from .urgent_room import (
+    MAX_PREEMPTIONS,
+    STOOD_TASKS,
+    Borrower,
+    LendReason,
+    UrgentRoom,
+    find_end_wait_s,
+    may_borrow,
+)
 from .victim_selection import ENDS_SOON_S, VictimSelector
 from .wait_causes import WaitCause
 
@@ -93,6 +101,7 @@
         self._eligible_scopes: dict[tuple[str, str, bool], Scope] = {}
         self._gangs = GangPlacer(now, policy)
         self._headroom_executors: frozenset[str] | None = None
+        self._loans: dict[TaskKey, LendReason] = {}
         self._urgent_missing: dict[str, int] = {}
         self._blocks_others: dict[str, bool] = {}
         self._colocation = Colocation(self.jobs)
@@ -262,6 +271,7 @@
             ]
             self.plan.groups.append(group)
             self._colocation.record_placed(candidate.step.spec, (offer for _, offer in placed))
+            self._note_loan(candidate, placed)
         missing = len(candidate.tasks) - len(placed)
         if candidate.key in self.steps_to_explain:
             cause = WaitCause.DUE if placed else self._find_cause(candidate, avoids_headroom)
@@ -407,9 +417,18 @@
         )
         decision = may_borrow(borrower, self.room.slack_s(queue.pool))
         if decision.is_lent:
-            self.plan.loans[candidate.key] = decision.reason
+            self._loans[candidate.key] = decision.reason
         return decision.is_lent
 
+    def _note_loan(self, candidate: Candidate, placed: list[tuple[TaskState, Offer]]) -> None:
+        """Record why a step starts on capacity reserved for urgent work, if it does."""
+        reason = self._loans.get(candidate.key)
+        if reason is None or not placed:
+            return
+        reserved = self._find_headroom_executors()
+        if any(offer.state.id in reserved for _, offer in placed):
+            self.plan.loans[candidate.key] = reason
+
     def _find_headroom_executors(self) -> frozenset[str]:
         if self._headroom_executors is None:
             used = self.urgent_in_use()
@@ -549,6 +568,8 @@
     ) -> list[tuple[TaskState, Offer]]:
         pinned = self._place_pinned(candidate)
         unpinned = _without_pinned(candidate)
+        if self._loans.get(candidate.key) is LendReason.STOOD:
+            unpinned = replace(unpinned, tasks=unpinned.tasks[:STOOD_TASKS])
         if not unpinned.tasks or (pinned and candidate.step.spec.spread_limit):
             # The next plan, which follows at once, counts the pinned tasks towards the spread
             # limit.
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/urgent_room.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/urgent_room.py
@@ -29,10 +29,16 @@
 of 0.4 s and the delays of a report and a plan."""
 MAX_END_WAIT_S = 2.0
 """Other urgent work waits at most so long, as its slack rests on an estimate that may be off."""
+SLACK_SHARE = 1.0
 END_WAIT_STEPS_S = (0.4, 0.8, 1.2, 1.6, 2.0)
 """Waits are rounded down to these, so that candidates of similar slack share one search."""
 
 
+STOOD_TASKS = 4
+"""Tasks of a step that start after so long a wait; its job runs then, and the rest waits for other
+capacity, as a step may have hundreds of tasks."""
+
+
 class LendReason(StrEnum):
     """Why capacity reserved for urgent work is lent, or not."""
 
@@ -86,7 +92,7 @@
     an end are to be avoided.
     """
     longest_s = MAX_GUARANTEE_WAIT_S if is_guaranteed else MAX_END_WAIT_S
-    left_s = min(longest_s - waited_s, slack_s)
+    left_s = min(longest_s - waited_s, SLACK_SHARE * slack_s)
     steps = [step for step in END_WAIT_STEPS_S if stop_s < step <= left_s]
     return steps[-1] if steps else None
 
--- /dev/null
+++ b/packages/heronthread-dispatch/tests/test_urgent_room.py
@@ -0,0 +1,294 @@
+"""Capacity reserved for urgent work: what is reserved, who borrows it, and who gives it back."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+import trio
+from heronthread_dispatch.executor_speeds import ExecutorSpeeds, SpeedGroup
+from heronthread_dispatch.fleet import ExecutorState, make_executor_state
+from heronthread_dispatch.learned import LearnedState
+from heronthread_dispatch.model import (
+    URGENT,
+    DesiredState,
+    Executor,
+    ExecutorInstance,
+    JobSpec,
+    Queue,
+    Resources,
+    StepSpec,
+    Tenant,
+)
+from heronthread_dispatch.offers import make_offers
+from heronthread_dispatch.overview import describe_cell
+from heronthread_dispatch.plan import Plan
+from heronthread_dispatch.planner import Planner
+from heronthread_dispatch.policy import Policy
+from heronthread_dispatch.progress import Attempt, JobState, Phase, make_job
+from heronthread_dispatch.urgent_forecast import GangShape, UrgentDemand
+from heronthread_dispatch.urgent_room import (
+    LONGEST_STAND_S,
+    MAX_BORROWER_PREEMPTIONS,
+    MAX_END_WAIT_S,
+    MAX_GUARANTEE_WAIT_S,
+    MAX_PREEMPTIONS,
+    STOOD_TASKS,
+    Borrower,
+    LendReason,
+    UrgentRoom,
+    find_end_wait_s,
+    may_borrow,
+)
+from heronthread_emulator import EmulatedSite, check_promises
+
+Clock = trio.testing.MockClock
+NOW = 500.0
+RACK = 4
+CAPACITY = Resources(8_000, 64_000, 8)
+URGENT_QUEUE = Queue("urgent", "h", "/u/", "pool", URGENT, 2, 1.5, 0.25)
+BATCH = Queue("batch", "h", "/b/", "pool", 2, 3, 3.0, 3.0)
+DESIRED = DesiredState.build(1, [URGENT_QUEUE, BATCH], [Tenant("rich", (), 64)], 1)
+EIGHT = Resources(1_000, 1_000, 8)
+RECLAIM_BOUND_S = 2.7
+
+
+def _make_executors(count: int) -> list[ExecutorState]:
+    found = []
+    for number in range(count):
+        name = f"e{number}"
+        executor = Executor(name, name, "pool", "z", f"r{number // RACK}", (), CAPACITY)
+        state = make_executor_state(executor, 0.0)
+        state.has_reported = state.recorded = True
+        found.append(state)
+    return found
+
+
+def _make_job(
+    name: str,
+    queue: Queue = BATCH,
+    *,
+    tenant: str = "poor",
+    waited_s: float = 0.0,
+    work_s: float = 20.0,
+    **step: object,
+) -> JobState:
+    spec = StepSpec(**{"count": 1, "need": EIGHT, "estimate_s": work_s, **step})  # type: ignore[arg-type]
+    job = make_job(JobSpec(name, queue, tenant, "", (spec,), NOW - waited_s), NOW)
+    job.steps[0].ready_at = NOW - waited_s
+    return job
+
+
+def _run(job: JobState, states: list[ExecutorState], ran_s: float = 2.0, percent: float = 10.0):
+    """Run each task of a job on the next of some executors."""
+    for task, state in zip(job.steps[0].tasks, states, strict=True):
+        key = job.key_of(job.steps[0], task)
+        attempt = Attempt(key, 1, state.instance, job.steps[0].spec.need, NOW - ran_s)
+        attempt.phase, attempt.began_at = Phase.RUNNING, NOW - ran_s
+        attempt.progressed_at, attempt.percent = NOW, percent
+        task.attempt = attempt
+        state.occupy(attempt)
+    return job
+
+
+def _expect(count: int) -> LearnedState:
+    """Return what an owner knows that saw one urgent job of 1 s a second, each of `count` tasks."""
+    learned = LearnedState()
+    for number in range(15):
+        learned.forecast.note_arrival("pool", GangShape(count, EIGHT, True), 1.0, NOW - number)
+    return learned
+
+
+def _plan(
+    jobs: list[JobState],
+    states: list[ExecutorState],
+    learned: LearnedState | None = None,
+    policy: Policy | None = None,
+) -> Plan:
+    policy = policy or Policy()
+    return Planner(jobs, states, DESIRED, NOW, NOW, policy=policy, learned=learned).make()
+
+
+def _list_started(plan: Plan) -> list[str]:
+    return [start.job.spec.id for group in plan.groups for start in group]
+
+
+# Lending
+
+
+@pytest.mark.parametrize(
+    ("borrower", "expected"),
+    [
+        (Borrower(False, 9.0, 0, 0.0), (False, LendReason.HOLDS_ON)),
+        (Borrower(True, 9.0, 0, 0.0), (True, LendReason.CHECKPOINTING)),
+        (
+            Borrower(True, 9.0, MAX_BORROWER_PREEMPTIONS, 0.0),
+            (False, LendReason.PREEMPTED_BEFORE),
+        ),
+        (Borrower(False, 1.0, 9, 0.0), (True, LendReason.ENDS_IN_TIME)),
+        (Borrower(False, 9.0, 9, LONGEST_STAND_S), (True, LendReason.STOOD)),
+    ],
+)
+def test_reserved_capacity_is_lent_with_a_reason(
+    borrower: Borrower, expected: tuple[bool, LendReason]
+) -> None:
+    """Guards against idle reserved capacity, and against loans that urgent work must wait for."""
+    decision = may_borrow(borrower, slack_s=1.25)
+    assert (decision.is_lent, decision.reason) == expected
+
+
+def test_only_checkpointing_work_starts_on_reserved_capacity_at_once() -> None:
+    """Guards against a reservation that stands idle beside work that can be given back."""
+    for checkpointing in (False, True):
+        states = _make_executors(4)
+        busy = [_run(_make_job(f"b{n}"), [states[n]]) for n in range(3)]
+        waiting = _make_job("w", checkpointing=checkpointing)
+        plan = _plan([*busy, waiting], states, _expect(2))
+        assert _list_started(plan) == (["w"] if checkpointing else [])
+        assert list(plan.loans.values()) == [LendReason.CHECKPOINTING] * checkpointing
+
+
+def test_a_job_that_stood_gets_a_few_tasks_of_reserved_capacity() -> None:
+    """Guards against jobs that stand beside reserved capacity, and against one that takes all."""
+    one = Resources(1_000, 1_000, 1)
+    for waited_s, count in ((LONGEST_STAND_S - 0.1, 0), (LONGEST_STAND_S, STOOD_TASKS)):
+        states = _make_executors(4)
+        busy = [_run(_make_job(f"b{n}"), [states[n]]) for n in range(3)]
+        waiting = _make_job("w", waited_s=waited_s, count=8, need=one)
+        plan = _plan([*busy, waiting], states, _expect(2))
+        assert len(_list_started(plan)) == count
+    assert list(plan.loans.values()) == [LendReason.STOOD]
+
+
+# Reserving
+
+
+def _choose(
+    states: list[ExecutorState],
+    demand: UrgentDemand,
+    used: int = 0,
+    jobs: list[JobState] | None = None,
+    speeds: ExecutorSpeeds | None = None,
+) -> tuple[frozenset[str], UrgentRoom]:
+    offers = make_offers(states, NOW)
+    room = UrgentRoom(offers, {"pool": demand}, jobs or [], DESIRED, speeds or ExecutorSpeeds())
+    return room.choose({"pool": used}), room
+
+
+def test_what_the_forecast_exceeds_the_use_by_is_reserved_up_to_the_limit() -> None:
+    """Guards against reserving for work that runs already, and against most of a pool reserved."""
+    states = _make_executors(20)
+    assert len(_choose(states, UrgentDemand(40, None), used=24)[0]) == 2
+    assert _choose(states, UrgentDemand(40, None), used=40)[0] == frozenset()
+    assert len(_choose(states, UrgentDemand(400, None))[0]) == 8
+
+
+def test_a_rack_has_room_for_the_largest_recent_gang() -> None:
+    """Guards against a reservation in pieces that no gang for one rack fits in."""
+    states = _make_executors(20)
+    _run(_make_job("b"), [states[0]])
+    chosen, _ = _choose(states, UrgentDemand(8, GangShape(4, EIGHT, True)))
+    assert chosen == {"e4", "e5", "e6", "e7"}
+
+
+def test_lent_capacity_counts_as_reserved() -> None:
+    """Guards against a reservation that moves on to other executors as soon as it is lent."""
+    states = _make_executors(20)
+    lent = _run(_make_job("c", count=4, checkpointing=True), states[:4])
+    others = [_run(_make_job(f"b{n}"), [states[n]]) for n in range(4, 20)]
+    chosen, room = _choose(states, UrgentDemand(32, None), jobs=[lent, *others])
+    assert chosen == {"e0", "e1", "e2", "e3"}
+    assert (room.use["pool"].reserved, room.use["pool"].lent) == (32, 32)
+
+
+def test_fast_executors_of_a_rack_are_reserved_first() -> None:
+    """Guards against urgent work on slow executors while fast ones are given to other work."""
+
+    class _Speeds(ExecutorSpeeds):
+        def find_group(self, instance: ExecutorInstance) -> SpeedGroup:
+            return SpeedGroup.FAST if instance.id == "e3" else SpeedGroup.TYPICAL
+
+    chosen, _ = _choose(_make_executors(4), UrgentDemand(8, None), speeds=_Speeds())
+    assert chosen == {"e3"}
+
+
+def test_without_urgent_arrivals_the_plan_is_the_same_with_the_switch_on_and_off() -> None:
+    """Guards against an effect of this part in pools without urgent work."""
+    found = []
+    for policy in (Policy(urgent_room=False), Policy()):
+        states = _make_executors(8)
+        jobs = [_run(_make_job(f"b{n}", count=2), states[2 * n : 2 * n + 2]) for n in range(3)]
+        jobs += [_make_job(f"w{n}", waited_s=n, checkpointing=n % 2 == 0) for n in range(4)]
+        jobs.append(_make_job("u", URGENT_QUEUE))
+        plan = _plan(jobs, states, LearnedState(), policy)
+        stops = [attempt.task for attempt in plan.stops]
+        found.append((_list_started(plan), stops, plan.replan_in_s))
+    assert found[0] == found[1]
+    assert found[0][0]
+
+
+# Waiting for ends
+
+
+def test_urgent_work_waits_for_ends_within_its_slack_and_bounds() -> None:
+    """Guards against stops for capacity that frees in time, and against waits without an end."""
+    assert find_end_wait_s(False, 0.0, slack_s=1.3, stop_s=0.2) == 1.2
+    assert find_end_wait_s(False, 0.0, slack_s=0.3, stop_s=0.2) is None
+    assert find_end_wait_s(False, 0.0, slack_s=-1.0, stop_s=0.2) is None
+    assert find_end_wait_s(False, 0.0, slack_s=60.0, stop_s=0.2) == MAX_END_WAIT_S
+    assert find_end_wait_s(False, MAX_END_WAIT_S, slack_s=60.0, stop_s=0.2) is None
+
+
+def test_a_guarantee_waits_for_a_part_of_its_bound_only() -> None:
+    """Guards against a guarantee that misses its bound because its slack is long."""
+    longest = find_end_wait_s(True, 0.0, slack_s=60.0, stop_s=0.2)
+    assert longest is not None and longest <= MAX_GUARANTEE_WAIT_S
+    assert find_end_wait_s(True, MAX_GUARANTEE_WAIT_S, slack_s=60.0, stop_s=0.2) is None
+
+
+def test_a_run_that_ends_within_the_slack_is_not_stopped() -> None:
+    """Guards against a stop of work that ends before the urgent job's latest start."""
+    for switch, stopped in ((True, 0), (False, 1)):
+        states = _make_executors(1)
+        ending = _run(_make_job("b", work_s=10.0), states, ran_s=9.0, percent=90.0)
+        urgent = _make_job("u", URGENT_QUEUE, work_s=4.0)
+        plan = _plan([ending, urgent], states, _expect(1), Policy(urgent_room=switch))
+        assert len(plan.stops) == stopped
+
+
+# Taking back
+
+
+def test_borrowing_work_is_taken_back_first() -> None:
+    """Guards against a stop that throws away work although lent capacity is there."""
+    states = _make_executors(2)
+    jobs = [
+        _run(_make_job("young"), states[:1], ran_s=1.0),
+        _run(_make_job("lent", checkpointing=True), states[1:], ran_s=9.0),
+        _make_job("u", URGENT_QUEUE, work_s=0.5),
+    ]
+    plan = _plan(jobs, states, _expect(1))
+    assert [attempt.task.job for attempt in plan.stops] == ["lent"]
+    assert [(p.job, p.urgent_job, p.times) for p in plan.preemptions] == [("lent", "u", 1)]
+
+
+@pytest.mark.parametrize(("tenant", "expected"), [("poor", []), ("rich", ["b"])])
+def test_a_job_preempted_twice_is_stopped_for_a_guarantee_only(
+    tenant: str, expected: list[str]
+) -> None:
+    """Guards against one job that is stopped over and over, and against a guarantee not kept."""
+    states = _make_executors(1)
+    job = _run(_make_job("b"), states)
+    job.preemptions = job.open_preemptions = MAX_PREEMPTIONS
+    urgent = _make_job("u", URGENT_QUEUE, tenant=tenant, work_s=0.5)
+    plan = _plan([job, urgent], states, _expect(1))
+    assert [attempt.task.job for attempt in plan.stops] == expected
+
+
+@pytest.mark.parametrize(("waited_s", "stops"), [(0.0, 1), (9.0, 0)])
+def test_urgent_work_past_its_use_preempts_nothing(waited_s: float, stops: int) -> None:
+    """Guards against stops for work that is worth nothing to its caller any more."""
+    states = _make_executors(1)
+    urgent = _make_job("u", URGENT_QUEUE, work_s=1.0, waited_s=waited_s)
+    plan = _plan([_run(_make_job("b"), states), urgent], states, _expect(1))
+    assert len(plan.stops) == stops
