--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -40,12 +40,12 @@
 from .spares import Spares
 from .stall_monitor import StallMonitor, describe_unresponsive
 from .stalls import JobStall
-from .urgent_room import RoomUse
 
 PAUSE_S = 0.15
 PREDECESSOR_RETRY_S = 0.3
 COALESCE_S = 0.012
 PLAN_EVERY_S = 0.5
+ROOM_NOTE_INTERVAL_S = 1.0
 PLAN_BUDGET_S = 0.02
 """How long planning may run before other tasks (leases, reports, answers) get a turn."""
 FIRST_REPORTS_S = 0.04
@@ -83,6 +83,7 @@
         self._orders: Orders | None = None
         self._urgent_demand = RecentPeaks(URGENT_WINDOW_S)
         self._room_events = RepeatedEvents()
+        self._room_noted_at = float("-inf")
         self._set_aside: set[str] = set()
         self._used_executors = UsedExecutors(self.cell, self.depose)
         self.stall_monitor = StallMonitor(self.cell)
@@ -483,17 +484,20 @@
             if plan.replan_in_s is not None:
                 recheck = min(recheck, max(0.02, plan.replan_in_s))
             if planner.is_complete:
-                self._note_room(planner.room.use)
+                self._note_room(planner, now)
                 self.stall_monitor.record_plan(planner.causes, trio.current_time())
                 return recheck
             await trio.sleep(0)
             if not self.parts.may_send_orders():
                 return recheck
 
-    def _note_room(self, use: dict[str, RoomUse]) -> None:
-        """Keep what is reserved for urgent work and lent, and log it periodically by pool."""
-        self.cell.urgent_room = use
-        for pool, found in use.items():
+    def _note_room(self, planner: Planner, now: float) -> None:
+        """Keep periodically what is reserved for urgent work and lent, and log it by pool."""
+        if now - self._room_noted_at < ROOM_NOTE_INTERVAL_S:
+            return
+        self._room_noted_at = now
+        self.cell.urgent_room = planner.describe_room()
+        for pool, found in self.cell.urgent_room.items():
             self._room_events.log("room.reserved", (pool,), pool=pool, **asdict(found))
 
     def _log_room_decisions(self, plan: Plan) -> None:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -35,6 +35,7 @@
     STOOD_TASKS,
     Borrower,
     LendReason,
+    RoomUse,
     UrgentRoom,
     find_end_wait_s,
     may_borrow,
@@ -435,6 +436,12 @@
             self._headroom_executors = self._headroom.choose(used) | self.room.choose(used)
         return self._headroom_executors
 
+    def describe_room(self) -> dict[str, RoomUse]:
+        """Return what is reserved for urgent work, and lent of it, by pool with a forecast."""
+        if self.room.demands:
+            self._find_headroom_executors()
+        return self.room.use
+
     def urgent_demand(self) -> dict[str, int]:
         """Return the accelerators that urgent work holds or waits for, by pool."""
         demand = self.urgent_in_use()
--- a/packages/heronthread-dispatch/tests/test_urgent_room.py
+++ b/packages/heronthread-dispatch/tests/test_urgent_room.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 import pytest
 import trio
 from heronthread_dispatch.executor_speeds import ExecutorSpeeds, SpeedGroup
@@ -292,3 +290,103 @@
     urgent = _make_job("u", URGENT_QUEUE, work_s=1.0, waited_s=waited_s)
     plan = _plan([_run(_make_job("b"), states), urgent], states, _expect(1))
     assert len(plan.stops) == stops
+
+
+# Failures
+
+
+async def _accept(site: EmulatedSite, name: str, **job: object) -> None:
+    host = next(iter(site.hosts.values()))
+    await host.requests.accept(site.make_job(name, **job), 2.0)  # type: ignore[arg-type]
+
+
+async def _fill_with_lent_and_held(site: EmulatedSite) -> None:
+    """Let urgent work be expected, then fill half of the site with borrowing work."""
+    await site.wait_for_owner()
+    for number in range(4):
+        await _accept(site, f"seen{number}", queue="urgent", accelerators=8, work_s=0.5)
+        await trio.sleep(0.8)
+    for number in range(2):
+        await _accept(site, f"held{number}", accelerators=8, work_s=60.0)
+    await trio.sleep(4.0)
+    for number in range(2):
+        await _accept(
+            site, f"lent{number}", queue="batch", accelerators=8, work_s=60.0, checkpointing=True
+        )
+    await trio.sleep(1.0)
+
+
+def _count_starts(site: EmulatedSite) -> dict[str, int]:
+    found: dict[str, int] = {}
+    for start in site.executors.starts():
+        found[start.task.job] = found.get(start.task.job, 0) + 1
+    return found
+
+
+async def test_after_a_takeover_lent_capacity_is_taken_back_first(autojump_clock: Clock) -> None:
+    """The owner is killed while capacity is lent.
+
+    Guards against a next owner that does not know what was lent and stops other work.
+    """
+    async with EmulatedSite.open(hosts=3) as site:
+        await _fill_with_lent_and_held(site)
+        owner = site.owner_name()
+        assert owner is not None
+        site.kill_host(owner)
+        await site.wait_for_owner()
+        await trio.sleep(8.0)
+        before = _count_starts(site)
+        assert before["held0"] == before["held1"] == 1
+        await _accept(site, "u", queue="urgent", tenant="second", accelerators=8, work_s=1.0)
+        await trio.sleep(RECLAIM_BOUND_S)
+        after = _count_starts(site)
+        assert after["u"] == 1
+        await trio.sleep(6.0)
+        after = _count_starts(site)
+        assert after["held0"] == after["held1"] == 1
+        assert after["lent0"] + after["lent1"] > before["lent0"] + before["lent1"]
+        assert check_promises(site.executors, {}) == []
+
+
+async def test_a_burst_of_urgent_work_takes_back_all_that_is_lent(autojump_clock: Clock) -> None:
+    """Guards against urgent work that starves while everything is lent."""
+    async with EmulatedSite.open(hosts=2) as site:
+        await _fill_with_lent_and_held(site)
+        asked = trio.current_time()
+        for number in range(4):
+            tenant = "first" if number % 2 else "second"
+            await _accept(
+                site, f"u{number}", queue="urgent", tenant=tenant, accelerators=8, work_s=1.0
+            )
+        await trio.sleep(RECLAIM_BOUND_S)
+        started = {s.task.job: s.at for s in site.executors.starts() if s.task.job.startswith("u")}
+        assert sorted(started) == [f"u{number}" for number in range(4)]
+        assert max(started.values()) - asked <= RECLAIM_BOUND_S
+        assert check_promises(site.executors, {}) == []
+
+
+async def test_a_guarantee_is_reclaimed_in_its_bound_from_spared_jobs(
+    autojump_clock: Clock,
+) -> None:
+    """All that runs was preempted as often as it may be outside guarantees.
+
+    Guards against a limit on preemptions that holds up a guarantee.
+    """
+    async with EmulatedSite.open(hosts=2) as site:
+        host = site.hosts[await site.wait_for_owner()]
+        await _accept(site, "seen", queue="urgent", accelerators=8, work_s=0.5)
+        for number in range(4):
+            await _accept(site, f"b{number}", accelerators=8, work_s=60.0)
+        await trio.sleep(5.0)
+        assert host.owner is not None
+        for job in host.owner.cell.active.values():
+            job.preemptions = job.open_preemptions = MAX_PREEMPTIONS
+        asked = trio.current_time()
+        await _accept(site, "u", queue="urgent", accelerators=8, count=2, gang=True, work_s=1.0)
+        await trio.sleep(RECLAIM_BOUND_S)
+        started = [start for start in site.executors.starts() if start.task.job == "u"]
+        assert len(started) == 2
+        assert max(start.at for start in started) - asked <= RECLAIM_BOUND_S
+        shown = describe_cell(host.owner.cell, host.configuration.state, "h0")
+        assert [row["pool"] for row in shown["urgent room"]] == ["pool"]
+        assert check_promises(site.executors, {}) == []
