--- a/packages/heronthread-dispatch/src/heronthread_dispatch/losses.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/losses.py
@@ -72,7 +72,8 @@
     """The losses of one plan; `stopped` holds the ids of the attempts it stops already.
 
     Attempts that end by themselves within `wait_s` are waited for rather than stopped. Jobs
-    preempted `max_preemptions` times outside guarantees are spared; None spares none.
+    preempted `max_preemptions` times outside guarantees are spared; None spares none. A run
+    that takes no checkpoints loses `min_unsaved_loss_s` at least.
     """
 
     def __init__(
@@ -84,6 +85,7 @@
         stopped: set[int],
         wait_s: float,
         max_preemptions: int | None = None,
+        min_unsaved_loss_s: float = 0.0,
     ) -> None:
         self._jobs = {job.spec.id: job for job in jobs}
         self._desired = desired
@@ -92,6 +94,7 @@
         self._stopped = stopped
         self._wait_s = wait_s
         self._max_preemptions = max_preemptions
+        self._min_unsaved_loss_s = min_unsaved_loss_s
         self._losses_by_executor: dict[str, list[Loss]] = {}
         self._losses_by_member: dict[int, Loss] = {}
         self._cumulative: dict[tuple[bool, bool, str], tuple[int, CumulativeLosses]] = {}
@@ -267,8 +270,8 @@
             elapsed = max(0.0, self._now - (member.began_at or member.ordered_at))
             if checkpoints:
                 elapsed = min(elapsed, CHECKPOINT_LOSS_S)
-            elif self._max_preemptions is not None:
-                elapsed = max(elapsed, MIN_UNSAVED_LOSS_S)
+            else:
+                elapsed = max(elapsed, self._min_unsaved_loss_s)
             total += elapsed * member.need.cores
         return total
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -22,7 +22,7 @@
 from .headroom import Headroom
 from .late_starts import NOWHERE
 from .learned import LearnedState
-from .losses import Losses
+from .losses import MIN_UNSAVED_LOSS_S, Losses
 from .model import URGENT, DesiredState, Queue, Resources, TaskKey
 from .offers import Offer, Scope, count_free, count_with_reserved, make_offers
 from .plan import Candidate, Plan, Preemption, Start
@@ -31,6 +31,7 @@
 from .step_rank import rank_step
 from .task_masks import find_executors
 from .urgent_room import (
+    END_WAIT_SHARE,
     MAX_PREEMPTIONS,
     STOOD_TASKS,
     Borrower,
@@ -109,6 +110,8 @@
         self._stopped: set[int] = set()
         wait_s = max(stop_s, ENDS_SOON_S) if policy.wait_for_ends else stop_s
         self._stop_s = stop_s
+        self._preempted: set[str] = set()
+        self._open_preempted: set[str] = set()
         self.room = self._make_room()
         peaks = {p: n for p, n in (urgent_peaks or {}).items() if p not in self.room.demands}
         self._headroom = Headroom(self.offers, peaks)
@@ -126,9 +129,15 @@
         return UrgentRoom(self.offers, demands, self.jobs, self.desired, self.learned.speeds)
 
     def _make_losses(self, wait_s: float) -> Losses:
-        limit = MAX_PREEMPTIONS if self.room.demands else None
         return Losses(
-            self.jobs, self.desired, self.guaranteed, self.now, self._stopped, wait_s, limit
+            self.jobs,
+            self.desired,
+            self.guaranteed,
+            self.now,
+            self._stopped,
+            wait_s,
+            MAX_PREEMPTIONS if self.policy.urgent_room else None,
+            MIN_UNSAVED_LOSS_S if self.room.demands else 0.0,
         )
 
     @property
@@ -706,7 +715,8 @@
                 self._request_replan(max(0.05, SPREAD_WAIT_S - candidate.waited_s(self.now)))
             return
         _, victims, chosen = best
-        self._count_preemptions(candidate, victims)
+        if candidate.queue.pool in self.room.demands:
+            self._count_preemptions(candidate, victims)
         for attempt in victims:
             for member in self._losses.whole_gang(attempt):
                 self._stop(member)
@@ -721,20 +731,24 @@
         return last_useful < self.now and not candidate.guaranteed
 
     def _find_end_wait_s(self, candidate: Candidate) -> float | None:
-        """Return within what time runs must end for urgent work to wait for them."""
-        return find_end_wait_s(
-            candidate.guaranteed,
-            candidate.waited_s(self.now),
-            candidate.rank.latest_start - self.now,
-            self._stop_s,
-        )
+        """Return within what time runs must end for urgent work to wait for them.
+
+        The slack is at most that of a job of typical length, as a job's own estimate may be off.
+        """
+        waited_s = candidate.waited_s(self.now)
+        typical_s = END_WAIT_SHARE * self.room.slack_s(candidate.queue.pool) - waited_s
+        slack_s = min(candidate.rank.latest_start - self.now, typical_s)
+        return find_end_wait_s(candidate.guaranteed, waited_s, slack_s, self._stop_s)
 
     def _count_preemptions(self, candidate: Candidate, victims: list[Attempt]) -> None:
-        """Count a preemption of each victim's job; once, however many of its attempts stop."""
-        for name in {victim.task.job for victim in victims}:
-            job = self._jobs_by_id[name]
-            job.preemptions += 1
-            job.open_preemptions += not candidate.guaranteed
+        """Count a preemption of each victim's job, once in a plan however many attempts stop."""
+        for name in sorted({victim.task.job for victim in victims}):
+            job, is_open = self._jobs_by_id[name], not candidate.guaranteed
+            job.preemptions += name not in self._preempted
+            job.open_preemptions += is_open and name not in self._open_preempted
+            self._preempted.add(name)
+            if is_open:
+                self._open_preempted.add(name)
             self.plan.preemptions.append(
                 Preemption(name, candidate.job.spec.id, candidate.guaranteed, job.preemptions)
             )
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/urgent_forecast.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/urgent_forecast.py
@@ -14,8 +14,10 @@
 """Arrivals count for so long: one wave of demand, so that its height is seen whole."""
 BURST_WINDOW_S = 4.0
 """The rate of so short a time counts if it is higher, as bursts last 3 s to 4 s."""
-VARIATION_FACTOR = 1.28
-"""Standard deviations reserved above the mean: demand stays below in nine of ten cases."""
+VARIATION_FACTOR = 4.0
+"""Standard deviations reserved above the mean. Jobs that come in waves and bursts vary more than
+the independent arrivals that the deviation is computed for: with 1.3 and 2.5 the reserved capacity
+ran out in the modelled pool, and more runs were stopped."""
 SHAPE_SHARE = 0.9
 """Share of the recent gangs for one rack that must fit the one reserved for."""
 MAX_ARRIVALS = 1024
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/urgent_room.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/urgent_room.py
@@ -29,11 +29,11 @@
 of 0.4 s and the delays of a report and a plan."""
 MAX_END_WAIT_S = 2.0
 """Other urgent work waits at most so long, as its slack rests on an estimate that may be off."""
-SLACK_SHARE = 1.0
+END_WAIT_SHARE = 0.5
+"""Share of the slack spent on waiting; the rest is for executors somewhat slower than typical.
+Waits for all of it made urgent work late in a modelled pool of 24 executors."""
 END_WAIT_STEPS_S = (0.4, 0.8, 1.2, 1.6, 2.0)
 """Waits are rounded down to these, so that candidates of similar slack share one search."""
-
-
 STOOD_TASKS = 4
 """Tasks of a step that start after so long a wait; its job runs then, and the rest waits for other
 capacity, as a step may have hundreds of tasks."""
@@ -92,7 +92,7 @@
     an end are to be avoided.
     """
     longest_s = MAX_GUARANTEE_WAIT_S if is_guaranteed else MAX_END_WAIT_S
-    left_s = min(longest_s - waited_s, SLACK_SHARE * slack_s)
+    left_s = min(longest_s - waited_s, slack_s)
     steps = [step for step in END_WAIT_STEPS_S if stop_s < step <= left_s]
     return steps[-1] if steps else None
 
@@ -123,10 +123,16 @@
         self._desired = desired
         self._speeds = speeds
         self._borrowed: Counter[str] | None = None
+        self._slacks: dict[str, float] = {}
         self.use: dict[str, RoomUse] = {}
 
     def slack_s(self, pool: str) -> float:
         """Return the least slack (s) of urgent work of a typical length in a pool."""
+        if pool not in self._slacks:
+            self._slacks[pool] = self._find_slack_s(pool)
+        return self._slacks[pool]
+
+    def _find_slack_s(self, pool: str) -> float:
         length_s = self.demands[pool].length_s
         queues = [q for q in self._desired.queues if q.priority == URGENT and q.pool == pool]
         slacks = ((queue.stretch - 1) * length_s + queue.target_s for queue in queues)
