--- a/packages/heronthread-dispatch/src/heronthread_dispatch/urgent_room.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/urgent_room.py
@@ -22,6 +22,9 @@
 plan is made each 0.5 s."""
 MAX_BORROWER_PREEMPTIONS = 1
 """A job preempted so often borrows no more, so that borrowing does not stop it over and over."""
+MAX_LENT_SHARE = 0.25
+"""Share of the reserved capacity that checkpointing work may hold, as each use of it by urgent work
+costs a stop."""
 MAX_PREEMPTIONS = 2
 """A job preempted so often for urgent work outside guarantees is spared, except for a guarantee."""
 MAX_GUARANTEE_WAIT_S = 1.0
@@ -46,6 +49,7 @@
     ENDS_IN_TIME = "it ends within the slack of urgent work"
     STOOD = "nothing of the job ran for too long"
     PREEMPTED_BEFORE = "it was preempted before"
+    ALL_LENT = "as much as may be lent is lent"
     HOLDS_ON = "it neither checkpoints nor ends within the slack of urgent work"
 
 
@@ -62,12 +66,14 @@
     """Work that asks for reserved capacity; `remaining_s` is a high estimate of its run's length.
 
     `stood_s` is how long the job has had nothing running although it is ready, 0 if it has.
+    `lent_share` is the share of the reserved capacity that is lent already.
     """
 
     is_checkpointing: bool
     remaining_s: float
     preemptions: int
     stood_s: float
+    lent_share: float = 0.0
 
 
 def may_borrow(borrower: Borrower, slack_s: float) -> LendDecision:
@@ -80,6 +86,8 @@
         return LendDecision(False, LendReason.HOLDS_ON)
     if borrower.preemptions >= MAX_BORROWER_PREEMPTIONS:
         return LendDecision(False, LendReason.PREEMPTED_BEFORE)
+    if borrower.lent_share >= MAX_LENT_SHARE:
+        return LendDecision(False, LendReason.ALL_LENT)
     return LendDecision(True, LendReason.CHECKPOINTING)
 
 
@@ -105,6 +113,11 @@
     reserved: int
     lent: int
 
+    @property
+    def lent_share(self) -> float:
+        """The share of the reserved accelerators that is lent."""
+        return self.lent / self.reserved if self.reserved else 1.0
+
 
 class UrgentRoom:
     """The executors reserved for urgent work in the pools with a forecast."""
