--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -420,22 +420,13 @@
             job.spec.tenant, queue.name, spec.estimate_s, self.now
         )
         borrower = Borrower(
-            spec.checkpointing,
-            length.high_s,
-            job.preemptions,
-            0.0 if job.has_attempts else candidate.waited_s(self.now),
-            self._find_lent_share(queue.pool) if spec.checkpointing else 1.0,
+            length.high_s, 0.0 if job.has_attempts else candidate.waited_s(self.now)
         )
         decision = may_borrow(borrower, self.room.slack_s(queue.pool))
         if decision.is_lent:
             self._loans[candidate.key] = decision.reason
         return decision.is_lent
 
-    def _find_lent_share(self, pool: str) -> float:
-        """Return the share of the reserved capacity that was lent as the plan began."""
-        self._find_headroom_executors()
-        return self.room.use[pool].lent_share
-
     def _note_loan(self, candidate: Candidate, placed: list[tuple[TaskState, Offer]]) -> None:
         """Record why a step starts on capacity reserved for urgent work, if it does."""
         reason = self._loans.get(candidate.key)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/urgent_room.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/urgent_room.py
@@ -20,11 +20,6 @@
 LONGEST_STAND_S = 2.5
 """A job with nothing running may use reserved capacity from then on. Callers tolerate 3 s, and a
 plan is made each 0.5 s."""
-MAX_BORROWER_PREEMPTIONS = 1
-"""A job preempted so often borrows no more, so that borrowing does not stop it over and over."""
-MAX_LENT_SHARE = 0.25
-"""Share of the reserved capacity that checkpointing work may hold, as each use of it by urgent work
-costs a stop."""
 MAX_PREEMPTIONS = 2
 """A job preempted so often for urgent work outside guarantees is spared, except for a guarantee."""
 MAX_GUARANTEE_WAIT_S = 1.0
@@ -45,12 +40,9 @@
 class LendReason(StrEnum):
     """Why capacity reserved for urgent work is lent, or not."""
 
-    CHECKPOINTING = "it can be given back with its progress"
     ENDS_IN_TIME = "it ends within the slack of urgent work"
     STOOD = "nothing of the job ran for too long"
-    PREEMPTED_BEFORE = "it was preempted before"
-    ALL_LENT = "as much as may be lent is lent"
-    HOLDS_ON = "it neither checkpoints nor ends within the slack of urgent work"
+    HOLDS_ON = "it does not end within the slack of urgent work"
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,14 +58,10 @@
     """Work that asks for reserved capacity; `remaining_s` is a high estimate of its run's length.
 
     `stood_s` is how long the job has had nothing running although it is ready, 0 if it has.
-    `lent_share` is the share of the reserved capacity that is lent already.
     """
 
-    is_checkpointing: bool
     remaining_s: float
-    preemptions: int
     stood_s: float
-    lent_share: float = 0.0
 
 
 def may_borrow(borrower: Borrower, slack_s: float) -> LendDecision:
@@ -82,13 +70,7 @@
         return LendDecision(True, LendReason.STOOD)
     if borrower.remaining_s <= slack_s:
         return LendDecision(True, LendReason.ENDS_IN_TIME)
-    if not borrower.is_checkpointing:
-        return LendDecision(False, LendReason.HOLDS_ON)
-    if borrower.preemptions >= MAX_BORROWER_PREEMPTIONS:
-        return LendDecision(False, LendReason.PREEMPTED_BEFORE)
-    if borrower.lent_share >= MAX_LENT_SHARE:
-        return LendDecision(False, LendReason.ALL_LENT)
-    return LendDecision(True, LendReason.CHECKPOINTING)
+    return LendDecision(False, LendReason.HOLDS_ON)
 
 
 def find_end_wait_s(
@@ -113,11 +95,6 @@
     reserved: int
     lent: int
 
-    @property
-    def lent_share(self) -> float:
-        """The share of the reserved accelerators that is lent."""
-        return self.lent / self.reserved if self.reserved else 1.0
-
 
 class UrgentRoom:
     """The executors reserved for urgent work in the pools with a forecast."""
