--- a/tests/test_planner_equivalence.py
+++ b/tests/test_planner_equivalence.py
@@ -29,6 +29,7 @@
 from heronthread_dispatch.planner import Planner
 from heronthread_dispatch.policy import Policy
 from heronthread_dispatch.progress import Attempt, JobState, Phase, StepState, make_job
+from heronthread_dispatch.urgent_forecast import GangShape
 from heronthread_emulator import EmulatedSite
 
 from .reference_planner.planner import Planner as ReferencePlanner
@@ -200,6 +201,22 @@
         assert found[1] == found[0], f"seed {seed}"
 
 
+def test_with_the_switch_off_a_forecast_of_urgent_work_changes_no_decision() -> None:
+    """Guards against a use of the forecast by the earlier code."""
+    learned, policy = LearnedState(), Policy(urgent_room=False)
+    for number in range(30):
+        shape = GangShape(1 + number % 5, Resources(500, 1_000, 4), True)
+        learned.forecast.note_arrival("pool", shape, 2.0, NOW - 0.4 * number)
+    for seed in range(200):
+        jobs, executors = _make_state(seed)
+        expected = _describe(
+            ReferencePlanner(jobs, executors, DESIRED, NOW, NOW, policy=policy).make()
+        )
+        jobs, executors = _make_state(seed)
+        planner = Planner(jobs, executors, DESIRED, NOW, NOW, policy=policy, learned=learned)
+        assert _describe(planner.make()) == expected, f"seed {seed}"
+
+
 @pytest.mark.parametrize("make", [ReferencePlanner, Planner])
 def test_promised_resources_never_exceed_those_freed(make: type[Planner]) -> None:
     """Resources of attempts that end soon count once, also if the plan stops these attempts."""
