--- a/packages/heronthread-dispatch/src/heronthread_dispatch/losses.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/losses.py
@@ -21,11 +21,18 @@
 """Work lost since the last checkpoint; a stop triggers a checkpoint of its own."""
 
 
+MIN_UNSAVED_LOSS_S = 2 * CHECKPOINT_LOSS_S
+"""With capacity reserved for urgent work, the least loss of work that takes no checkpoints: work
+that does is stopped first, also by a new owner, to which all runs look as if they had just begun.
+"""
+
+
 @dataclass(frozen=True, slots=True)
 class Loss:
     """An attempt that may be stopped, and the work lost with its whole gang.
 
-    `members` holds the attempts of the gang, or only this attempt outside a gang.
+    `members` holds the attempts of the gang, or only this attempt outside a gang. With `is_spared`
+    it may be stopped for a guarantee only, as its job was preempted too often.
     """
 
     core_seconds: float
@@ -33,6 +40,7 @@
     members: list[Attempt]
     is_urgent: bool
     is_lasting: bool
+    is_spared: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,7 +75,9 @@
     """The losses of one plan; `stopped` holds the ids of the attempts it stops already.
 
     Attempts that end by themselves within `wait_s` are waited for rather than stopped. With
-    `learned`, this includes those without progress so far that are predicted to end.
+    `learned`, this includes those without progress so far that are predicted to end. Jobs preempted
+    `max_preemptions` times outside guarantees are spared; None spares none. A run that takes no
+    checkpoints loses `min_unsaved_loss_s` at least.
     """
 
     def __init__(
@@ -79,6 +89,8 @@
         stopped: set[int],
         wait_s: float,
         learned: LearnedState | None = None,
+        max_preemptions: int | None = None,
+        min_unsaved_loss_s: float = 0.0,
     ) -> None:
         self._jobs = {job.spec.id: job for job in jobs}
         self._desired = desired
@@ -87,6 +99,8 @@
         self._stopped = stopped
         self._wait_s = wait_s
         self._learned = learned
+        self._max_preemptions = max_preemptions
+        self._min_unsaved_loss_s = min_unsaved_loss_s
         self._losses_by_executor: dict[str, list[Loss]] = {}
         self._losses_by_member: dict[int, Loss] = {}
         self._cumulative: dict[tuple[bool, bool, str], tuple[int, CumulativeLosses]] = {}
@@ -100,7 +114,7 @@
         """
         known = self._list_all(offer)
         if not guaranteed:
-            known = [loss for loss in known if not loss.is_urgent]
+            known = [loss for loss in known if not (loss.is_urgent or loss.is_spared)]
         if offer.stops:
             known = [loss for loss in known if id(loss.attempt) not in self._stopped]
         return known
@@ -124,7 +138,7 @@
 
     def _holds_urgent(self, offer: Offer) -> bool:
         """Whether a guarantee makes a difference to what may be stopped on an executor."""
-        return any(loss.is_urgent for loss in self._list_all(offer))
+        return any(loss.is_urgent or loss.is_spared for loss in self._list_all(offer))
 
     def _list_all(self, offer: Offer) -> list[Loss]:
         """Return all losses on an executor, including those of attempts already being stopped."""
@@ -250,10 +264,12 @@
         if is_urgent:
             # Urgent work that has to restart is likely to be late.
             total = (total + URGENT_MIN_LOSS_CORE_S) * URGENT_LOSS_FACTOR
+        limit = self._max_preemptions
+        is_spared = limit is not None and job.open_preemptions >= limit
         if len(members) == 1:
-            return Loss(total, attempt, members, is_urgent, spec.lasting)
+            return Loss(total, attempt, members, is_urgent, spec.lasting, is_spared)
         for member in members:
-            loss = Loss(total, member, members, is_urgent, spec.lasting)
+            loss = Loss(total, member, members, is_urgent, spec.lasting, is_spared)
             self._losses_by_member[id(member)] = loss
         return self._losses_by_member[id(attempt)]
 
@@ -264,6 +280,8 @@
             elapsed = max(0.0, self._now - (member.began_at or member.ordered_at))
             if checkpoints:
                 elapsed = min(elapsed, CHECKPOINT_LOSS_S)
+            else:
+                elapsed = max(elapsed, self._min_unsaved_loss_s)
             total += elapsed * member.need.cores
         return total
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from typing import Any
 
 import trio
@@ -47,6 +47,7 @@
 PREDECESSOR_RETRY_S = 0.3
 COALESCE_S = 0.012
 PLAN_EVERY_S = 0.5
+ROOM_NOTE_INTERVAL_S = 1.0
 PLAN_BUDGET_S = 0.02
 """How long planning may run before other tasks (leases, reports, answers) get a turn."""
 FIRST_REPORTS_S = 0.04
@@ -83,6 +84,8 @@
         self._nursery: trio.Nursery | None = None
         self._orders: Orders | None = None
         self._urgent_demand = RecentPeaks(URGENT_WINDOW_S)
+        self._room_events = RepeatedEvents()
+        self._room_noted_at = float("-inf")
         self._set_aside: set[str] = set()
         self._used_executors = UsedExecutors(self.cell, self.depose)
         self.stall_monitor = StallMonitor(self.cell)
@@ -496,6 +499,7 @@
             if plan.replan_in_s is not None:
                 recheck = min(recheck, max(0.02, plan.replan_in_s))
             if planner.is_complete:
+                self._note_room(planner, now)
                 self.stall_monitor.record_plan(planner.causes, trio.current_time())
                 return recheck
             await trio.sleep(0)
@@ -518,8 +522,34 @@
             self.parts.statistics.count("customer_shares", kind)
         log_changes(changed, self._share_events)
 
+    def _note_room(self, planner: Planner, now: float) -> None:
+        """Keep periodically what is reserved for urgent work and lent, and log it by pool."""
+        if now - self._room_noted_at < ROOM_NOTE_INTERVAL_S:
+            return
+        self._room_noted_at = now
+        self.cell.urgent_room = planner.describe_room()
+        for pool, found in self.cell.urgent_room.items():
+            self._room_events.log("room.reserved", (pool,), pool=pool, **asdict(found))
+
+    def _log_room_decisions(self, plan: Plan) -> None:
+        """Log the jobs preempted for urgent work, and the starts on capacity lent to them."""
+        for preemption in plan.preemptions:
+            log_event("room.preempted", **asdict(preemption))
+        for group in plan.groups:
+            first = group[0]
+            reason = plan.loans.get(first.job.key_of(first.step, first.step.tasks[0]))
+            if reason is not None:
+                log_event(
+                    "room.lent",
+                    job=first.job.spec.id,
+                    step=first.step.number,
+                    tasks=len(group),
+                    why=reason.value,
+                )
+
     def _carry_out(self, plan: Plan) -> None:
         assert self._orders is not None
+        self._log_room_decisions(plan)
         for attempt in plan.stops:
             self.cell.request_stop(attempt, "taken back for urgent work")
         for group in plan.groups:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -22,15 +22,26 @@
 from .headroom import Headroom
 from .late_starts import NOWHERE
 from .learned import LearnedState
-from .losses import Losses
+from .losses import MIN_UNSAVED_LOSS_S, Losses
 from .model import URGENT, DesiredState, Queue, Resources, TaskKey
 from .offers import Offer, Scope, count_free, count_with_reserved, make_offers
-from .plan import Candidate, Plan, Start
+from .plan import Candidate, Plan, Preemption, Start
 from .policy import DEFAULT_POLICY, Policy
-from .progress import Attempt, JobState, Phase, StepState, TaskState
+from .progress import Attempt, JobState, Phase, StepState, TaskState, latest_starts
 from .speed_placement import SpeedPlacement
 from .step_rank import rank_step
 from .task_masks import find_executors
+from .urgent_room import (
+    END_WAIT_SHARE,
+    MAX_PREEMPTIONS,
+    STOOD_TASKS,
+    Borrower,
+    LendReason,
+    RoomUse,
+    UrgentRoom,
+    find_end_wait_s,
+    may_borrow,
+)
 from .victim_selection import ENDS_SOON_S, VictimSelector
 from .wait_causes import WaitCause
 
@@ -72,6 +83,7 @@
         self.policy = policy
         self.learned = learned or LearnedState()
         self.jobs = list(jobs)
+        self._jobs_by_id = {job.spec.id: job for job in self.jobs}
         self.desired = desired
         self._may_run = may_run
         self._can_write_store = can_write_store
@@ -92,22 +104,45 @@
         self._eligible_scopes: dict[tuple[str, str, bool], Scope] = {}
         speeds = self.learned.speeds if policy.executor_speeds else None
         self._gangs = GangPlacer(now, policy, SpeedPlacement(speeds, now))
-        self._headroom = Headroom(self.offers, urgent_peaks or {})
         self._headroom_executors: frozenset[str] | None = None
+        self._loans: dict[TaskKey, LendReason] = {}
         self._urgent_missing: dict[str, int] = {}
         self._blocks_others: dict[str, bool] = {}
         self._colocation = Colocation(self.jobs)
         self._stopped: set[int] = set()
         wait_s = max(stop_s, ENDS_SOON_S) if policy.wait_for_ends else stop_s
-        lengths = self.learned if policy.run_lengths else None
-        self._losses = Losses(
-            self.jobs, desired, self.guaranteed, now, self._stopped, wait_s, lengths
-        )
-        self._victims = VictimSelector(self._losses, now)
+        self._stop_s = stop_s
+        self._preempted: set[str] = set()
+        self._open_preempted: set[str] = set()
+        self.room = self._make_room()
+        peaks = {p: n for p, n in (urgent_peaks or {}).items() if p not in self.room.demands}
+        self._headroom = Headroom(self.offers, peaks)
+        self._losses = self._make_losses(wait_s)
+        self._victims = VictimSelector(self._losses, now, self._make_losses)
         self._approvals = approvals
         self._waiting: deque[Candidate] | None = None
         self._orphaned_runs: dict[tuple[str, int, int], Counter[str]] = {}
 
+    def _make_room(self) -> UrgentRoom:
+        """Return the capacity for urgent work in the pools where a forecast expects any."""
+        pools = self.offers if self.policy.urgent_room else ()
+        expected = {pool: self.learned.forecast.predict(pool, self.now) for pool in pools}
+        demands = {pool: demand for pool, demand in expected.items() if demand is not None}
+        return UrgentRoom(self.offers, demands, self.jobs, self.desired, self.learned.speeds)
+
+    def _make_losses(self, wait_s: float) -> Losses:
+        return Losses(
+            self.jobs,
+            self.desired,
+            self.guaranteed,
+            self.now,
+            self._stopped,
+            wait_s,
+            self.learned if self.policy.run_lengths else None,
+            MAX_PREEMPTIONS if self.policy.urgent_room else None,
+            MIN_UNSAVED_LOSS_S if self.room.demands else 0.0,
+        )
+
     @property
     def is_complete(self) -> bool:
         """Whether the plan has reached every waiting step."""
@@ -264,6 +299,7 @@
             ]
             self.plan.groups.append(group)
             self._colocation.record_placed(candidate.step.spec, (offer for _, offer in placed))
+            self._note_loan(candidate, placed)
         missing = len(candidate.tasks) - len(placed)
         if candidate.key in self.steps_to_explain:
             cause = WaitCause.DUE if placed else self._find_cause(candidate, avoids_headroom)
@@ -388,16 +424,48 @@
         """
         if candidate.queue.priority == URGENT or not self.policy.headroom:
             return False
+        if candidate.queue.pool in self.room.demands and self._may_borrow(candidate):
+            return False
         if candidate.job.has_attempts or candidate.waited_s(self.now) < HEADROOM_WAIT_S:
             return True
         is_due = self.now >= candidate.rank.latest_start - DUE_MARGIN_S
         return not (is_due or self._headroom.is_mostly_idle(candidate.queue.pool))
 
+    def _may_borrow(self, candidate: Candidate) -> bool:
+        """Whether a candidate may use the capacity reserved for urgent work."""
+        job, spec, queue = candidate.job, candidate.step.spec, candidate.queue
+        length = self.learned.lengths.predict(
+            job.spec.tenant, queue.name, spec.estimate_s, self.now
+        )
+        borrower = Borrower(
+            length.high_s, 0.0 if job.has_attempts else candidate.waited_s(self.now)
+        )
+        decision = may_borrow(borrower, self.room.slack_s(queue.pool))
+        if decision.is_lent:
+            self._loans[candidate.key] = decision.reason
+        return decision.is_lent
+
+    def _note_loan(self, candidate: Candidate, placed: list[tuple[TaskState, Offer]]) -> None:
+        """Record why a step starts on capacity reserved for urgent work, if it does."""
+        reason = self._loans.get(candidate.key)
+        if reason is None or not placed:
+            return
+        reserved = self._find_headroom_executors()
+        if any(offer.state.id in reserved for _, offer in placed):
+            self.plan.loans[candidate.key] = reason
+
     def _find_headroom_executors(self) -> frozenset[str]:
         if self._headroom_executors is None:
-            self._headroom_executors = self._headroom.choose(self.urgent_in_use())
+            used = self.urgent_in_use()
+            self._headroom_executors = self._headroom.choose(used) | self.room.choose(used)
         return self._headroom_executors
 
+    def describe_room(self) -> dict[str, RoomUse]:
+        """Return what is reserved for urgent work, and lent of it, by pool with a forecast."""
+        if self.room.demands:
+            self._find_headroom_executors()
+        return self.room.use
+
     def urgent_demand(self) -> dict[str, int]:
         """Return the accelerators that urgent work holds or waits for, by pool."""
         demand = self.urgent_in_use()
@@ -531,6 +599,8 @@
     ) -> list[tuple[TaskState, Offer]]:
         pinned = self._place_pinned(candidate)
         unpinned = _without_pinned(candidate)
+        if self._loans.get(candidate.key) is LendReason.STOOD:
+            unpinned = replace(unpinned, tasks=unpinned.tasks[:STOOD_TASKS])
         if not unpinned.tasks or (pinned and candidate.step.spec.spread_limit):
             # The next plan, which follows at once, counts the pinned tasks towards the spread
             # limit.
@@ -645,21 +715,59 @@
         """Place tasks on capacity that stops will free, stopping more attempts if needed."""
         spec = candidate.step.spec
         scopes = self._gangs.list_scopes(candidate, eligible) if spec.gang else [eligible]
+        wait_s = None
+        if candidate.queue.pool in self.room.demands:
+            if self._is_past_use(candidate):
+                return
+            wait_s = self._find_end_wait_s(candidate)
         best: tuple[float, list[Attempt], list[Offer]] | None = None
         for scope in scopes:
             max_cost = float("inf") if best is None else best[0]
-            best = self._victims.find_victims(candidate, missing, scope, max_cost) or best
+            found = self._victims.find_victims(candidate, missing, scope, max_cost, wait_s)
+            best = found or best
         if best is None:
             if spec.gang:
                 self._request_replan(max(0.05, SPREAD_WAIT_S - candidate.waited_s(self.now)))
             return
         _, victims, chosen = best
+        if candidate.queue.pool in self.room.demands:
+            self._count_preemptions(candidate, victims)
         for attempt in victims:
             for member in self._losses.whole_gang(attempt):
                 self._stop(member)
         for offer in chosen:
             offer.allocate(spec.need)
 
+    def _is_past_use(self, candidate: Candidate) -> bool:
+        """Whether urgent work outside a guarantee can no longer end while it is useful."""
+        _, last_useful = latest_starts(
+            candidate.job, candidate.step, candidate.queue, self.now, self.wall_now
+        )
+        return last_useful < self.now and not candidate.guaranteed
+
+    def _find_end_wait_s(self, candidate: Candidate) -> float | None:
+        """Return within what time runs must end for urgent work to wait for them.
+
+        The slack is at most that of a job of typical length, as a job's own estimate may be off.
+        """
+        waited_s = candidate.waited_s(self.now)
+        typical_s = END_WAIT_SHARE * self.room.slack_s(candidate.queue.pool) - waited_s
+        slack_s = min(candidate.rank.latest_start - self.now, typical_s)
+        return find_end_wait_s(candidate.guaranteed, waited_s, slack_s, self._stop_s)
+
+    def _count_preemptions(self, candidate: Candidate, victims: list[Attempt]) -> None:
+        """Count a preemption of each victim's job, once in a plan however many attempts stop."""
+        for name in sorted({victim.task.job for victim in victims}):
+            job, is_open = self._jobs_by_id[name], not candidate.guaranteed
+            job.preemptions += name not in self._preempted
+            job.open_preemptions += is_open and name not in self._open_preempted
+            self._preempted.add(name)
+            if is_open:
+                self._open_preempted.add(name)
+            self.plan.preemptions.append(
+                Preemption(name, candidate.job.spec.id, candidate.guaranteed, job.preemptions)
+            )
+
     def _stop(self, attempt: Attempt) -> None:
         if attempt.phase is Phase.STOPPING or id(attempt) in self._stopped:
             return
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/policy.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/policy.py
@@ -37,7 +37,7 @@
     hopeless_last: bool = False
     executor_speeds: bool = True
     run_lengths: bool = True
-    urgent_room: bool = True
+    urgent_room: bool = False
     admission: bool = True
     fair_shares: bool = True
 
