Show reserved capacity, expected waits and rejections in the load overview

Cause: the sections of the load overview for these had no source after the merge of the parts, and the reserved capacity had a second place in the overview. Change: load_rows.py makes the rows from the owner's state, the newest digest and the rejection counter. Ruled out: summing rejections over hosts, which would need a message; each host's metrics have them.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/admission.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/admission.py
@@ -12,6 +12,8 @@
 from .model import URGENT, JobSpec, Queue
 from .progress import LATE_FACTOR, critical_path_s
 
+REJECTED_JOBS = "admission_rejects"
+"""The counter of rejected jobs, by reason."""
 MAX_DIGEST_AGE_S = 3.0
 """Three intervals between digests; an older digest says too little about the load now."""
 MIN_RETRY_AFTER_S = 1.0
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/overview.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/overview.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import asdict
 from typing import Any
 
 import trio
@@ -28,15 +27,9 @@
         "domains": describe_domains(cell),
         "short by": find_shortfall(cell),
         "load": describe_load(cell, desired),
-        "urgent room": _describe_room(cell),
     }
 
 
-def _describe_room(cell: OwnedCell) -> list[dict[str, Any]]:
-    """Return for each pool the accelerators expected for urgent work, reserved, and lent."""
-    return [{"pool": pool, **asdict(use)} for pool, use in sorted(cell.urgent_room.items())]
-
-
 def _describe_queues(cell: OwnedCell, desired: DesiredState) -> list[dict[str, Any]]:
     rows = {
         queue.name: {"queue": queue.name, "priority": queue.priority, "pending": 0, "running": 0}
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -18,6 +18,7 @@
 from .host_lease import Term
 from .keystore import Item, KeyRemoved, Listing
 from .load_report import LoadReport
+from .load_rows import make_load_sources
 from .model import JobSpec, PreassignmentEpoch
 from .orders import Orders
 from .owned_cell import JOB_PREFIX, STALE_OWNER_S, OwnedCell, OwnerParts
@@ -79,6 +80,7 @@
         self.parts = parts
         self._predecessor = predecessor
         self.cell = OwnedCell(parts, term)
+        self.cell.load_sources = make_load_sources(self.cell)
         self.is_ready = False
         self._scope = trio.CancelScope()
         self._nursery: trio.Nursery | None = None
--- a/packages/heronthread-dispatch/tests/test_load_overview.py
+++ b/packages/heronthread-dispatch/tests/test_load_overview.py
@@ -4,6 +4,7 @@
 
 import pytest
 import trio
+from heronthread_dispatch.admission import REJECTED_JOBS
 from heronthread_dispatch.fair_shares import MAX_CUSTOMERS, Demand
 from heronthread_dispatch.load_overview import MAX_ROWS, describe_load, explain_order, measure_load
 from heronthread_dispatch.load_report import LoadReport
@@ -137,6 +138,17 @@
         assert load["rejections"] == [{"reason": "wait", "count": 2}]
 
 
+async def test_operators_see_expected_waits_and_rejections(autojump_clock: MockClock) -> None:
+    """Guards against rows that stay empty although the owner reports load and counts rejections."""
+    async with EmulatedSite.open(hosts=1, executors=2) as site:
+        cell = await _fill(site)
+        cell.parts.statistics.count(REJECTED_JOBS, "too_late")
+        load = describe_load(cell, make_state())
+        assert {row["priority"] for row in load["waits"]} >= {1}
+        assert all(row["pool"] == "pool" and row["digest age s"] <= 2.0 for row in load["waits"])
+        assert load["rejections"] == [{"reason": "too_late", "rejected here": 1}]
+
+
 async def test_overview_of_the_design_size_is_small(autojump_clock: MockClock) -> None:
     """Guards against a reply that grows with the number of customers."""
     async with EmulatedSite.open(hosts=1, executors=1) as site:
--- a/packages/heronthread-dispatch/tests/test_urgent_room.py
+++ b/packages/heronthread-dispatch/tests/test_urgent_room.py
@@ -468,5 +468,5 @@
         assert len(started) == 2
         assert max(start.at for start in started) - asked <= RECLAIM_BOUND_S
         shown = describe_cell(host.owner.cell, host.configuration.state, "h0")
-        assert [row["pool"] for row in shown["urgent room"]] == ["pool"]
+        assert [row["pool"] for row in shown["load"]["reserved"]] == ["pool"]
         assert check_promises(site.executors, {}) == []
