Restore reasons and figures of constants that the rewording dropped

Cause: the rewording of the code shortened comments that gave the figure or the fault behind a constant or rule. Change: comments and docstrings alone; the facts are those of the comments before the rewording that still hold. Ruled out: comments whose reason is still there in other words, and those of code that has changed since.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/configuring.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/configuring.py
@@ -13,7 +13,7 @@
 from .model import DesiredState
 
 PACK_LEVEL = 1
-"""zlib's fastest level."""
+"""zlib's fastest level; shrinks 1,300 queues to a 17th in 0.8 ms (`make bench-configuration`)."""
 MAX_UNPACKED_BYTES = 16 * 1024 * 1024
 """Limit of a decompressed configuration; far above the store's limit for a value."""
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/crashes.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/crashes.py
@@ -20,7 +20,10 @@
 from .statistics import Statistics
 
 RECENT_START_S = 0.5
-"""A run started within this time before its executor became unresponsive may have crashed it."""
+"""A run started within this time before its executor became unresponsive may have crashed it.
+
+Tasks that crashed executors were 0.016 s old at most, other runs there 0.8 s at least (31 runs).
+"""
 LONG_RUNNING_S = 10.0
 """A run that has lasted this long is not suspected."""
 CONCURRENT_S = 1.0
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/directory.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/directory.py
@@ -22,7 +22,7 @@
 
 MAX_UNKNOWN_POOL_ITEMS = 2_000
 """Entries kept to be parsed again once a configuration names their pool; an executor beyond this
-limit is added at its next heartbeat."""
+limit is added at its next heartbeat. Twice the 1,000 executors of the largest deployment."""
 REFUSAL_LOG_INTERVAL_S = 5.0
 """Log interval, for each fault, of invalid entries whose id has no executor; limits log floods."""
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/entry_change_log.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/entry_change_log.py
@@ -18,7 +18,7 @@
 MAX_NAMED = 16
 MAX_RUNS_NAMED = 8
 MAX_REMOVED = 2_000
-"""Removed entries whose time of removal is kept."""
+"""Removed entries whose time of removal is kept; twice the executors of a large deployment."""
 
 
 class EntryChangeLog:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/executor_watch.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/executor_watch.py
@@ -40,7 +40,8 @@
 RECORD_TIMEOUT_S = 0.25
 MAX_RUNS_LOGGED = 8
 MIN_PROVEN_RUN_S = 1.0
-"""A run that lasted so long is not one that crashes its executor when it starts."""
+"""A run that lasted so long is not one that crashes its executor when it starts; those lasted
+0.016 s."""
 
 
 class ExecutorWatch:
@@ -186,6 +187,7 @@
         self._log_instance(report, order)
         if report.born and report.born != self.state.instance.born:
             # Runs, end numbers and the clock belong to one instance, so none may be carried over.
+            # Carrying them over once led to 14 starts of 6 tasks.
             self.state = replace_instance(self.cell, self.state, report, sent)
         else:
             self.state.acknowledged = max(self.state.acknowledged, order.seen)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/late_starts.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/late_starts.py
@@ -18,7 +18,8 @@
 from .progress import Attempt
 
 MAX_ORDER_DELAY_S = 12.0
-"""How long after its send an order without an answer may still be carried out."""
+"""How long after its send an order without an answer may still be carried out; 2 s to 12 s were
+observed."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/log_writer.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/log_writer.py
@@ -22,7 +22,7 @@
 WHOLE_BYTES = 4_096
 """Largest atomic write to a pipe (PIPE_BUF of Linux)."""
 MAX_CONSECUTIVE_WRITES = 64
-"""Consecutive writes before other tasks get a turn."""
+"""Consecutive writes before other tasks get a turn: 256 KB, four times what a pipe holds."""
 FLUSH_S = 0.05
 FLUSH_TIMEOUT_S = 0.2
 """Longest wait for a slow reader when the process ends."""
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/model.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/model.py
@@ -36,7 +36,8 @@
 
 
 _make = tuple.__new__
-"""Bypasses the named tuple's slower constructor, as a plan creates tens of thousands of tuples."""
+"""Bypasses the named tuple's constructor, which takes twice as long; a plan creates up to 70,000
+tuples."""
 
 NO_RESOURCES = Resources()
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/observed_store.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/observed_store.py
@@ -28,7 +28,10 @@
 MIN_PATIENCE_S = 0.35
 MAX_PATIENCE_S = 1.2
 PATIENCE_FACTOR = 3.0
-"""A call is overdue after this multiple of the recent mean latency, within the bounds above."""
+"""A call is overdue after this multiple of the recent mean latency, within the bounds above.
+
+A slow store answers in 0.3 s, and callers wait 3 s in all.
+"""
 LATENCY_WEIGHT = 0.2
 
 Outcome = TypeVar("Outcome")
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
@@ -55,7 +55,8 @@
 """How much longer a lease may last than requested, because of the executor's own clock."""
 RUNS_PER_TERM = 1000
 AVOID_AFTER_FAILURE_S = 2.0
-"""How long a task avoids an executor where it failed; short, as the task may fail everywhere."""
+"""How long a task avoids an executor where it failed; short, as the task may fail everywhere and
+callers tolerate 3 s with nothing running."""
 BACKOFF_AFTER_FAILURES = 2
 BACKED_OFF_DIVISOR = 3
 POOL_WIDE_BACKOFF_S = 2.0
@@ -277,7 +278,7 @@
             self.crashes.confirm(state, trio.current_time())
         else:
             # The entry was removed before the lease ended. Without this the crash would not be
-            # counted.
+            # counted: three gangs then crashed 420 executors in 240 s instead of 39.
             self.crashes.record_possible_crash(state)
         self.fail_crashing_jobs_at(state)
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -56,7 +56,8 @@
 ENTRY_RETURN_TIMEOUT_S = 2.0 + 0.5
 """The documented time in which an executor rewrites its entry, plus the notification delay."""
 DIRECTORY_GATHER_S = 0.25
-"""How long directory updates are batched; shorter than the minimum drain time of 2 s."""
+"""How long directory updates are batched; shorter than the minimum drain time of 2 s. Each executor
+writes its entry every 1.5 s."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/placement_check.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/placement_check.py
@@ -14,11 +14,15 @@
 from .record import JobRecord
 
 QUERY_TIMEOUT_S = 0.3
-"""Timeout of a placement query; a tenth of the callers' default timeout."""
+"""Timeout of a placement query; a tenth of the callers' default timeout. An owner answers within
+milliseconds."""
 QUERY_PAUSE_S = 1.0
 """Pause after a query without an answer, so that an unresponsive owner doesn't delay callers."""
 CACHE_S = 10.0
-"""Lifetime of cached pool contents; short, so that a pool that has shrunk is noticed soon."""
+"""Lifetime of cached pool contents; short, so that a pool that has shrunk is noticed soon.
+
+With 100 hosts, an owner gets at most ten queries a second for each pool.
+"""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/pool_contents.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/pool_contents.py
@@ -12,7 +12,8 @@
 
 SETTLE_WINDOW_S = 30.0
 """How long a pool must not have grown before jobs are rejected, and how long a removed executor
-still counts; longer than an entry's expiry and a machine's restart under a new id."""
+still counts; longer than an entry's expiry (three heartbeats, 4.5 s), its return after a store
+outage (2.5 s) and a machine's restart under a new id."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/probing.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/probing.py
@@ -14,7 +14,10 @@
 from .progress import Phase
 
 RECENT_S = 2.0
-"""Age up to which a report counts as recent and replaces a probe."""
+"""Age up to which a report counts as recent and replaces a probe.
+
+An executor with work reports within 1.8 s or is unresponsive.
+"""
 PROBE_TIMEOUT_S = 0.6
 """Timeout of a probe, including a second one that is sent 0.4 s later."""
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/recorder.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/recorder.py
@@ -24,7 +24,7 @@
 RETRY_PAUSE_S = 0.15
 ROUND_S = 0.05
 """After this time the next round starts beside writes without an answer, as starts wait for their
-executors to be recorded."""
+executors to be recorded. The store answers in 4 ms; a call that loses its answer takes 0.9 s."""
 RESEND_FACTOR = 4.0
 """A write is resent after this multiple of the recent mean latency, if longer than `ROUND_S`."""
 LATENCY_WEIGHT = 0.2
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/spares.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/spares.py
@@ -21,14 +21,19 @@
 
 SCAN_INTERVAL_S = 0.25
 MIN_WAIT_S = 0.15
-"""How long a job waits before it gets spares; jobs with room start within tens of milliseconds."""
+"""How long a job waits before it gets spares; jobs with room start within tens of milliseconds.
+
+A job that had waited 0.53 s without spares when the store failed was stalled for the 6.9 s of the
+outage.
+"""
 TEMPORARY_REFUSALS = (None, WorkRefusal.RESTING, WorkRefusal.APART)
 """Refusals that last for seconds only, so the executor remains a valid spare."""
 MAX_SPARES = 6
 POOL_DIVISOR = 12
 """A job has at most one spare for so many executors of its pool.
 
-This bounds the share of waiting jobs that one unresponsive executor withholds.
+This bounds the share of waiting jobs that one unresponsive executor withholds. With six spares in
+a pool of 24, one withheld 8 of 24 jobs for 7.47 s.
 """
 MAX_JOBS_PER_SCAN = 50
 """Jobs that get spares in one scan: a choice among 176 executors takes 0.2 ms."""
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/victim_selection.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/victim_selection.py
@@ -11,7 +11,12 @@
 END_WAIT_S = 0.8
 ENDS_SOON_S = 0.6
 """With `wait_for_ends`, an attempt ending within this time is waited for even if stopping it is
-faster; below `END_WAIT_S`, after which attempts are stopped in any case."""
+faster; below `END_WAIT_S`, after which attempts are stopped in any case.
+
+The switch is off: on the modelled pool, which foresees ends exactly, the work lost fell from 0.091
+to 0.053 of the capacity, but on four days with hosts and faults only from 455,000 to 452,000
+core-seconds.
+"""
 
 
 class VictimSelector:
