--- a/packages/heronthread-dispatch/src/heronthread_dispatch/policy.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/policy.py
@@ -36,7 +36,7 @@
     wait_for_ends: bool = False
     hopeless_last: bool = False
     executor_speeds: bool = True
-    run_lengths: bool = True
+    run_lengths: bool = False
     urgent_room: bool = False
     admission: bool = True
     fair_shares: bool = True
