Refuse late renewals for an instance by a token of the next one

What callers saw: a task, also one that may run once, at work twice at once, with a living owner and after one or two takeovers, where executors start again under their ids.

Cause: a renewal that was sent to one instance and is carried out by the next one, up to 12 s later, has a deadline on another clock. The instance grants its longest lease and refuses lower tokens only, and orders to it had the same one. The owner counted its last renewal, the next owner 6.6 s from the last order. Fix: an instance that a late order may reach gets no work before it has answered an order with a higher token. The number is the next of the counter of terms, taken in the write that records the instance as in use, so the next owner of either version exceeds it. What may have arrived before the answer counts for 10.6 s, and the store says so to the next owner (term/0/fences). A refusal of an outdated token deposes nobody. Deployments in which each instance has its own id: tokens, calls and waits as before. Ruled out: counting all that may be late (up to 22.6 s for each executor that started again); term × 1,000 + restarts (hosts of earlier versions would be refused everywhere); exposing an executor by its entry alone (owners that last for 2.5 s then count anew, as test_late_start_waits showed); the remaining delay of orders in rows that are not lapsing (a record that goes stale with the next send).

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/executor_restart.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/executor_restart.py
@@ -56,7 +56,7 @@
     if new.list_held():
         # Set after the stops are queued: with no lease they would count as expired in the first
         # report and never be sent, so a late start would run beside its task's next run.
-        new.lease_ends_by = now + _find_max_lease_s(cell, new)
+        new.renewed_until = now + _find_max_lease_s(cell, new)
     return new
 
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/executor_watch.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/executor_watch.py
@@ -130,13 +130,14 @@
         elif isinstance(outcome, InstanceEnded):
             state.mark_ended()
         elif isinstance(outcome, Refused) and outcome.reason is Refusal.FENCED:
-            self._depose()
+            if not self.cell.fences.tokens.is_outdated(state.id, order.token):
+                self._depose()
             await trio.sleep(PAUSE_S)
         else:
             await self._handle_failed_hold(outcome)
 
     def _make_hold_order(self, now: float, entry: Executor | None) -> HoldOrder:
-        state, token = self.state, self.cell.term.number
+        state, token = self.state, self.cell.fences.tokens.find(self.state.id)
         if needs_probe(state):
             return HoldOrder(token, 0, None, 0.0)
         until = self._choose_deadline(now)
@@ -157,7 +158,7 @@
     async def _probe_new_address(self, entry: Executor) -> None:
         """Probe the address that an entry names, accepting only the instance named there."""
         sent = trio.current_time()
-        order = HoldOrder(self.cell.term.number, 0, None, 0.0)
+        order = HoldOrder(self.cell.fences.tokens.find(entry.id), 0, None, 0.0)
         outcome = await self.cell.parts.link.hold(entry, order)
         if not isinstance(outcome, Report) or outcome.born != entry.born:
             return
@@ -193,6 +194,11 @@
         else:
             self.state.acknowledged = max(self.state.acknowledged, order.seen)
         state = self.state
+        if not state.has_reported:
+            self.cell.fences.expose(state)
+        if self.cell.fences.confirm(state, order.token):
+            # The next owner then waits for less.
+            self.cell.notify_use_changed()
         if not state.has_reported or state.unresponsive_since is not None:
             self.cell.crashes.withdraw(state)
         if state.is_renewal_suspended:
@@ -314,7 +320,7 @@
             self._defer_acknowledgement(end)
         if report.running and state.lease_ends_by < received:
             # Runs that a new instance started for a late order would otherwise be closed at once.
-            state.lease_ends_by = received + self.cell.parts.timing.longest_run_s
+            state.renewed_until = received + self.cell.parts.timing.longest_run_s
         for run in report.running:
             self._update_running(run, received)
         if report.is_complete:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/executors_in_use.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/executors_in_use.py
@@ -12,6 +12,7 @@
 from heronthread_coordination import Unavailable
 
 from .events import log_event
+from .fence_recorder import FenceRecorder
 from .fleet import ExecutorState, RecordedLapse, make_executor_state
 from .keystore import Committed, ConditionFailed, Listing, Put, Transaction
 from .model import Executor, Resources, TaskKey
@@ -61,6 +62,7 @@
         self._began = trio.current_time()
         self._written: dict[str, UsedExecutor] | None = {}
         self._revision = 0
+        self._fences = FenceRecorder(cell)
 
     def take(self, listing: Listing) -> bool:
         """Load the executors that earlier owners may have used; return False if malformed."""
@@ -72,9 +74,11 @@
                 log_event("record.unreadable", key=item.key, reason=used.reason)
                 return False
             self._written = known = used
+        self._fences.restore_given_up(self._revision)
         now = trio.current_time()
         for executor_id, row in known.items():
-            self._cell.executors[executor_id] = self._inherit(executor_id, row, now)
+            self._cell.executors[executor_id] = state = self._inherit(executor_id, row, now)
+            self._fences.restore(state, self._revision)
         return True
 
     def _inherit(self, executor_id: str, row: UsedExecutor, now: float) -> ExecutorState:
@@ -94,7 +98,7 @@
             state.is_renewal_suspended = True
             state.recorded_lapse = row.lapse or RecordedLapse(self._revision, row.lapses_in_s)
             left_s = min(row.lapses_in_s, self._find_left_s(state.recorded_lapse))
-        state.lease_ends_by = now + max(0.0, left_s)
+        state.renewed_until = now + max(0.0, left_s)
         return state
 
     def _find_left_s(self, lapse: RecordedLapse) -> float:
@@ -131,20 +135,23 @@
             states = [s for s in self._cell.executors.values() if not s.dead]
             now = trio.current_time()
             used = {state.id: self._describe(state, now) for state in states}
-            if used == self._written:
+            lapsing = {name for name, row in used.items() if row.lapses_in_s is not None}
+            fences = self._fences.describe(states, lapsing)
+            if used == self._written and fences.is_recorded:
                 self._mark_recorded(states, used)
                 return
             for state in states:
                 state.is_renewal_suspended |= used[state.id].lapses_in_s is not None
             transaction = Transaction(
-                (self._cell.term.guard, (USED_KEY, self._revision)),
-                (Put(USED_KEY, encode_used(used)),),
+                (self._cell.term.guard, (USED_KEY, self._revision), *fences.conditions),
+                (Put(USED_KEY, encode_used(used)), *fences.puts),
             )
             outcome = await self._cell.parts.store.commit(transaction)
             if isinstance(outcome, Committed):
                 self._revision = outcome.revision
                 self._written = used
                 _note_lapses(states, used, outcome.revision)
+                self._fences.note_committed(fences, outcome.revision)
                 self._mark_recorded(states, used)
                 return
             if not isinstance(outcome, Unavailable):
@@ -178,6 +185,7 @@
             self._depose()
         item = outcome.items.get(USED_KEY)
         self._revision = item.revision if item else 0
+        self._fences.update_counter(outcome)
 
     def _mark_recorded(self, states: list[ExecutorState], used: dict[str, UsedExecutor]) -> None:
         """Mark executors as recorded in use.
--- /dev/null
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/fence_recorder.py
@@ -0,0 +1,151 @@
+"""Records the fences of one owner's executors, and takes the tokens that new instances need.
+
+Both are written with the record of executors in use, so they cost no calls of their own.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Sequence
+from dataclasses import dataclass
+
+import trio
+
+from .fences import Fence, FenceRecord, encode_fences, fences_key
+from .fleet import ExecutorState
+from .keystore import ConditionFailed, Put
+from .owned_cell import OwnedCell
+from .progress import Phase
+
+
+@dataclass(frozen=True, slots=True)
+class FenceWrite:
+    """What a write has to say of fences.
+
+    `needing` are the executors that get `number` as their token, if there are any. `lease_ends` are
+    the recorded times until which late deadlines may extend leases, by executor id (trio's clock).
+    `is_recorded`: the store says all of it already.
+    """
+
+    number: int
+    needing: tuple[ExecutorState, ...]
+    lease_ends: dict[str, float]
+    conditions: tuple[tuple[str, int], ...]
+    puts: tuple[Put, ...]
+    is_recorded: bool
+
+
+class FenceRecorder:
+    """Writes the fences and the counter of tokens in one term, and restores those before it."""
+
+    def __init__(self, cell: OwnedCell) -> None:
+        self._cell = cell
+        self._number = cell.term.number
+        self._counter_revision = cell.term.guard[1]
+        self._written: dict[str, float] | None = {}
+
+    # Taking over
+
+    def restore_given_up(self, used_revision: int) -> None:
+        """Restore the late orders to executors that no record names any more.
+
+        `used_revision` is that of the record of executors in use, 0 if there is none.
+        """
+        record, deadlines = self._cell.term.fences, self._cell.fences.deadlines
+        deadlines.is_inheritance_complete = record.revision == used_revision
+        for fence in record.fences.values():
+            self._inherit_orders(fence)
+
+    def restore(self, state: ExecutorState, used_revision: int) -> None:
+        """Restore how late orders may extend the lease of an inherited executor.
+
+        `used_revision` is that of the record that names the executor. Without fences of the same
+        revision a host of an earlier version has written it, and any order may be late.
+        """
+        record, fences = self._cell.term.fences, self._cell.fences
+        if not state.instance.born:
+            return
+        if record.revision != used_revision:
+            self._written = None
+            fences.expose(state, fences.deadlines.earlier_until)
+            fences.deadlines.inherit(state.instance, fences.deadlines.earlier_until)
+            return
+        fence = record.fences.get(state.id, Fence(state.instance))
+        if fence.lease_left_s:
+            lease_until = self._find_written_at() + fence.lease_left_s
+            fences.expose(state, lease_until - self._cell.parts.timing.longest_run_s)
+        self._inherit_orders(fence)
+
+    def _inherit_orders(self, fence: Fence) -> None:
+        deadlines = self._cell.fences.deadlines
+        until = deadlines.earlier_until
+        if fence.orders_left_s is not None:
+            until = self._find_written_at() + fence.orders_left_s
+        deadlines.inherit(fence.instance, until)
+
+    def _find_written_at(self) -> float:
+        """Return when the fences were written at the latest, on trio's clock."""
+        age_s = self._cell.parts.find_revision_age_s(self._cell.term.fences.revision)
+        return trio.current_time() - age_s
+
+    # Recording
+
+    def describe(self, states: Sequence[ExecutorState], lapsing: Collection[str]) -> FenceWrite:
+        """Return what to write of some executors, and the token that some of them need.
+
+        The leases of those that are `lapsing` are not renewed from this write on.
+        """
+        now, term = trio.current_time(), self._cell.term
+        known = [state for state in states if state.instance.born]
+        needing = tuple(state for state in known if self._cell.fences.needs_token(state))
+        ends = {s.id: s.late_lease_until for s in known if now < s.late_lease_until}
+        number = self._number + 1 if needing else self._number
+        conditions = ((term.counter_key, self._counter_revision),) if needing else ()
+        puts = []
+        if known:
+            late = self._cell.fences.deadlines.list_late()
+            fences = {i.id: Fence(i, 0.0, until - now) for i, until in late.items()}
+            fences |= {s.id: self._describe_fence(s, now, s.id in lapsing) for s in known}
+            record = FenceRecord(number, term.guard[1], _drop_empty(fences))
+            puts.append(Put(fences_key(term.counter_key), encode_fences(record)))
+        if needing:
+            puts.append(Put(term.counter_key, str(number).encode()))
+        is_recorded = not needing and (not known or ends == self._written)
+        return FenceWrite(number, needing, ends, conditions, tuple(puts), is_recorded)
+
+    def _describe_fence(self, state: ExecutorState, now: float, is_lapsing: bool) -> Fence:
+        orders_left_s = None
+        if is_lapsing and not _is_starting(state):
+            last = self._cell.fences.deadlines.find_last_end(state.id)
+            orders_left_s = max(0.0, last - now)
+        lease_left_s = max(0.0, state.late_lease_until - now)
+        return Fence(state.instance, lease_left_s, orders_left_s)
+
+    def note_committed(self, write: FenceWrite, revision: int) -> None:
+        """Note that a write took effect, and use its token."""
+        self._written = write.lease_ends
+        if not write.needing:
+            return
+        self._number, self._counter_revision = write.number, revision
+        for state in write.needing:
+            if self._cell.executors.get(state.id) is state:
+                self._cell.fences.assign_token(state, write.number)
+
+    def update_counter(self, outcome: ConditionFailed) -> None:
+        """Read the counter after a conflict; a write of this owner without an answer raised it."""
+        item = outcome.items.get(self._cell.term.counter_key)
+        if item is not None:
+            self._number, self._counter_revision = int(item.value), item.revision
+
+
+def _is_starting(state: ExecutorState) -> bool:
+    """Return whether a start may still be sent, which has the deadline that was set before."""
+    return any(attempt.phase is Phase.STARTING for attempt in state.list_held())
+
+
+def _drop_empty(fences: dict[str, Fence]) -> dict[str, Fence]:
+    """Leave out the executors at which no late order matters."""
+    return {
+        name: fence
+        for name, fence in fences.items()
+        if fence.lease_left_s or fence.orders_left_s is not None
+    }
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
@@ -26,6 +26,7 @@
     ENDED = "its life is over"
     NOT_HEARD = "not heard yet"
     SILENT = "silent"
+    NOT_FENCED = "an order to another life may reach it"
     NEEDS_REPORT = "has not answered a look yet"
     NOT_RECORDED = "not recorded as in use"
     SET_ASIDE = "its entry is set aside"
@@ -51,8 +52,10 @@
     """One instance of an executor; times are on trio's clock unless stated otherwise.
 
     - `clock`: (sent, received, clock in ms) of the clock reading with the shortest round trip.
-    - `lease_ends_by`: when everything there has certainly ended unless the lease is renewed.
-      `late_lease_until`: until when a late start of an earlier owner may extend it.
+    - `renewed_until`: when its lease has certainly ended as far as it was granted by orders to this
+      instance. `late_orders_until`: until when a deadline that was sent to another instance may
+      arrive. `late_lease_until`: until when such a deadline may extend the lease.
+      `needs_fence`: orders carry a token that refuses such deadlines, and it has not answered one.
     - `processed_end`: the highest end processed; `recorded_end`: the highest end in the store;
       `acknowledged`: the highest end acknowledged to the executor. Ends in `ack_deferred_until` are
       acknowledged at their times.
@@ -87,8 +90,10 @@
     orphans: dict[tuple[TaskKey, int], Attempt] = field(default_factory=dict)
     free: Resources = NO_RESOURCES
     clock: tuple[float, float, int] | None = None
-    lease_ends_by: float = float("-inf")
+    renewed_until: float = float("-inf")
+    late_orders_until: float = float("-inf")
     late_lease_until: float = float("-inf")
+    needs_fence: bool = False
     processed_end: int = 0
     recorded_end: int = 0
     acknowledged: int = 0
@@ -146,6 +151,31 @@
         """Return the reason why no new run may be started here, None if one may."""
         return self._find_unconfirmed() or self._find_unavailable(now)
 
+    @property
+    def lease_ends_by(self) -> float:
+        """When everything there has certainly ended unless the lease is renewed."""
+        return max(self.renewed_until, self.late_lease_until)
+
+    def expose(self, orders_until: float, longest_run_s: float) -> None:
+        """Record that deadlines for other instances may arrive until a time, and extend runs."""
+        self.late_orders_until = max(self.late_orders_until, orders_until)
+        self.late_lease_until = max(self.late_lease_until, orders_until + longest_run_s)
+
+    def limit_exposure(self, orders_until: float, longest_run_s: float) -> bool:
+        """Record that no such deadline arrives after a time; return whether that was not known."""
+        is_news = orders_until < self.late_orders_until
+        self.late_orders_until = min(self.late_orders_until, orders_until)
+        self.late_lease_until = min(self.late_lease_until, orders_until + longest_run_s)
+        return is_news
+
+    def confirm_fence(self, received: float, longest_run_s: float) -> bool:
+        """Record that it refused deadlines for other instances by the time of an answer.
+
+        Return whether that was not known.
+        """
+        self.needs_fence = False
+        return self.limit_exposure(received, longest_run_s)
+
     def _find_unconfirmed(self) -> WorkRefusal | None:
         """Return why its state is not known or not recorded, so that nothing may be sent."""
         if self.dead:
@@ -172,6 +202,8 @@
             return WorkRefusal.EVACUATED
         if self.leaves_at is not None:
             return WorkRefusal.LEAVING
+        if now < self.late_orders_until:
+            return WorkRefusal.NOT_FENCED
         if now < self.backoff_until:
             return WorkRefusal.RESTING
         return WorkRefusal.APART if now < self.exclusive_until else None
@@ -255,7 +287,7 @@
         self.clock = (sent, received, clock_ms)
 
     def deadline_ms(self, now: float, executor_lease_s: float) -> int | None:
-        """Return the time on its clock at which a lease from now ends, and extend `lease_ends_by`.
+        """Return the time on its clock at which a lease from now ends, and extend `renewed_until`.
 
         None while its clock is unknown, or while the store says that its lease is not renewed.
         """
@@ -268,7 +300,7 @@
         until_ms = clock_ms + int((elapsed + executor_lease_s) * 1000)
         remaining = (until_ms - clock_ms) / 1000
         lapse = received + remaining * (1 + CLOCK_DRIFT) + LEASE_MARGIN_S
-        self.lease_ends_by = max(self.lease_ends_by, lapse)
+        self.renewed_until = max(self.renewed_until, lapse)
         return until_ms
 
     def find_acknowledgeable(self, now: float) -> int:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host_lease.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host_lease.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import json
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, field
 
 import trio
 from heronthread_coordination import Unavailable, Unknown
 
 from .clock import boot_time
 from .events import log_event
+from .fences import FenceRecord, decode_fences, fences_key
 from .keystore import (
     Committed,
     ConditionFailed,
@@ -17,7 +18,6 @@
     KeyStore,
     LeaseExpired,
     LeaseHeld,
-    Missing,
     Put,
     Transaction,
 )
@@ -66,11 +66,15 @@
     """One period of ownership: its fencing token, and the key that guards the owner's writes.
 
     `previous_revision` is the revision at which the term before began, 0 if there was none.
+    `counter_key` holds the last number handed out, and `fences` is what the owner before recorded
+    of its executors' fencing tokens.
     """
 
     number: int
     guard: tuple[str, int]
     previous_revision: int = 0
+    counter_key: str = "term/0"
+    fences: FenceRecord = field(default_factory=FenceRecord)
 
 
 class HostLease:
@@ -180,12 +184,19 @@
             log_event("owner.unclaimed", host=self.host_record.host, revision=held.revision)
             await self.release()
             return None
-        current = await self._store.read(self._term_key)
+        # One call, as the key of the fences begins with the key of the counter.
+        current = await self._store.list(self._term_key)
         if isinstance(current, Unavailable):
             return None
-        number, revision = _read_term(current)
+        items = {item.key: item for item in current.items}
+        counter, fences = items.get(self._term_key), items.get(fences_key(self._term_key))
+        number, revision = _read_counter(counter)
         transaction = Transaction(
-            ((self.owner_key, held.revision if held else 0), (self._term_key, revision)),
+            (
+                (self.owner_key, held.revision if held else 0),
+                (self._term_key, revision),
+                (fences_key(self._term_key), fences.revision if fences else 0),
+            ),
             (
                 Put(self.owner_key, self.host_record.encode(), lease),
                 Put(self._term_key, str(number + 1).encode()),
@@ -194,7 +205,11 @@
         outcome = await self._store.commit(transaction)
         if isinstance(outcome, Committed):
             log_event("owner.taken", host=self.host_record.host, term=number + 1)
-            return Term(number + 1, (self.owner_key, outcome.revision), revision)
+            record = decode_fences(fences)
+            # The counter was last written when the term before began, or for one of its tokens.
+            previous = record.term_revision if record.number == number else revision
+            guard = (self.owner_key, outcome.revision)
+            return Term(number + 1, guard, previous, self._term_key, record)
         if isinstance(outcome, Unknown):
             await self._release_after_unknown()
         elif not isinstance(outcome, ConditionFailed | Unavailable):
@@ -206,7 +221,5 @@
         await self.release()
 
 
-def _read_term(current: Item | Missing) -> tuple[int, int]:
-    if isinstance(current, Item):
-        return int(current.value), current.revision
-    return 0, 0
+def _read_counter(item: Item | None) -> tuple[int, int]:
+    return (0, 0) if item is None else (int(item.value), item.revision)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
@@ -173,6 +173,7 @@
             sent = Attempt(attempt.task, run, attempt.instance, NO_RESOURCES, now, sent_at=now)
             order = self._make_start_order(start, sent, checkpoint, until)
             open_until = self.cell.late_starts.track(sent)
+            self.cell.fences.deadlines.note_sent(sent.instance)
             outcome = await self.cell.parts.link.start(state.executor, order)
             self._log_send("start", sent, 1, now, outcome)
             if not isinstance(outcome, NoAnswer) or outcome.unsent:
@@ -193,7 +194,7 @@
             attempt.run,
             start.job.spec.payload,
             checkpoint,
-            self.cell.term.number,
+            self.cell.fences.tokens.find(attempt.executor),
             until,
             ticket or "",
         )
@@ -254,13 +255,14 @@
             attempt.is_in_flight = True
             state.wake.set()
             open_until = self.cell.late_starts.track(attempt)
+            self.cell.fences.deadlines.note_sent(attempt.instance)
             outcome = await self.cell.parts.link.start(state.executor, order)
             attempt.is_in_flight = False
             self._log_send("start", attempt, attempt.sends, now, outcome)
             if not isinstance(outcome, NoAnswer) or outcome.unsent:
                 self.cell.late_starts.settle(attempt, open_until)
             if not isinstance(outcome, NoAnswer):
-                self._settle_start(start, attempt, outcome)
+                self._settle_start(start, attempt, order, outcome)
                 return
             attempt.unanswered += not outcome.unsent
             attempt.refused_sends += outcome.unsent
@@ -322,7 +324,9 @@
             self.cell.close(attempt, reason)
         self.cell.stop_gang(attempt, f"a member's start came to nothing: {reason}")
 
-    def _settle_start(self, start: Start, attempt: Attempt, outcome: OrderOutcome) -> None:
+    def _settle_start(
+        self, start: Start, attempt: Attempt, order: StartOrder, outcome: OrderOutcome
+    ) -> None:
         now = trio.current_time()
         state = start.executor
         if isinstance(outcome, Acknowledged):
@@ -349,7 +353,7 @@
             sends=attempt.sends,
             unanswered=attempt.unanswered,
         )
-        if isinstance(outcome, Refused) and outcome.reason is Refusal.FENCED:
+        if self._is_deposing(attempt, order, outcome):
             self._depose()
             return
         self._apply_refusal(attempt, state, outcome, now)
@@ -400,11 +404,12 @@
             if state is None or not state.holds(attempt):
                 return
             if self.cell.parts.may_send_orders():
-                order = StopOrder(attempt.task, attempt.run, self.cell.term.number)
+                token = self.cell.fences.tokens.find(attempt.executor)
+                order = StopOrder(attempt.task, attempt.run, token)
                 now, sends = trio.current_time(), sends + 1
                 outcome = await self.cell.parts.link.stop(state.executor, order)
                 self._log_send("stop", attempt, sends, now, outcome)
-                if self._settle_stop(attempt, state, outcome):
+                if self._settle_stop(attempt, state, order, outcome):
                     return
             await trio.sleep(STOP_RETRY_S)
 
@@ -426,7 +431,9 @@
             term=self.cell.term.number,
         )
 
-    def _settle_stop(self, attempt: Attempt, state: ExecutorState, outcome: OrderOutcome) -> bool:
+    def _settle_stop(
+        self, attempt: Attempt, state: ExecutorState, order: StopOrder, outcome: OrderOutcome
+    ) -> bool:
         if isinstance(outcome, Acknowledged):
             attempt.settled_at = trio.current_time()
             self.cell.late_starts.mark_refused(attempt.instance, attempt.task, attempt.run)
@@ -437,11 +444,18 @@
         if isinstance(outcome, InstanceEnded):
             state.mark_ended()
             return True
-        if isinstance(outcome, Refused) and outcome.reason is Refusal.FENCED:
+        if self._is_deposing(attempt, order, outcome):
             self._depose()
             return True
         return False
 
+    def _is_deposing(
+        self, attempt: Attempt, order: StartOrder | StopOrder, outcome: OrderOutcome
+    ) -> bool:
+        """Return whether a refusal shows that there is a newer owner."""
+        is_fenced = isinstance(outcome, Refused) and outcome.reason is Refusal.FENCED
+        return is_fenced and not self.cell.fences.tokens.is_outdated(attempt.executor, order.token)
+
 
 def _choose_checkpoint(group: list[Start]) -> str:
     """Return the newest checkpoint; the members of a gang share theirs."""
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
@@ -24,6 +24,7 @@
     ExecutorState,
 )
 from .host_lease import Term
+from .instance_fences import InstanceFences
 from .keystore import KeyStore
 from .known_load import KnownLoad
 from .late_starts import MAX_ORDER_DELAY_S, LateStarts
@@ -182,8 +183,11 @@
         self.approvals = Approvals(parts.approver, self.wake_planner)
         self.pending_stops: list[tuple[Attempt, str]] = []
         self.stops_requested = trio.Event()
-        self.late_starts = LateStarts(parts.timing.longest_run_s)
         now = trio.current_time()
+        longest_run_s = parts.timing.longest_run_s
+        earlier_until = now + STALE_OWNER_S + MAX_ORDER_DELAY_S
+        self.fences = InstanceFences(term.number, earlier_until, longest_run_s)
+        self.late_starts = LateStarts(longest_run_s)
         self.drain = Drain(now)
         self.late_orders_until = now + MAX_ORDER_DELAY_S
         self.unreported_runs_until = now + parts.timing.max_unreported_run_s
@@ -286,7 +290,6 @@
                 # one even if the start is refused as old.
                 late_until = until + self.parts.timing.longest_run_s
                 state.late_lease_until = max(state.late_lease_until, late_until)
-                state.lease_ends_by = max(state.lease_ends_by, late_until)
 
     # Crashes
 
@@ -512,8 +515,10 @@
     def limit_earlier_runs(self, ended_at: float) -> None:
         """Shorten the wait for silent executors, as earlier owners sent no orders since a time."""
         until = ended_at + self.parts.timing.max_run_after_order_s
-        for state in self.silent():
-            state.lease_ends_by = max(min(state.lease_ends_by, until), state.late_lease_until)
+        silent = self.silent()
+        for state in silent:
+            state.renewed_until = min(state.renewed_until, until)
+        self.fences.limit_earlier(ended_at + MAX_ORDER_DELAY_S, silent)
         self.wake_planner()
 
     # Attempts
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/probing.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/probing.py
@@ -23,9 +23,14 @@
 
 
 def needs_probe(state: ExecutorState) -> bool:
-    """Whether to probe an executor: a start waits for it, or another one of its rack is silent."""
+    """Whether to probe an executor.
+
+    A start waits for it, another one of its rack is silent, or it has not seen its token yet.
+    """
     if state.unresponsive_since is not None:
         return False
+    if state.needs_fence:
+        return True
     waits = any(a.phase is Phase.STARTING and not a.sends for a in state.attempts.values())
     return state.needs_report or (waits and not _has_recent_report(state))
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/stop_confirmation.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/stop_confirmation.py
@@ -28,6 +28,8 @@
 async def send_hold(cell: OwnedCell, state: ExecutorState, order: HoldOrder) -> HoldOutcome:
     """Send a hold, and confirm stops concurrently while it waits for an end."""
     link = cell.parts.link
+    if order.until_ms is not None:
+        cell.fences.deadlines.note_sent(state.instance)
     state.stop_settled = trio.Event()
     if not order.wait_s:
         return await link.hold(state.executor, order)
@@ -44,7 +46,7 @@
     Return the first answer and the time when its probe was sent. A single answer may be lost or
     late, while work is waiting for this executor.
     """
-    order = HoldOrder(cell.term.number, 0, None, 0.0)
+    order = HoldOrder(cell.fences.tokens.find(state.id), 0, None, 0.0)
     sender, receiver = trio.open_memory_channel[tuple[HoldOutcome, float]](MAX_PROBES)
 
     async def send_probe() -> None:
@@ -83,7 +85,7 @@
         await state.stop_settled.wait()
         state.stop_settled = trio.Event()
         sent = trio.current_time()
-        order = HoldOrder(cell.term.number, 0, None, 0.0)
+        order = HoldOrder(cell.fences.tokens.find(state.id), 0, None, 0.0)
         outcome = await cell.parts.link.hold(state.executor, order)
         if isinstance(outcome, Report) and outcome.born in (0, state.instance.born):
             _close_unnamed(cell, state, outcome, sent)
--- a/packages/heronthread-emulator/src/heronthread_emulator/plants.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/plants.py
@@ -81,7 +81,7 @@
         if self.clock is None:
             return None
         sent, _, clock_ms = self.clock
-        self.lease_ends_by = now
+        self.renewed_until = now
         return clock_ms + int((now - sent + executor_lease_s) * 1000)
 
     return patch.object(ExecutorState, "deadline_ms", always)
@@ -120,10 +120,10 @@
     """A refused send of a start counts as settling the sends before it."""
     original = Orders._settle_start
 
-    def settle(self: Orders, start: Any, attempt: Attempt, outcome: Any) -> None:
+    def settle(self: Orders, start: Any, attempt: Attempt, order: Any, outcome: Any) -> None:
         attempt.unanswered = 0
         self.cell.late_starts.settle(attempt)
-        original(self, start, attempt, outcome)
+        original(self, start, attempt, order, outcome)
 
     return patch.object(Orders, "_settle_start", settle)
 
