Count a late run until the last deadline for its executor, not only its own

Failure before: the new test_task_runs_once_beside_a_late_run_that_a_late_renewal_extends, on. What callers saw: a task at work twice at once, where a late start of it ran at an instance that no owner reached.

Cause: a renewal that was sent to the earlier instance after that start reaches the same instance and extends the run; the task was withheld for 22.6 s from its start's send. Evidence: given out 32.9 s, the start sent 10.3 s, the renewal 15 s, carried out 23 s. Fix: such a run is possible until the last deadline for the id can be late no more, and 10.6 s; the next owner counts to its predecessor's last order, or to what the record of fences says of a silent executor. Ruled out: a token, as no owner reaches that instance.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/late_starts.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/late_starts.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, field
 
 import trio
@@ -52,13 +52,19 @@
     each executor, the instance that refuses old runs, with the highest refused run of each task.
 
     A run that began late lasts for up to `longest_run_s`, as its deadline is on the clock of
-    another instance. It is possible until then, or until the executor reports or is known to be
-    gone. `_unreported` are executors with starts of earlier owners that have not reported to this
-    one, and `_gone` those whose ids are not used again.
+    another instance, and longer if another order extends its lease; `find_last_deadline` returns
+    until when one may arrive at an id. It is possible until then, or until the executor reports or
+    is known to be gone. `_unreported` are executors with starts of earlier owners that have not
+    reported to this one, and `_gone` those whose ids are not used again.
     """
 
-    def __init__(self, longest_run_s: float = 0.0) -> None:
+    def __init__(
+        self,
+        longest_run_s: float = 0.0,
+        find_last_deadline: Callable[[str], float] = lambda executor: float("-inf"),
+    ) -> None:
         self._longest_run_s = longest_run_s
+        self._find_last_deadline = find_last_deadline
         self._until: dict[str, dict[LateStart, float]] = defaultdict(dict)
         self._refused_runs: dict[str, tuple[ExecutorInstance, dict[TaskKey, int]]] = {}
         self._refused_at: dict[TaskKey, float] = {}
@@ -220,7 +226,10 @@
         """Return the starts at an executor, and forget those whose runs are over."""
         now = trio.current_time()
         starts = self._until.pop(executor, {})
-        known = {s: until for s, until in starts.items() if now < until + self._longest_run_s}
+        last = self._find_last_deadline(executor)
+        known = {
+            s: until for s, until in starts.items() if now < max(until, last) + self._longest_run_s
+        }
         if known:
             self._until[executor] = known
         else:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
@@ -187,7 +187,7 @@
         longest_run_s = parts.timing.longest_run_s
         earlier_until = now + STALE_OWNER_S + MAX_ORDER_DELAY_S
         self.fences = InstanceFences(term.number, earlier_until, longest_run_s)
-        self.late_starts = LateStarts(longest_run_s)
+        self.late_starts = LateStarts(longest_run_s, self.fences.deadlines.find_last_end)
         self.drain = Drain(now)
         self.late_orders_until = now + MAX_ORDER_DELAY_S
         self.unreported_runs_until = now + parts.timing.max_unreported_run_s
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -344,7 +344,8 @@
 
         Until then their remaining time is written periodically.
         """
-        late_runs_until = self.cell.late_orders_until + self.parts.timing.longest_run_s
+        last_order = max(self.cell.late_orders_until, self.cell.fences.deadlines.earlier_until)
+        late_runs_until = last_order + self.parts.timing.longest_run_s
         while trio.current_time() < late_runs_until:
             await trio.sleep(LATE_STARTS_WRITE_INTERVAL_S)
             self._mark(lambda job: bool(job.places.starts or job.places.earlier))
--- a/packages/heronthread-dispatch/tests/test_late_holds.py
+++ b/packages/heronthread-dispatch/tests/test_late_holds.py
@@ -119,6 +119,43 @@
         assert any(event.task == TASK for event in site.executors.starts())
 
 
+@pytest.mark.parametrize("kills", [0, 1, 2])
+@pytest.mark.parametrize("gap_s", [2.0, 5.0])
+async def test_task_runs_once_beside_a_late_run_that_a_late_renewal_extends(
+    gap_s: float, kills: int, autojump_clock: Clock
+) -> None:
+    """A late start and a later renewal reach an instance that no owner reaches.
+
+    The task was given out 22.6 s after its start, but the renewal came `gap_s` after the start.
+    """
+    async with EmulatedSite.open(hosts=4, executors=1) as site:
+        site.said_after_s = 1000.0
+        owner = await site.wait_for_owner()
+        host = site.hosts[next(name for name in site.hosts if name != owner)]
+        await trio.sleep(1.0)
+        await host.requests.accept(site.make_job("b", work_s=20.0), 2.0)
+        await trio.sleep(9.0)
+        place = site.executors.by_id["e0"]
+        place.lose_starts, place.late_s = 1, 9.0
+        site.nursery.start_soon(site.accept, host, site.make_job("a", work_s=60.0), 2.0)
+        while place.lose_starts:
+            await trio.sleep(0.002)
+        await trio.sleep(gap_s)
+        await _lose_renewals(place, 11.5)
+        site.restart_executor("e0", BACK_S)
+        while site.executors.by_id["e0"] is place:
+            await trio.sleep(0.0005)
+        site.executors.by_id["e0"].is_cut = True
+        site.add_executor("e1", "r1")
+        for _ in range(kills):
+            await _kill_owner(site)
+            await site.wait_for_owner()
+            await trio.sleep(1.0)
+        await trio.sleep(50.0)
+        assert check_promises(site.executors, {}) == []
+        assert site.executors.starts(TASK)[-1].executor == "e1"
+
+
 async def _restart_busy_executor(site: EmulatedSite) -> None:
     """Start e0 again while a job runs there, and wait until its new instance is used."""
     await site.wait_for_owner()
