--- a/packages/heronthread-dispatch/src/heronthread_dispatch/executors_in_use.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/executors_in_use.py
@@ -74,11 +74,10 @@
                 log_event("record.unreadable", key=item.key, reason=used.reason)
                 return False
             self._written = known = used
-        self._fences.restore_given_up(self._revision)
         now = trio.current_time()
         for executor_id, row in known.items():
-            self._cell.executors[executor_id] = state = self._inherit(executor_id, row, now)
-            self._fences.restore(state, self._revision)
+            self._cell.executors[executor_id] = self._inherit(executor_id, row, now)
+        self._fences.restore(self._cell.executors.values(), self._revision)
         return True
 
     def _inherit(self, executor_id: str, row: UsedExecutor, now: float) -> ExecutorState:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/fence_recorder.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/fence_recorder.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 import trio
@@ -45,47 +45,36 @@
 
     # Taking over
 
-    def restore_given_up(self, used_revision: int) -> None:
-        """Restore the late orders to executors that no record names any more.
+    def restore(self, states: Iterable[ExecutorState], used_revision: int) -> None:
+        """Restore what late orders of earlier owners may do at the inherited executors.
 
-        `used_revision` is that of the record of executors in use, 0 if there is none.
+        `used_revision` is that of the record of executors in use, 0 if there is none. If it is not
+        that of the fences, a host of an earlier version wrote it, and any order may be late.
         """
-        record, deadlines = self._cell.term.fences, self._cell.fences.deadlines
-        deadlines.is_inheritance_complete = record.revision == used_revision
-        for fence in record.fences.values():
-            self._inherit_orders(fence)
-
-    def restore(self, state: ExecutorState, used_revision: int) -> None:
-        """Restore how late orders may extend the lease of an inherited executor.
-
-        `used_revision` is that of the record that names the executor. Without fences of the same
-        revision a host of an earlier version has written it, and any order may be late.
-        """
-        record, fences = self._cell.term.fences, self._cell.fences
-        if not state.instance.born:
-            return
-        if record.revision != used_revision:
+        fences, deadlines = self._cell.fences, self._cell.fences.deadlines
+        known = {state.id: state for state in states if state.instance.born}
+        if self._cell.term.fences.revision != used_revision:
             self._written = None
-            fences.expose(state, fences.deadlines.earlier_until)
-            fences.deadlines.inherit(state.instance, fences.deadlines.earlier_until)
+            for state in known.values():
+                fences.expose(state, deadlines.earlier_until)
             return
-        fence = record.fences.get(state.id, Fence(state.instance))
-        if fence.lease_left_s:
-            lease_until = self._find_written_at() + fence.lease_left_s
-            fences.expose(state, lease_until - self._cell.parts.timing.longest_run_s)
-        self._inherit_orders(fence)
-
-    def _inherit_orders(self, fence: Fence) -> None:
-        deadlines = self._cell.fences.deadlines
-        until = deadlines.earlier_until
-        if fence.orders_left_s is not None:
-            until = self._find_written_at() + fence.orders_left_s
-        deadlines.inherit(fence.instance, until)
-
-    def _find_written_at(self) -> float:
-        """Return when the fences were written at the latest, on trio's clock."""
-        age_s = self._cell.parts.find_revision_age_s(self._cell.term.fences.revision)
-        return trio.current_time() - age_s
+        deadlines.mark_inheritance_complete()
+        for state in known.values():
+            deadlines.inherit(state.instance, deadlines.earlier_until)
+        self._restore_recorded(known)
+
+    def _restore_recorded(self, known: Mapping[str, ExecutorState]) -> None:
+        """Restore the recorded fences, also those of executors that are not in use any more."""
+        fences, record = self._cell.fences, self._cell.term.fences
+        age_s = self._cell.parts.find_revision_age_s(record.revision)
+        written_at = trio.current_time() - age_s
+        for name, fence in record.fences.items():
+            if fence.orders_left_s is not None:
+                fences.deadlines.inherit(fence.instance, written_at + fence.orders_left_s)
+            if fence.lease_left_s and name in known:
+                lease_until = written_at + fence.lease_left_s
+                longest_run_s = self._cell.parts.timing.longest_run_s
+                fences.expose(known[name], lease_until - longest_run_s)
 
     # Recording
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/late_deadlines.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/late_deadlines.py
@@ -39,13 +39,12 @@
     """The deadlines that one owner and earlier ones sent, by executor id; times on trio's clock.
 
     Every deadline sent counts, also one of an answered order. Those of earlier owners may arrive
-    until `earlier_until`, unless less is inherited for an id. If `is_inheritance_complete`, they
-    sent none to other ids than those inherited.
+    until `earlier_until`, unless less is inherited for an id.
     """
 
     def __init__(self, earlier_until: float) -> None:
         self._earlier_until = earlier_until
-        self.is_inheritance_complete = False
+        self._is_inheritance_complete = False
         self._inherited: dict[str, _InheritedDeadlines] = {}
         self._sent: dict[str, _SentDeadlines] = {}
 
@@ -62,6 +61,10 @@
         """Record the instance that earlier owners knew, and until when their deadlines arrive."""
         self._inherited[instance.id] = _InheritedDeadlines(instance, until)
 
+    def mark_inheritance_complete(self) -> None:
+        """Record that earlier owners sent no late deadlines to ids that are not inherited."""
+        self._is_inheritance_complete = True
+
     def note_sent(self, instance: ExecutorInstance) -> None:
         """Record that a deadline is sent now; call this before each send."""
         if not instance.born:
@@ -115,5 +118,5 @@
     def _find_earlier_end(self, executor: str) -> float:
         inherited = self._inherited.get(executor)
         if inherited is None:
-            return NEVER if self.is_inheritance_complete else self._earlier_until
+            return NEVER if self._is_inheritance_complete else self._earlier_until
         return min(inherited.until, self._earlier_until)
--- a/packages/heronthread-dispatch/tests/test_instance_fences.py
+++ b/packages/heronthread-dispatch/tests/test_instance_fences.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 
 import trio
-from heronthread_dispatch.fleet import ExecutorState, make_executor_state
+from heronthread_dispatch.fleet import ExecutorState, WorkRefusal, make_executor_state
 from heronthread_dispatch.instance_fences import InstanceFences
 from heronthread_dispatch.late_deadlines import NEVER
 from heronthread_dispatch.late_starts import MAX_ORDER_DELAY_S
@@ -25,12 +25,15 @@
     fences.expose(state)
     assert state.late_orders_until == sent_at + MAX_ORDER_DELAY_S
     assert state.lease_ends_by == sent_at + MAX_ORDER_DELAY_S + LONGEST_RUN_S
+    state.has_reported = state.recorded = True
     await trio.sleep(1.0)
+    assert state.find_refusal(trio.current_time()) is WorkRefusal.NOT_FENCED
     assert fences.needs_token(state) and not fences.confirm(state, 7)
     fences.assign_token(state, 8)
     assert state.needs_fence and not fences.confirm(state, 7)
     assert fences.confirm(state, 8)
     assert not state.needs_fence and not fences.needs_token(state)
+    assert state.accepts_work(trio.current_time())
     assert state.lease_ends_by == sent_at + 1.0 + LONGEST_RUN_S
     await trio.sleep(1.0)
     assert not fences.confirm(state, 8)
--- a/packages/heronthread-dispatch/tests/test_late_deadlines.py
+++ b/packages/heronthread-dispatch/tests/test_late_deadlines.py
@@ -32,8 +32,12 @@
     assert deadlines.find_end(FIRST) == NEVER
     assert deadlines.find_end(SECOND) == deadlines.find_last_end("e0") == 7.0
     assert deadlines.find_own_end(SECOND) == NEVER
+    assert deadlines.find_last_end("e1") == 13.0
     deadlines.limit_earlier(5.0)
     assert deadlines.find_end(SECOND) == deadlines.find_last_end("e1") == 5.0
+    deadlines.mark_inheritance_complete()
+    assert deadlines.find_last_end("e1") == NEVER
+    assert deadlines.list_late() == {FIRST: 5.0}
 
 
 async def test_ids_of_one_instance_each_are_not_tracked(autojump_clock: Clock) -> None:
--- a/packages/heronthread-dispatch/tests/test_late_holds.py
+++ b/packages/heronthread-dispatch/tests/test_late_holds.py
@@ -3,7 +3,7 @@
 An order names an executor by its id alone. A renewal for one instance that got no answer and is
 carried out by the next one, up to 12 s later, has its deadline on another clock, and keeps all runs
 there for up to 10.6 s. The owner counted 6 s from its own last renewal and gave the task out
-again: with the first parameters below at 20.44 s, beside a run that lapsed at 25.05 s. Only starts
+again: with the first parameters below at 20.44 s, beside a run that lapsed at 25.16 s. Only starts
 were counted so far, and by the owner that sent them not beyond the first report of an instance.
 """
 
