Name the record of fences, and ask in one place whether a refusal shows a newer owner

Cause: `fences` named the stored record in one class and the tokens in memory in another, and watches and orders each compared a refused token on their own. Change: `Term.fence_record`, `InstanceFences.shows_newer_owner`; the encoded record has a function of its own. Behaviour is as before. Ruled out: the check in the link, which knows no tokens of later orders.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/executor_watch.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/executor_watch.py
@@ -130,7 +130,7 @@
         elif isinstance(outcome, InstanceEnded):
             state.mark_ended()
         elif isinstance(outcome, Refused) and outcome.reason is Refusal.FENCED:
-            if not self.cell.fences.tokens.is_outdated(state.id, order.token):
+            if self.cell.fences.shows_newer_owner(state.id, order.token, outcome):
                 self._depose()
             await trio.sleep(PAUSE_S)
         else:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/fence_recorder.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/fence_recorder.py
@@ -21,13 +21,13 @@
 class FenceWrite:
     """What a write has to say of fences.
 
-    `needing` are the executors that get `number` as their token, if there are any. `lease_ends` are
+    `new_instances` are those that get `number` as their token, if there are any. `lease_ends` are
     the recorded times until which late deadlines may extend leases, by executor id (trio's clock).
     `is_recorded`: the store says all of it already.
     """
 
     number: int
-    needing: tuple[ExecutorState, ...]
+    new_instances: tuple[ExecutorState, ...]
     lease_ends: dict[str, float]
     conditions: tuple[tuple[str, int], ...]
     puts: tuple[Put, ...]
@@ -53,7 +53,7 @@
         """
         fences, deadlines = self._cell.fences, self._cell.fences.deadlines
         known = {state.id: state for state in states if state.instance.born}
-        if self._cell.term.fences.revision != used_revision:
+        if self._cell.term.fence_record.revision != used_revision:
             self._written = None
             for state in known.values():
                 fences.expose(state, deadlines.earlier_until)
@@ -65,7 +65,7 @@
 
     def _restore_recorded(self, known: Mapping[str, ExecutorState]) -> None:
         """Restore the recorded fences, also those of executors that are not in use any more."""
-        fences, record = self._cell.fences, self._cell.term.fences
+        fences, record = self._cell.fences, self._cell.term.fence_record
         age_s = self._cell.parts.find_revision_age_s(record.revision)
         written_at = trio.current_time() - age_s
         for name, fence in record.fences.items():
@@ -85,21 +85,25 @@
         """
         now, term = trio.current_time(), self._cell.term
         known = [state for state in states if state.instance.born]
-        needing = tuple(state for state in known if self._cell.fences.needs_token(state))
+        new = tuple(state for state in known if self._cell.fences.needs_token(state))
         ends = {s.id: s.late_lease_until for s in known if now < s.late_lease_until}
-        number = self._number + 1 if needing else self._number
-        conditions = ((term.counter_key, self._counter_revision),) if needing else ()
-        puts = []
-        if known:
-            late = self._cell.fences.deadlines.list_late()
-            fences = {i.id: Fence(i, 0.0, until - now) for i, until in late.items()}
-            fences |= {s.id: self._describe_fence(s, now, s.id in lapsing) for s in known}
-            record = FenceRecord(number, term.guard[1], _drop_empty(fences))
-            puts.append(Put(fences_key(term.counter_key), encode_fences(record)))
-        if needing:
+        number = self._number + 1 if new else self._number
+        puts = [self._encode(number, known, lapsing)] if known else []
+        conditions = []
+        if new:
             puts.append(Put(term.counter_key, str(number).encode()))
-        is_recorded = not needing and (not known or ends == self._written)
-        return FenceWrite(number, needing, ends, conditions, tuple(puts), is_recorded)
+            conditions.append((term.counter_key, self._counter_revision))
+        is_recorded = not new and (not known or ends == self._written)
+        return FenceWrite(number, new, ends, tuple(conditions), tuple(puts), is_recorded)
+
+    def _encode(self, number: int, known: Sequence[ExecutorState], lapsing: Collection[str]) -> Put:
+        """Return the stored fences, also of executors that are not in use any more."""
+        now, term = trio.current_time(), self._cell.term
+        late = self._cell.fences.deadlines.list_late()
+        fences = {i.id: Fence(i, 0.0, until - now) for i, until in late.items()}
+        fences |= {s.id: self._describe_fence(s, now, s.id in lapsing) for s in known}
+        record = FenceRecord(number, term.guard[1], _drop_empty(fences))
+        return Put(fences_key(term.counter_key), encode_fences(record))
 
     def _describe_fence(self, state: ExecutorState, now: float, is_lapsing: bool) -> Fence:
         orders_left_s = None
@@ -112,10 +116,10 @@
     def note_committed(self, write: FenceWrite, revision: int) -> None:
         """Note that a write took effect, and use its token."""
         self._written = write.lease_ends
-        if not write.needing:
+        if not write.new_instances:
             return
         self._number, self._counter_revision = write.number, revision
-        for state in write.needing:
+        for state in write.new_instances:
             if self._cell.executors.get(state.id) is state:
                 self._cell.fences.assign_token(state, write.number)
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host_lease.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host_lease.py
@@ -66,15 +66,15 @@
     """One period of ownership: its fencing token, and the key that guards the owner's writes.
 
     `previous_revision` is the revision at which the term before began, 0 if there was none.
-    `counter_key` holds the last number handed out, and `fences` is what the owner before recorded
-    of its executors' fencing tokens.
+    `counter_key` holds the last number handed out, and `fence_record` is what the owner before
+    recorded of late orders.
     """
 
     number: int
     guard: tuple[str, int]
     previous_revision: int = 0
     counter_key: str = "term/0"
-    fences: FenceRecord = field(default_factory=FenceRecord)
+    fence_record: FenceRecord = field(default_factory=FenceRecord)
 
 
 class HostLease:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/instance_fences.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/instance_fences.py
@@ -9,6 +9,7 @@
 import trio
 
 from .events import describe_instance, log_event
+from .executor_link import HoldOutcome, OrderOutcome, Refusal, Refused
 from .fleet import ExecutorState
 from .instance_tokens import InstanceTokens
 from .late_deadlines import LateDeadlines
@@ -61,6 +62,16 @@
             return False
         return state.confirm_fence(trio.current_time(), self._longest_run_s)
 
+    def shows_newer_owner(
+        self, executor: str, token: int, outcome: OrderOutcome | HoldOutcome
+    ) -> bool:
+        """Return whether the outcome of an order with a token shows that there is a newer owner.
+
+        A refusal of an outdated token may be due to a later order of this owner.
+        """
+        is_fenced = isinstance(outcome, Refused) and outcome.reason is Refusal.FENCED
+        return is_fenced and not self.tokens.is_outdated(executor, token)
+
     def limit_earlier(self, until: float, states: list[ExecutorState]) -> None:
         """Record that orders of earlier owners arrive no later than a time.
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
@@ -353,7 +353,7 @@
             sends=attempt.sends,
             unanswered=attempt.unanswered,
         )
-        if self._is_deposing(attempt, order, outcome):
+        if self.cell.fences.shows_newer_owner(attempt.executor, order.token, outcome):
             self._depose()
             return
         self._apply_refusal(attempt, state, outcome, now)
@@ -444,18 +444,11 @@
         if isinstance(outcome, InstanceEnded):
             state.mark_ended()
             return True
-        if self._is_deposing(attempt, order, outcome):
+        if self.cell.fences.shows_newer_owner(attempt.executor, order.token, outcome):
             self._depose()
             return True
         return False
 
-    def _is_deposing(
-        self, attempt: Attempt, order: StartOrder | StopOrder, outcome: OrderOutcome
-    ) -> bool:
-        """Return whether a refusal shows that there is a newer owner."""
-        is_fenced = isinstance(outcome, Refused) and outcome.reason is Refusal.FENCED
-        return is_fenced and not self.cell.fences.tokens.is_outdated(attempt.executor, order.token)
-
 
 def _choose_checkpoint(group: list[Start]) -> str:
     """Return the newest checkpoint; the members of a gang share theirs."""
--- a/packages/heronthread-dispatch/tests/test_host_lease.py
+++ b/packages/heronthread-dispatch/tests/test_host_lease.py
@@ -42,7 +42,7 @@
     await lease.release()
     second, lease = await _take(view, nursery, "h1")
     assert (second.number, second.previous_revision) == (6, first.guard[1])
-    assert second.fences.number == 5
+    assert second.fence_record.number == 5
     await lease.release()
     third, _ = await _take(view, nursery, "h2")
     assert (third.number, third.previous_revision) == (7, second.guard[1])
--- a/packages/heronthread-dispatch/tests/test_instance_fences.py
+++ b/packages/heronthread-dispatch/tests/test_instance_fences.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 
 import trio
+from heronthread_dispatch.executor_link import Refusal, Refused
 from heronthread_dispatch.fleet import ExecutorState, WorkRefusal, make_executor_state
 from heronthread_dispatch.instance_fences import InstanceFences
 from heronthread_dispatch.late_deadlines import NEVER
@@ -63,3 +64,12 @@
     fences.limit_earlier(5.0, [state])
     assert state.lease_ends_by == 5.0 + LONGEST_RUN_S
     assert fences.deadlines.earlier_until == 5.0
+
+
+async def test_refusal_of_an_outdated_token_shows_no_newer_owner(autojump_clock: Clock) -> None:
+    fences, fenced = InstanceFences(7, NEVER, LONGEST_RUN_S), Refused(Refusal.FENCED)
+    assert fences.shows_newer_owner("e0", 7, fenced)
+    assert not fences.shows_newer_owner("e0", 7, Refused(Refusal.OLD_RUN))
+    fences.assign_token(_make_state(2), 8)
+    assert not fences.shows_newer_owner("e0", 7, fenced)
+    assert fences.shows_newer_owner("e0", 8, fenced)
