--- a/review/site_standins.py
+++ b/review/site_standins.py
@@ -137,11 +137,16 @@
 def claim_network() -> Iterator[Network]:
     """Claim a loopback network that no other case uses: a datagram socket that receives nothing."""
     for number in range(60, 250):
-        with contextlib.closing(socket.socket(type=socket.SOCK_DGRAM)) as claim:
+        with (
+            contextlib.closing(socket.socket(type=socket.SOCK_DGRAM)) as claim,
+            contextlib.closing(socket.socket()) as probe,
+        ):
             try:
                 claim.bind((f"127.{number}.0.1", CLAIM_PORT))
+                probe.bind((f"127.{number}.10.1", PEER_PORT))
             except OSError:
                 continue
+            probe.close()
             yield Network(number)
             return
     raise CaseFailed("no loopback network is free")
@@ -1001,12 +1006,13 @@
 
     `play` returns whether the rule held.
     """
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     record = Record(folder / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.note(f"the case with the disruption: {trouble}")
     try:
         held = asyncio.run(asyncio.wait_for(play(record, trouble), 115.0))
-    except (CaseFailed, OSError, TimeoutError) as error:
+    except (CaseFailed, OSError, TimeoutError, KeyboardInterrupt) as error:
         record.note(f"could not run: {error!r}")
         return NOT_RUN
     else:
