Show a task run twice by a late start at an executor's next life

A start of an earlier owner that reaches the next life of an executor under its id begins beside the task's next run, where the new owner had heard the life before and the executor then fell silent.

--- a/review/site_standins.py
+++ b/review/site_standins.py
@@ -23,7 +23,7 @@
 import tempfile
 import time
 import tomllib
-from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine, Iterator
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -487,11 +487,12 @@
     ends: list[list[Any]] = field(default_factory=list)
     floors: dict[str, int] = field(default_factory=dict)
     seen: list[SeenRun] = field(default_factory=list)
-    gpus_of: dict[str, int] = field(default_factory=dict)
     began: float = field(default_factory=time.monotonic)
     last_end: int = 0
     changed: asyncio.Event = field(default_factory=asyncio.Event)
-    on_start: Callable[[Executor, str], None] | None = None
+    late_orders: list[tuple[float, Body]] = field(default_factory=list)
+    born_ms: int = 0
+    late_starts_s: float = 0.0
 
     @property
     def clock_ms(self) -> int:
@@ -514,7 +515,10 @@
             "capacity": {"cpu": 128_000, "mem-mb": 524_288, "gpus": self.gpus},
             "labels": ["a", "r1"],
         }
-        return json.dumps(entry).encode()
+        return json.dumps(entry | self._tell_born()).encode()
+
+    def _tell_born(self) -> Body:
+        return {"born": self.born_ms} if self.born_ms else {}
 
     async def handle(
         self, method: str, target: str, headers: dict[str, str], body: Body
@@ -524,6 +528,14 @@
         expected = headers.get("expected-instance", self.name)
         if expected != self.name:
             return 421, {}
+        if operation == "run-start" and self.late_starts_s:
+            self._note(operation, body, f"no answer, carried out {self.late_starts_s:g} s late")
+            self.late_orders.append((time.monotonic() + self.late_starts_s, body))
+            return None
+        return await self.obey(operation, body)
+
+    async def obey(self, operation: str, body: Body) -> tuple[int, Body]:
+        """Carry out an order, and return the answer."""
         token = int(body.get("fencing-token", 0))
         if token < self.token:
             self._note(operation, body, "409 fence")
@@ -560,8 +572,6 @@
             now = self.record.now()
             self.running[task] = Run(task, number, now, now + work_s)
             self._note("run-start", body, "200, begins")
-            if self.on_start is not None:
-                self.on_start(self, task)
         return 200, {"clock-ms": self.clock_ms}
 
     def _find_refusal(self, task: str, number: int, deadline_ms: float) -> str:
@@ -572,7 +582,7 @@
             return "" if known.number == number else "old"
         if deadline_ms <= self.clock_ms:
             return "late"
-        return "room" if len(self.running) >= self.gpus // self.gpus_of.get(task, 8) else ""
+        return "room" if self.running else ""
 
     def _stop(self, task: str, number: int) -> None:
         self.floors[task] = max(number, self.floors.get(task, 0))
@@ -612,7 +622,8 @@
             ]
             for run in self.running.values()
         ]
-        return 200, {"clock-ms": self.clock_ms, "running": running, "ended-at": self.ends}
+        report = {"clock-ms": self.clock_ms, "running": running, "ended-at": self.ends}
+        return 200, report | self._tell_born()
 
     def tick(self) -> None:
         """End what is done, and everything once the holding time is over."""
@@ -623,6 +634,14 @@
             elif is_over:
                 self._end(run, "lapsed")
 
+    async def obey_late(self) -> None:
+        """Carry out the late orders whose time has come."""
+        now = time.monotonic()
+        due = [body for at, body in self.late_orders if at <= now]
+        self.late_orders = [(at, body) for at, body in self.late_orders if at > now]
+        for body in due:
+            await self.obey("run-start", body)
+
     def crash(self) -> None:
         """End this life: all that runs is lost, and nothing is said."""
         for run in list(self.running.values()):
@@ -650,13 +669,15 @@
 class Site:
     """A small deployment: hosts as processes, and stand-ins for all else.
 
-    `zones` names the zone of each host, from host 1 on.
+    `zones` names the zone of each host, from host 1 on. With `says_born`, executors say when they
+    began, and keep their ids over restarts.
     """
 
     folder: Path
     record: Record
     network: Network
     zones: dict[int, str]
+    says_born: bool = False
     bounds: Bounds = field(default_factory=Bounds)
     store: Store = field(init=False)
     executors: dict[int, Executor] = field(default_factory=dict)
@@ -700,10 +721,11 @@
         self.links[source, target] = link
         self._listeners[f"{source}>{target}"] = await link.serve()
 
-    async def add_executor(self, number: int, life: int = 1) -> Executor:
-        """Start an executor, or its next life, which has an id of its own."""
-        name = f"i-{number}{life:02d}"
-        state = Executor(number, name, self.network, self.record, self.bounds)
+    async def add_executor(self, number: int) -> Executor:
+        """Start an executor."""
+        born_ms = int(time.time() * 1000) if self.says_born else 0
+        name = f"i-{number}"
+        state = Executor(number, name, self.network, self.record, self.bounds, born_ms=born_ms)
         self.executors[number] = state
         self.lives.append(state)
         address = self.network.executor(number)
@@ -745,6 +767,7 @@
         while True:
             for state in list(self.executors.values()):
                 state.tick()
+                await state.obey_late()
             if time.monotonic() - written >= self.bounds.heartbeat_s:
                 written = time.monotonic()
                 for state in self.executors.values():
@@ -752,13 +775,26 @@
                         self._write_entry(state)
             await asyncio.sleep(POLL_S)
 
-    def crash_executor(self, number: int) -> None:
-        """Crash an executor: its port refuses and resets; the entry goes after three heartbeats."""
-        state = self.executors.pop(number)
-        self.record.note(f"{state.name}: crashes")
-        state.crash()
-        for name in (state.name, *(f"h{viewer}>e{number}" for viewer in self.zones)):
-            self._listeners.pop(name).close()
+    async def restart_executor(self, number: int, away_s: float) -> None:
+        """Let an executor crash and start again under its id; orders that are late reach it."""
+        old = self.executors.pop(number)
+        self.record.note(f"{old.name}: crashes")
+        old.crash()
+        self._listeners.pop(old.name).close()
+        await asyncio.sleep(away_s)
+        born_ms = int(time.time() * 1000)
+        state = Executor(number, old.name, self.network, self.record, self.bounds, born_ms=born_ms)
+        state.listed, state.late_orders = old.listed, old.late_orders
+        self.executors[number] = state
+        self.lives.append(state)
+        self._listeners[state.name] = await serve_http(self.network.executor(number), state.handle)
+        self.record.note(f"{state.name}: starts again")
+
+    def cut_from_store(self, number: int) -> None:
+        """Cut an executor off from the store: its entry goes after three heartbeats."""
+        state = self.executors[number]
+        state.listed = False
+        self.record.note(f"{state.name}: cut off from the store")
         self._tasks.append(asyncio.ensure_future(self._drop_entry(state)))
 
     def withdraw_entry(self, number: int) -> None:
@@ -773,10 +809,6 @@
         self.store.change({}, [f"servers/{state.name}"])
         self.record.note(f"{state.name}: its entry goes")
 
-    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        """Do something beside the case, until the site is closed."""
-        self._tasks.append(asyncio.ensure_future(work))
-
     # Hosts
 
     async def start_host(self, host: int) -> None:
@@ -960,22 +992,19 @@
                 yield first, second
 
 
-def find_repeats(runs: list[SeenRun]) -> Iterator[tuple[SeenRun, SeenRun]]:
-    """Yield a run that ended `done` and a later start of the same task."""
-    for first in runs:
-        for second in runs:
-            if first.how == "done" and first.task == second.task and second.began > first.ended:
-                yield first, second
-
-
 @asynccontextmanager
-async def open_site(record: Record, zones: dict[int, str], executors: int) -> AsyncIterator[Site]:
-    """Start a site with one owner, host 1, and all other hosts ready."""
+async def open_site(
+    record: Record, zones: dict[int, str], executors: int, *, says_born: bool = False
+) -> AsyncIterator[Site]:
+    """Start a site with one owner, host 1, and all other hosts ready.
+
+    With `says_born`, executors tell when they began, and keep their ids over restarts.
+    """
     with (
         tempfile.TemporaryDirectory(prefix="heronthread-review-") as folder,
         claim_network() as network,
     ):
-        site = Site(Path(folder), record, network, zones)
+        site = Site(Path(folder), record, network, zones, says_born)
         try:
             await site.open(executors)
             await site.start_host(1)
