--- a/review/1/case.py
+++ b/review/1/case.py
@@ -16,7 +16,9 @@
 EXECUTORS = 6
 JOB = "5c0e7a21d94b36f8"
 WORK_MS = 30_000
-CUT_S = 12.0
+CUT_S = 11.0
+EXECUTOR_CUT_AFTER_S = 2.0
+EXECUTOR_CUT_S = 10.0
 AFTER_S = 6.0
 
 
@@ -30,14 +32,20 @@
         number = next(n for n, state in site.executors.items() if state.running)
         pairs = [(f"h{host}", "store") for host in CUT_HOSTS]
         pairs += [(f"h{one}", f"h{other}") for one in CUT_HOSTS for other in OTHER_HOSTS]
-        pairs += [(f"h{host}", f"e{number}") for host in OTHER_HOSTS]
+        paths = [(f"h{host}", f"e{number}") for host in OTHER_HOSTS]
         await site.store.wait_renewal(1)
         await asyncio.sleep(0.05)
         if trouble:
             site.set_cut(pairs, True)
-        await asyncio.sleep(CUT_S)
+        await asyncio.sleep(EXECUTOR_CUT_AFTER_S)
+        if trouble:
+            site.set_cut(paths, True)
+        await asyncio.sleep(CUT_S - EXECUTOR_CUT_AFTER_S)
         if trouble:
             site.set_cut(pairs, False)
+        await asyncio.sleep(EXECUTOR_CUT_AFTER_S + EXECUTOR_CUT_S - CUT_S)
+        if trouble:
+            site.set_cut(paths, False)
         await asyncio.sleep(AFTER_S)
         await Caller(site).call(3, "GET", JOB)
         found = list(find_overlaps(site.list_runs()))
