Spread gangs that fit in no rack while much of the pool is idle

Cause: a gang that is to run in one rack, or in the rack of its data, waited without limit for that rack unless it was urgent, as long as the empty rack would hold it. Where each rack has a few busy executors the gang has nothing running beside a pool that is mostly idle. More than one rack only makes its run longer.

Fuller pools keep the wait. No promise on runs is touched: only the choice among executors that take work changes.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/gangs.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/gangs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 
 from .crashes import has_recent_start
 from .model import URGENT, Resources
@@ -13,6 +14,9 @@
 from .speed_placement import SpeedPlacement
 
 SPREAD_WAIT_S = 1.5
+IDLE_SPREAD_WAIT_S = 2.0
+"""How long other gangs wait for a rack while much of the pool is idle. Callers tolerate 3 s with
+nothing running, and a plan is made each 0.5 s."""
 MAX_RESERVATIONS = 2
 SPEED_COST = 300.0
 SLOW_COST = 1e3
@@ -23,11 +27,18 @@
 
 
 class GangPlacer:
-    """Places the gangs of one plan."""
-
-    def __init__(self, now: float, policy: Policy, speeds: SpeedPlacement | None = None) -> None:
+    """Places the gangs of one plan; `is_mostly_idle` returns whether much of a pool is idle."""
+
+    def __init__(
+        self,
+        now: float,
+        policy: Policy,
+        speeds: SpeedPlacement | None = None,
+        is_mostly_idle: Callable[[str], bool] = lambda pool: False,
+    ) -> None:
         self._now = now
         self._policy = policy
+        self._is_mostly_idle = is_mostly_idle
         self._speeds = speeds or SpeedPlacement(None, now)
         self._min_unplaceable: dict[tuple[object, ...], int] = {}
         self._reserved = 0
@@ -114,10 +125,18 @@
             scopes = [near] if near is not None else []
             others = [rack_scope for rack_scope in eligible.racks if rack_scope is not near]
         possible = any(s.fits_when_empty(spec, len(candidate.tasks)) for s in scopes)
-        may_spread = (
-            candidate.waited_s(self._now) >= SPREAD_WAIT_S and candidate.queue.priority == URGENT
-        )
-        return [*scopes, *others, eligible] if may_spread or not possible else scopes
+        if possible and not self._may_spread(candidate):
+            return scopes
+        return [*scopes, *others, eligible]
+
+    def _may_spread(self, candidate: Candidate) -> bool:
+        """Whether a gang may use any racks although one would have room for it when empty."""
+        waited_s = candidate.waited_s(self._now)
+        if candidate.queue.priority == URGENT:
+            return waited_s >= SPREAD_WAIT_S
+        if waited_s < IDLE_SPREAD_WAIT_S or candidate.job.has_attempts:
+            return False
+        return self._is_mostly_idle(candidate.queue.pool)
 
     def _best_fit(
         self, candidate: Candidate, scopes: list[Scope], avoided: set[str], held: Counter[str]
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -103,7 +103,6 @@
         self._exhausted: set[tuple[object, ...]] = set()
         self._eligible_scopes: dict[tuple[str, str, bool], Scope] = {}
         speeds = self.learned.speeds if policy.executor_speeds else None
-        self._gangs = GangPlacer(now, policy, SpeedPlacement(speeds, now))
         self._headroom_executors: frozenset[str] | None = None
         self._loans: dict[TaskKey, LendReason] = {}
         self._urgent_missing: dict[str, int] = {}
@@ -117,6 +116,8 @@
         self.room = self._make_room()
         peaks = {p: n for p, n in (urgent_peaks or {}).items() if p not in self.room.demands}
         self._headroom = Headroom(self.offers, peaks)
+        speed_placement = SpeedPlacement(speeds, now)
+        self._gangs = GangPlacer(now, policy, speed_placement, self._headroom.is_mostly_idle)
         self._losses = self._make_losses(wait_s)
         self._victims = VictimSelector(self._losses, now, self._make_losses)
         self._approvals = approvals
--- /dev/null
+++ b/packages/heronthread-dispatch/tests/test_idle_pool_waits.py
@@ -0,0 +1,99 @@
+"""Jobs that wait beside free capacity while under half of the pool is in use.
+
+The owner and the store are well, and no start goes unanswered.
+"""
+
+from collections.abc import Callable
+from dataclasses import replace
+
+import trio
+from heronthread_dispatch.model import Resources, TaskKey
+from heronthread_dispatch.offers import count_fits
+from heronthread_dispatch.record import JobRecord
+from heronthread_emulator import EmulatedSite, check_promises
+from heronthread_emulator.executors import EmulatedExecutor
+from heronthread_emulator.soak import run_seeded
+
+MAX_DELAY_S = 3.0
+"""How long a ready job with ample capacity may have nothing running."""
+POLL_S = 0.05
+LONG_S = 40.0
+MAX_MEASURED_S = 15.0
+SEEDS = range(3)
+
+
+async def _submit(site: EmulatedSite, record: JobRecord) -> None:
+    await site.hosts["h0"].requests.accept(record, 2.0)
+
+
+def _set_need(site: EmulatedSite, record: JobRecord, cpu: int) -> JobRecord:
+    """Return a job with another need of CPU (thousandths of a core) for each task."""
+    spec = record.spec
+    need = spec.steps[0].need._replace(cpu=cpu)
+    site.executors.specs[spec.id] = {0: replace(site.executors.specs[spec.id][0], need=need)}
+    return replace(record, spec=replace(spec, steps=(replace(spec.steps[0], need=need),)))
+
+
+def _could_take(place: EmulatedExecutor) -> bool:
+    return not (place.is_cut or place.executor.is_draining)
+
+
+def _fits_twice(site: EmulatedSite, record: JobRecord) -> bool:
+    """Whether the executors that take work have twice the capacity that a job needs."""
+    places, step = site.executors.by_id.values(), record.spec.steps[0]
+    fits = (
+        max(0, count_fits(step.need, place.executor.capacity.minus(place.used())))
+        for place in places
+        if _could_take(place)
+    )
+    return sum(fits) >= 2 * step.count
+
+
+def _is_under_half_used(site: EmulatedSite, weigh: Callable[[Resources], float]) -> bool:
+    places = site.executors.by_id.values()
+    used = sum(weigh(place.used()) for place in places)
+    return 2 * used < sum(weigh(place.executor.capacity) for place in places)
+
+
+def _count_accelerators(resources: Resources) -> float:
+    return resources.accelerators
+
+
+async def _measure_wait(
+    site: EmulatedSite,
+    record: JobRecord,
+    weigh: Callable[[Resources], float] = lambda resources: resources.cores,
+) -> float:
+    """Submit a job and return for how long (s) it has nothing running.
+
+    It fits twice and under half of all executors is in use meanwhile.
+    """
+    await _submit(site, record)
+    asked = trio.current_time()
+    while trio.current_time() < asked + MAX_MEASURED_S:
+        if site.executors.starts(TaskKey(record.spec.id, 0, 0)):
+            break
+        assert _fits_twice(site, record)
+        assert _is_under_half_used(site, weigh)
+        assert _is_under_half_used(site, _count_accelerators)
+        await trio.sleep(POLL_S)
+    assert check_promises(site.executors, {}) == []
+    return trio.current_time() - asked
+
+
+async def _measure_gang_without_a_rack(wish: str) -> float:
+    """Each of three racks has one busy executor and two idle ones, and a gang needs three."""
+    async with EmulatedSite.open(hosts=1, executors=9, racks=3) as site:
+        await site.wait_for_owner()
+        await _submit(site, site.make_job("long", count=3, accelerators=8, work_s=LONG_S))
+        await trio.sleep(1.0)
+        more = {"same_rack": True} if wish == "same rack" else {"data_rack": "r0"}
+        gang = site.make_job("a", count=3, accelerators=8, gang=True, **more)
+        return await _measure_wait(site, gang)
+
+
+def test_gang_that_fits_in_no_rack_is_soon_spread() -> None:
+    """Guards against an unlimited wait for one rack, which only makes the gang's run shorter."""
+    for wish in ("same rack", "data rack"):
+        waits = [run_seeded(seed, _measure_gang_without_a_rack, wish) for seed in SEEDS]
+        assert max(waits) < MAX_DELAY_S, wish
