Count gangs of one rack among the work that reservations hold back

Cause: while much of a pool is idle, nothing is reserved for a gang that can't start yet if that would hold back a job with nothing running that would fit. Gangs of one rack were left out of that check, so one that fits in a rack waited behind the reservation of a larger gang.

Change: the check counts a gang's room by the scopes that it may use, that is by rack for a gang of one rack. Only reservations become fewer; no run and no record depends on them.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -339,17 +339,13 @@
         return self._blocks_others[pool]
 
     def _is_blocked_by_reservations(self, candidate: Candidate) -> bool:
-        """Whether a candidate with nothing running has waited and would fit now in any rack."""
+        """Whether a candidate with nothing running has waited and would fit now in some scope."""
         spec = candidate.step.spec
         if candidate.job.has_attempts or candidate.waited_s(self.now) < HEADROOM_WAIT_S:
             return False
-        required = _count_required(candidate)
-        if spec.same_rack and required > 1:
-            return False
-        return (
-            self._find_eligible(candidate, self._avoids_headroom(candidate)).count(spec.need)
-            >= required
-        )
+        eligible = self._find_eligible(candidate, self._avoids_headroom(candidate))
+        scopes = self._gangs.list_scopes(candidate, eligible) if spec.gang else [eligible]
+        return any(scope.count(spec.need) >= _count_required(candidate) for scope in scopes)
 
     def _filter_approved(self, candidate: Candidate, offers: list[Offer]) -> list[Offer]:
         """Return the offers of executors for which the step holds an approval ticket."""
--- a/packages/heronthread-dispatch/tests/test_idle_pool_waits.py
+++ b/packages/heronthread-dispatch/tests/test_idle_pool_waits.py
@@ -97,3 +97,20 @@
     for wish in ("same rack", "data rack"):
         waits = [run_seeded(seed, _measure_gang_without_a_rack, wish) for seed in SEEDS]
         assert max(waits) < MAX_DELAY_S, wish
+
+
+async def _measure_gang_beside_a_reservation() -> float:
+    """A gang of seven waits with the six idle executors reserved, and a gang of two arrives."""
+    async with EmulatedSite.open(hosts=1, executors=10, racks=5) as site:
+        await site.wait_for_owner()
+        await _submit(site, site.make_job("long", count=4, accelerators=8, work_s=LONG_S))
+        await trio.sleep(1.0)
+        await _submit(site, site.make_job("wide", count=7, accelerators=8, gang=True))
+        await trio.sleep(0.5)
+        gang = site.make_job("a", count=2, accelerators=4, gang=True, same_rack=True)
+        return await _measure_wait(site, gang)
+
+
+def test_reservation_for_a_gang_delays_no_gang_that_fits_in_a_rack() -> None:
+    """Guards against reservations in an idle pool that hold back gangs of one rack alone."""
+    assert max(run_seeded(seed, _measure_gang_beside_a_reservation) for seed in SEEDS) < MAX_DELAY_S
