Count executors that take no work when judging whether a pool is idle

Cause: headroom for urgent work is left to a job with nothing running after 1.5 s while under 60% of the pool is in use, but only executors that take work counted as the pool. With many idle ones silent, leaving or backing off, the rest alone counted as busy, and the job waited until it was due, which for long work is after many seconds.

Change: capacity and use are counted over all executors of the pool that the owner knows. Runs that may be at silent executors still count as use. Headroom is a preference of placement only; urgent work still preempts within its guarantee.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/headroom.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/headroom.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
+from .fleet import ExecutorState
 from .offers import Offer, group_by_rack, weigh_millicores
 
 HEADROOM_SHARE = 0.4
@@ -12,12 +15,19 @@
     """Selects executors with the accelerators that urgent work recently needed beyond its current
     use.
 
-    `peaks` is the highest recent demand of urgent work, by pool.
+    `peaks` is the highest recent demand of urgent work, by pool. `states` are all executors, as
+    those that take no work now are part of a pool as well.
     """
 
-    def __init__(self, offers: dict[str, list[Offer]], peaks: dict[str, int]) -> None:
+    def __init__(
+        self,
+        offers: dict[str, list[Offer]],
+        peaks: dict[str, int],
+        states: Collection[ExecutorState] = (),
+    ) -> None:
         self._offers = offers
         self._peaks = peaks
+        self._states = states
         self._weights: dict[str, tuple[int, int]] = {}
 
     def choose(self, used: dict[str, int]) -> frozenset[str]:
@@ -45,8 +55,9 @@
         if not offers:
             return False
         if pool not in self._weights:
-            total = sum(weigh_millicores(offer.state.executor.capacity) for offer in offers)
-            free = sum(weigh_millicores(offer.state.free) for offer in offers)
+            states = [state for state in self._states if state.executor.pool == pool]
+            total = sum(weigh_millicores(state.executor.capacity) for state in states)
+            free = sum(weigh_millicores(state.free) for state in states)
             self._weights[pool] = (total, total - free)
         total, used = self._weights[pool]
         pool_changes = offers[0].changes.parent
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -115,7 +115,7 @@
         self._open_preempted: set[str] = set()
         self.room = self._make_room()
         peaks = {p: n for p, n in (urgent_peaks or {}).items() if p not in self.room.demands}
-        self._headroom = Headroom(self.offers, peaks)
+        self._headroom = Headroom(self.offers, peaks, self._states.values())
         speed_placement = SpeedPlacement(speeds, now)
         self._gangs = GangPlacer(now, policy, speed_placement, self._headroom.is_mostly_idle)
         self._losses = self._make_losses(wait_s)
--- a/packages/heronthread-dispatch/tests/test_idle_pool_waits.py
+++ b/packages/heronthread-dispatch/tests/test_idle_pool_waits.py
@@ -114,3 +114,35 @@
 def test_reservation_for_a_gang_delays_no_gang_that_fits_in_a_rack() -> None:
     """Guards against reservations in an idle pool that hold back gangs of one rack alone."""
     assert max(run_seeded(seed, _measure_gang_beside_a_reservation) for seed in SEEDS) < MAX_DELAY_S
+
+
+async def _measure_task_beside_headroom(others: str) -> float:
+    """Four of ten executors are full, and four of the six idle ones take no work."""
+    async with EmulatedSite.open(hosts=1, executors=10, racks=5) as site:
+        await site.wait_for_owner()
+        long = site.make_job("long", count=8, accelerators=4, work_s=LONG_S)
+        await _submit(site, _set_need(site, long, 30_000))
+        await trio.sleep(1.0)
+        busy = {start.executor for start in site.executors.starts()}
+        others_idle = sorted(site.executors.by_id.keys() - busy)[:4]
+        assert len(busy) == 4
+        await _submit(site, site.make_job("short", count=6, accelerators=8, work_s=LONG_S))
+        await trio.sleep(1.0)
+        for name in others_idle:
+            if others == "silent":
+                site.executors.by_id[name].is_cut = True
+            else:
+                site.drain_executor(name, 2 * LONG_S)
+        await site.cancel(site.hosts["h0"], "short", "first", 2.0)
+        await trio.sleep(9.0)
+        await _submit(site, site.make_job("u", queue="urgent", count=2, accelerators=8, work_s=1.0))
+        await trio.sleep(2.0)
+        job = _set_need(site, site.make_job("a", work_s=10.0), 1_000)
+        return await _measure_wait(site, job)
+
+
+def test_executors_that_take_no_work_do_not_make_an_idle_pool_busy() -> None:
+    """Guards against headroom kept for long as only executors that take work count."""
+    for others in ("silent", "leaving"):
+        waits = [run_seeded(seed, _measure_task_beside_headroom, others) for seed in SEEDS]
+        assert max(waits) < MAX_DELAY_S, others
