Show a task held by headroom while most accelerators are free

Cause: whether a pool is idle is judged by a weight of cores and accelerators. With all cores and half of the accelerators of eight of ten executors in use, the weight is 60% of the pool's, which counts as busy, and the accelerators in use are 40%, by which the emulated site's witness judges. Headroom covers the two idle executors.

--- a/packages/heronthread-dispatch/tests/test_idle_pool_waits.py
+++ b/packages/heronthread-dispatch/tests/test_idle_pool_waits.py
@@ -146,3 +146,21 @@
     for others in ("silent", "leaving"):
         waits = [run_seeded(seed, _measure_task_beside_headroom, others) for seed in SEEDS]
         assert max(waits) < MAX_DELAY_S, others
+
+
+async def _measure_task_beside_busy_cores() -> float:
+    """Eight of ten executors have no core and four accelerators left."""
+    async with EmulatedSite.open(hosts=1, executors=10, racks=5) as site:
+        await site.wait_for_owner()
+        long = site.make_job("long", count=16, accelerators=2, work_s=LONG_S)
+        await _submit(site, _set_need(site, long, 32_000))
+        await trio.sleep(1.0)
+        await _submit(site, site.make_job("u", queue="urgent", count=2, accelerators=8, work_s=1.0))
+        await trio.sleep(2.0)
+        job = _set_need(site, site.make_job("a", work_s=10.0), 1_000)
+        return await _measure_wait(site, job, _count_accelerators)
+
+
+def test_busy_cores_do_not_make_a_pool_with_free_accelerators_busy() -> None:
+    """Guards against headroom kept for long while under half of the accelerators are in use."""
+    assert max(run_seeded(seed, _measure_task_beside_busy_cores) for seed in SEEDS) < MAX_DELAY_S
