--- a/packages/heronthread-dispatch/src/heronthread_dispatch/load_digest.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/load_digest.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import math
 import zlib
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
@@ -11,6 +10,7 @@
 
 import orjson
 
+from .field_bounds import MAX_NUMBER, read_int, read_name, read_number
 from .packed import decode_packed, encode_packed
 from .record import MALFORMED
 
@@ -26,12 +26,9 @@
 MAX_CUSTOMERS = 8
 MAX_POOLS = 64
 MAX_PRIORITY = 99
-MAX_NAME_CHARS = 200
 MAX_ACCELERATORS = 10_000_000
 MAX_S = 86_400.0
 """Bound of every duration in a digest; longer ones are capped when it is made."""
-MAX_NUMBER = 2**53
-"""Bound of terms and sequence numbers, which JSON readers represent exactly."""
 ROW_NUMBERS = 7
 WHOLE_FROM = 10.0
 """Values from here on are encoded without decimals."""
@@ -192,14 +189,14 @@
         raise TypeError("a digest is an object")
     if value["v"] != VERSION:
         raise ValueError(f"version {value['v']!r:.40}")
-    age_s = _read_number(value["a"], MAX_NUMBER)
+    age_s = read_number(value["a"], MAX_NUMBER)
     term, sequence, rows = orjson.loads(_unpack(value["d"]))
     if len(rows) > MAX_POOLS:
         raise ValueError(f"{len(rows)} pools")
     pools = tuple(_decode_pool(*row) for row in rows)
     if sum(len(load.used) for load in pools) > MAX_CUSTOMERS:
         raise ValueError("too many customers")
-    return LoadDigest(_read_int(term, MAX_NUMBER), _read_int(sequence, MAX_NUMBER), pools), age_s
+    return LoadDigest(read_int(term, MAX_NUMBER), read_int(sequence, MAX_NUMBER), pools), age_s
 
 
 def _unpack(text: object) -> bytes:
@@ -219,10 +216,10 @@
         _decode_row(*numbers[at : at + ROW_NUMBERS]) for at in range(0, len(numbers), ROW_NUMBERS)
     ]
     return PoolLoad(
-        _read_name(pool),
-        None if drain is None else _read_number(drain, MAX_ACCELERATORS),
+        read_name(pool),
+        None if drain is None else read_number(drain, MAX_ACCELERATORS),
         tuple(rows),
-        {_read_name(name): _read_number(use, MAX_NUMBER) for name, use in used.items()},
+        {read_name(name): read_number(use, MAX_NUMBER) for name, use in used.items()},
     )
 
 
@@ -236,31 +233,11 @@
     slack: object,
 ) -> PriorityLoad:
     return PriorityLoad(
-        _read_int(priority, MAX_PRIORITY),
-        _read_int(waiting, MAX_ACCELERATORS),
-        None if wait_s is None else _read_number(wait_s, MAX_S),
-        None if late_wait_s is None else _read_number(late_wait_s, MAX_S),
-        _read_int(room, MAX_ACCELERATORS),
-        _read_number(length, MAX_S),
-        _read_number(slack, MAX_S),
+        read_int(priority, MAX_PRIORITY),
+        read_int(waiting, MAX_ACCELERATORS),
+        None if wait_s is None else read_number(wait_s, MAX_S),
+        None if late_wait_s is None else read_number(late_wait_s, MAX_S),
+        read_int(room, MAX_ACCELERATORS),
+        read_number(length, MAX_S),
+        read_number(slack, MAX_S),
     )
-
-
-def _read_name(value: object) -> str:
-    if not isinstance(value, str) or len(value) > MAX_NAME_CHARS:
-        raise ValueError(f"not a name: {value!r:.40}")
-    return value
-
-
-def _read_int(value: object, limit: int) -> int:
-    if not isinstance(value, int) or isinstance(value, bool) or not 0 <= value <= limit:
-        raise ValueError(f"not a number from 0 to {limit}: {value!r:.40}")
-    return value
-
-
-def _read_number(value: object, limit: float) -> float:
-    if not isinstance(value, int | float) or isinstance(value, bool):
-        raise ValueError(f"not a number: {value!r:.40}")
-    if not math.isfinite(value) or not 0 <= value <= limit:
-        raise ValueError(f"not from 0 to {limit:g}: {value!r:.40}")
-    return float(value)
