Name the jobs that stand in the log of every host

Cause: `job.stands` was written by the owner and by a host that a caller asked for the job, so the logs of eight of 42 hosts could lack it.

Change: the owner publishes the stalls of 2 s and more (the longest ones, 400 bytes at most), how many jobs stand and by what cause, with its term and a number; hosts pass the newest on with their news for 10 s, and each logs the listed jobs by the path of a caller's query, with the same limits. A stall that is over stays listed for 8 s, so that short ones reach all hosts; its end is logged once, and the next stall of the job is counted anew. News have nothing more once no job stood for a while. Earlier versions pass over the field. `job.stands` begins with job, cause, durations and term, as records of logs may cut lines. The gauges of stalled jobs are on every host.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -259,6 +259,8 @@
             self._learn_revisions,
             preassignments,
             self.known_load,
+            self.known_stalls,
+            self.settings.name,
         )
 
     async def _learn_revisions(self) -> None:
@@ -322,11 +324,10 @@
             gauges["jobs_active"] = len(self.owner.cell.active)
             gauges["tasks_suspected"] = self.owner.cell.count_suspects()
             gauges["term_age_s"] = self.owner.stall_monitor.term_age_s
-            gauges["jobs_standing"] = len(self.owner.stall_monitor.stalled_jobs)
-            gauges["longest_stand_s"] = self.owner.stall_monitor.longest_stall_s
             gauges["executors"] = len(self.owner.cell.executors)
             gauges["entries_set_aside"] = self.owner.directory.invalid_count
             gauges.update(measure_load(self.owner.cell))
+        gauges["jobs_standing"], gauges["longest_stand_s"] = self._measure_stalls()
         known_load = self.known_load.find(boot_time())
         if known_load is not None:
             gauges["load_digest_age_s"] = known_load.age_s
@@ -336,6 +337,14 @@
             gauges[f"store_{call}_failures"] = count
         return self.statistics.render(gauges)
 
+    def _measure_stalls(self) -> tuple[int, float]:
+        """Return how many jobs are stalled and the longest stall (s), as the owner told last."""
+        if self.owner is not None:
+            monitor = self.owner.stall_monitor
+            return len(monitor.stalled_jobs), monitor.longest_stall_s
+        known = self.find_known_stalls()
+        return (0, 0.0) if known is None else (known.digest.standing, known.digest.longest_s)
+
     # Requests from peers
 
     async def handle(self, frame: Frame) -> Frame:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host_state.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host_state.py
@@ -19,6 +19,7 @@
 from .host_lease import HostLease, HostRecord, Strength
 from .keystore import KeyStore
 from .known_load import KnownLoad
+from .known_summary import Aged
 from .observed_store import ObservedStore
 from .owned_cell import Timing
 from .owner import Owner
@@ -28,6 +29,7 @@
 from .preassignments import Membership, PreassignmentLog
 from .predecessor import SeenOwner
 from .record import MALFORMED
+from .stall_summary import MAX_AGE_S, KnownStalls, StallSummary
 from .stalls import StallHistory
 from .statistics import Statistics
 
@@ -76,6 +78,7 @@
         self.member_revisions: dict[str, int] = {}
         self.preassignment_log = PreassignmentLog()
         self.known_load = KnownLoad()
+        self.known_stalls = KnownStalls()
         self.owner: Owner | None = None
         self.known_owner: HostRecord | None = None
         self.seen_owners: deque[SeenOwner] = deque(maxlen=MAX_SEEN_OWNERS)
@@ -93,6 +96,11 @@
         """
         return 0.0 if self.owner is not None else max(0.0, boot_time() - self.no_orders_since)
 
+    def find_known_stalls(self) -> Aged[StallSummary] | None:
+        """Return the newest summary of stalled jobs with its age, None without a recent one."""
+        known = self.known_stalls.find(boot_time())
+        return None if known is None or known.age_s > MAX_AGE_S else known
+
     def describe_unknown(self, job_id: str) -> dict[str, Any]:
         """Return the answer to a query for a job that the local owner doesn't know.
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/news.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/news.py
@@ -23,6 +23,7 @@
     decode_packed,
     encode_news,
 )
+from .stall_summary import MAX_AGE_S, MalformedSummary, decode_summary, encode_summary
 
 NEWS_S = 1.0
 OUTAGE_NEWS_INTERVAL_S = 0.4
@@ -53,7 +54,7 @@
         self.heard: dict[str, HeardNews] = {}
         self.wanted = trio.Event()
         self._is_fetching = False
-        self._malformed_loads = RepeatedEvents()
+        self._malformed_parts = RepeatedEvents()
 
     def _forget_old(self) -> None:
         since = boot_time() - NEWS_EXPIRY_S
@@ -78,6 +79,7 @@
             self._host.preassignment_log.encode(),
             self._host.preassignment_log.closed,
             self._encode_load(),
+            self._encode_stalls(),
         )
 
     def _encode_load(self) -> dict[str, Any]:
@@ -87,6 +89,11 @@
             return {}
         return encode_digest(known.digest, known.age_s)
 
+    def _encode_stalls(self) -> dict[str, Any]:
+        """Return the newest summary of stalled jobs with its age, empty without one."""
+        known = self._host.find_known_stalls()
+        return {} if known is None else encode_summary(known.digest, known.age_s)
+
     def others(self) -> list[str]:
         """Return the addresses of the known other hosts, or the seeds if there are none."""
         self._forget_old()
@@ -131,6 +138,7 @@
             to_all = self.wanted.is_set() or not self._host.store.is_answering
             self.wanted = trio.Event()
             self._host.known_load.tick(boot_time())
+            self._host.known_stalls.tick(boot_time())
             others = self.others()
             for address in self._choose_recipients(others, MAX_NOTIFIED if to_all else FAN_OUT):
                 nursery.start_soon(self._send, address)
@@ -190,6 +198,7 @@
         self._host.preassignment_log.take(news)
         self._host.evacuations.merge_encoded(news.evacuations, news.host)
         self._take_load(news, transit_s)
+        self._take_stalls(news, transit_s)
         if news.version > self._host.configuration.state.version:
             await self._fetch_configuration()
 
@@ -199,13 +208,27 @@
             return
         found = decode_digest(news.load)
         if isinstance(found, MalformedDigest):
-            self._malformed_loads.log(
+            self._malformed_parts.log(
                 "load.malformed", (news.host,), host=news.host, error=found.reason
             )
             return
         digest, age_s = found
         self._host.known_load.offer(digest, age_s + transit_s, boot_time())
 
+    def _take_stalls(self, news: News, transit_s: float) -> None:
+        """Keep and log a peer's summary of stalled jobs if it is newer; drop a malformed one."""
+        if not news.stalls:
+            return
+        found = decode_summary(news.stalls)
+        if isinstance(found, MalformedSummary):
+            self._malformed_parts.log(
+                "stalls.malformed", (news.host,), host=news.host, error=found.reason
+            )
+            return
+        summary, age_s = found[0], found[1] + transit_s
+        if age_s <= MAX_AGE_S and self._host.known_stalls.offer(summary, age_s, boot_time()):
+            self._host.stalls.report_summary(summary, age_s)
+
     async def _fetch_configuration(self) -> None:
         """Fetch a peer's newer configuration unless the store's watch delivers it first.
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
@@ -49,6 +49,7 @@
 from .recorder import Recorder
 from .relay import StoreRelay
 from .run_lengths import LengthPrediction
+from .stall_summary import KnownStalls
 from .stalls import StallHistory
 from .statistics import Statistics
 from .task_masks import TaskMasks, keep, unite
@@ -139,7 +140,8 @@
     to the store accepts writes. `find_revision_age_s` returns for how long (s) the store has had a
     revision at least, and `learn_revisions` asks peers for what they know of that. Without
     `preassignments`, all that is recorded in advance counts as used. `known_load` has the newest
-    load digest that the host knows.
+    load digest that the host knows, and `known_stalls` the newest summary of stalled jobs. `host`
+    is the owner's name.
     """
 
     store: KeyStore
@@ -162,6 +164,8 @@
     learn_revisions: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint
     preassignments: Preassignments | None = None
     known_load: KnownLoad = field(default_factory=KnownLoad)
+    known_stalls: KnownStalls = field(default_factory=KnownStalls)
+    host: str = ""
     random: random.Random = field(default_factory=random.Random)
 
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/peer_messages.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/peer_messages.py
@@ -35,8 +35,9 @@
     `member_revision` that of its own key, 0 without one. `used_preassignments` holds the highest
     number used in each term, by the revision at which the term began, and `closed_preassignments`
     the last such revision for which it notes no further use. `load` is the newest load digest that
-    it knows, as `encode_digest` returns it; it is read apart from the rest, as news with a
-    malformed digest is still of use.
+    it knows, as `encode_digest` returns it, and `stalls` the newest summary of stalled jobs, as
+    `encode_summary` does, left out while there is none; both are read apart from the rest, as news
+    with a malformed one is still of use.
     """
 
     host: str
@@ -53,6 +54,7 @@
     used_preassignments: dict[str, int] = field(default_factory=dict)
     closed_preassignments: int = 0
     load: object = field(default_factory=dict)
+    stalls: object = field(default_factory=dict)
 
 
 NEWS_FIELD_TYPES = {
@@ -109,7 +111,10 @@
 
 def encode_news(news: News) -> dict[str, Any]:
     """Return news as a body."""
-    return asdict(news)
+    body = asdict(news)
+    if not news.stalls:
+        del body["stalls"]
+    return body
 
 
 def encode_record(record: JobRecord) -> dict[str, Any]:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/stall_monitor.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/stall_monitor.py
@@ -16,6 +16,7 @@
 from .offers import count_fits
 from .owned_cell import OwnedCell
 from .progress import Attempt, JobState, Phase, StepState
+from .stall_report import StallReport
 from .stalls import REPORT_INTERVAL_S, JobStall
 from .wait_causes import WaitCause
 
@@ -61,6 +62,11 @@
     _explanation_keys: frozenset[TaskKey] = frozenset()
     _causes: dict[TaskKey, WaitCause] = field(default_factory=dict)
     _planned_at: float = field(default_factory=trio.current_time)
+    _summary: StallReport = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Begin a report of this term."""
+        self._summary = StallReport(self.cell)
 
     async def run(self) -> None:
         """Check periodically until cancelled."""
@@ -96,9 +102,9 @@
     def find_stall(self, job: str) -> JobStall | None:
         """Return why and for how long a job has been stalled, None if it is not."""
         stalled = self.stalled_jobs.get(job)
-        if stalled is None:
-            return None
-        now = trio.current_time()
+        return None if stalled is None else self._describe(stalled, trio.current_time())
+
+    def _describe(self, stalled: StalledJob, now: float) -> JobStall:
         return JobStall(
             stalled.cause.value,
             round(now - stalled.since, 3),
@@ -132,6 +138,8 @@
         for stalled in due[:MAX_REPORTED]:
             self._reported_at[stalled.job.spec.id] = now
             self._report(stalled, now, len(due))
+        stalls = {name: self._describe(s, now) for name, s in self.stalled_jobs.items()}
+        self._summary.publish(stalls, self.term_age_s, now)
 
     def _is_due(self, stalled: StalledJob, now: float) -> bool:
         reported_at = self._reported_at.get(stalled.job.spec.id, float("-inf"))
@@ -227,12 +235,14 @@
         log_event(
             "job.stands",
             job=job.spec.id,
-            step=step.number,
-            occurrence=step.occurrence,
+            cause=stalled.cause.value,
             for_s=round(for_s, 3),
             known_for_s=round(self.cell.parts.stalls.record(job.spec.id, for_s), 3),
+            term=self.cell.term.number,
+            term_age_s=self.term_age_s,
+            step=step.number,
+            occurrence=step.occurrence,
             accepted_ago_s=round(self.cell.parts.wall_clock() - job.spec.accepted_at, 3),
-            cause=stalled.cause.value,
             open=step.waiting_count,
             of=len(step.tasks),
             fits=stalled.fits,
@@ -244,8 +254,6 @@
             runs=[_describe_attempt(attempt, now) for attempt in attempts[:MAX_LISTED]],
             standing=standing,
             silences=self._describe_possible_holders(job, now),
-            term=self.cell.term.number,
-            term_age_s=self.term_age_s,
         )
 
     def _describe_possible_holders(self, job: JobState, now: float) -> list[dict[str, Any]]:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/stalls.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/stalls.py
@@ -7,12 +7,13 @@
 from __future__ import annotations
 
 from collections.abc import Collection
-from dataclasses import asdict, dataclass, field
+from dataclasses import asdict, dataclass, field, replace
 from typing import Any
 
 import trio
 
 from .events import log_event
+from .stall_summary import StallSummary
 
 REPORT_INTERVAL_S = 2.0
 MAX_REPORTED = 16
@@ -60,6 +61,7 @@
 class _Stall:
     since: float
     reported_at: float
+    is_end_logged: bool = False
 
 
 @dataclass(slots=True)
@@ -72,35 +74,64 @@
     _stalls: dict[str, _Stall] = field(default_factory=dict)
     _reported_at: dict[str, float] = field(default_factory=dict)
 
-    def record(self, job: str, for_s: float) -> float:
-        """Record a job's stall duration (s) under its owner; return that across owners (s)."""
+    def record(self, job: str, for_s: float, ago_s: float = 0.0) -> float:
+        """Record a job's stall duration (s) under its owner; return that across owners (s).
+
+        Both are as of `ago_s` (s) ago.
+        """
         now = trio.current_time()
-        since, stall = now - for_s, self._stalls.pop(job, None)
-        if stall is not None and now - stall.reported_at < SAME_STALL_S:
+        since, stall = now - ago_s - for_s, self._stalls.pop(job, None)
+        is_same = stall is not None and not stall.is_end_logged
+        if stall is not None and is_same and now - stall.reported_at < SAME_STALL_S:
             since = min(since, stall.since)
         self._stalls[job] = _Stall(since, now)
         if len(self._stalls) > MAX_STALLS:
             del self._stalls[next(iter(self._stalls))]
-        return now - since
+        return now - ago_s - since
 
     def retain(self, waiting: Collection[str]) -> None:
         """Drop all jobs but the waiting ones; to be called with all jobs that wait."""
         self._stalls = {job: stall for job, stall in self._stalls.items() if job in waiting}
 
-    def report(self, job: str, stall: JobStall, owner: str) -> None:
-        """Log what the owner, another host, reports of a job, unless logged recently."""
-        known_for_s = self.record(job, stall.for_s)
-        if self._may_report(job):
-            log_event(
-                "job.stands",
-                job=job,
-                told_by=owner,
-                cause=stall.cause,
-                for_s=round(stall.for_s, 3),
-                known_for_s=round(known_for_s, 3),
-                term=stall.term,
-                term_age_s=round(stall.term_age_s, 3),
-            )
+    def report_summary(self, summary: StallSummary, age_s: float) -> None:
+        """Log the jobs that the owner, another host, listed as stalled `age_s` (s) ago."""
+        for row in summary.jobs:
+            stall = JobStall(row.cause, row.for_s, summary.term, summary.term_age_s)
+            self.report(row.job, stall, summary.owner, age_s, row.ended_ago_s)
+
+    def report(
+        self,
+        job: str,
+        stall: JobStall,
+        owner: str,
+        age_s: float = 0.0,
+        ended_ago_s: float | None = None,
+    ) -> None:
+        """Log what the owner, another host, reported of a job, unless logged recently.
+
+        The report is `age_s` (s) old; the stall had ended `ended_ago_s` (s) before it, None if it
+        went on.
+        """
+        known = self._stalls.get(job)
+        if ended_ago_s is not None and known is not None and known.is_end_logged:
+            return
+        known_for_s = self.record(job, stall.for_s, age_s + (ended_ago_s or 0.0))
+        if not self._may_report(job):
+            return
+        ended = {} if ended_ago_s is None else {"ended_ago_s": round(ended_ago_s + age_s, 3)}
+        self._stalls[job] = replace(self._stalls[job], is_end_logged=bool(ended))
+        log_event(
+            "job.stands",
+            job=job,
+            cause=stall.cause,
+            for_s=round(stall.for_s, 3),
+            known_for_s=round(known_for_s, 3),
+            term=stall.term,
+            term_age_s=round(stall.term_age_s, 3),
+            told_by=owner,
+            age_s=round(age_s, 3),
+            **ended,
+        )
 
     def report_unowned(self, job: str, unowned: OwnerUnreachable, stored: str) -> None:
         """Log that no owner could report on a job that a caller queried, unless logged recently.
