Say in the owner's line what a stalled job waits for

Cause: `job.stands` with `its own run is not settled` or `a start of it without an answer may yet be carried out` did not tell a start without an answer from a run at an executor that has gone, nor until when the wait lasts. Its `silences` are empty until an executor is known to be silent, and name none for a late start.

Change: `waits` has up to four runs or starts, the longest waits first: the executor, the run, whether its start was ever answered, how long ago the executor reported, since when it counts as silent, whether it has an entry, and how long the wait lasts at most. The times of late starts are read where they are kept (`LateStarts.list_ends`, by the formula that forgets them, which is unchanged). No decision uses any of this.

--- /dev/null
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/job_waits.py
@@ -0,0 +1,79 @@
+"""Descriptions of the runs and late starts that a stalled job waits for."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+from .owned_cell import OwnedCell
+from .progress import Attempt, JobState
+from .wait_causes import WaitCause
+
+MAX_WAITS = 4
+"""Keeps a line below the size that a pipe writes atomically."""
+
+
+def describe_waits(
+    cell: OwnedCell, job: JobState, cause: WaitCause, now: float
+) -> list[dict[str, Any]]:
+    """Describe the runs or starts that keep a job from being started, the longest waits first.
+
+    `left_s` is for how long (s) each keeps it at most, if nothing more is heard of it.
+    """
+    if cause is WaitCause.UNSETTLED_RUN:
+        found = [_describe_attempt(cell, attempt, now) for attempt in job.attempts()]
+    elif cause is WaitCause.LATE_START:
+        found = _describe_late_starts(cell, job, now)
+    else:
+        return []
+    return sorted(found, key=lambda row: -row["left_s"])[:MAX_WAITS]
+
+
+def _describe_attempt(cell: OwnedCell, attempt: Attempt, now: float) -> dict[str, Any]:
+    state = cell.executors.get(attempt.executor)
+    ends = cell.late_starts.list_ends(attempt.task.job)
+    late = [until for (_, start), until in ends.items() if start.task == attempt.task]
+    until = max([*late, state.lease_ends_by if state is not None else now])
+    started = _describe_start(attempt)
+    return _describe(cell, attempt.executor, attempt.run, started, until, now)
+
+
+def _describe_start(attempt: Attempt) -> str:
+    """Return whether the start was ever answered, or the run reported."""
+    if attempt.has_begun:
+        return "answered"
+    if attempt.may_have_begun:
+        return "no answer"
+    return "refused" if attempt.sends else "not sent"
+
+
+def _describe_late_starts(cell: OwnedCell, job: JobState, now: float) -> list[dict[str, Any]]:
+    ends = cell.late_starts.list_ends(job.spec.id)
+    return [
+        _describe(
+            cell,
+            executor,
+            start.run,
+            "of an earlier owner" if start.is_inherited else "no answer",
+            until,
+            now,
+        )
+        for (executor, start), until in ends.items()
+    ]
+
+
+def _describe(
+    cell: OwnedCell, executor: str, run: int, start: str, until: float, now: float
+) -> dict[str, Any]:
+    state = cell.executors.get(executor)
+    reported_at = -math.inf if state is None else state.reported_at
+    silent_since = None if state is None else state.unresponsive_since
+    return {
+        "executor": executor,
+        "run": run,
+        "start": start,
+        "reported_ago_s": round(now - reported_at, 2) if math.isfinite(reported_at) else None,
+        "silent_s": None if silent_since is None else round(now - silent_since, 2),
+        "listed": state is not None and state.listed,
+        "left_s": round(max(0.0, until - now), 2),
+    }
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/late_starts.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/late_starts.py
@@ -217,6 +217,20 @@
         }
         return frozenset(found), max(found.values(), default=trio.current_time())
 
+    def list_ends(self, job: str) -> dict[tuple[str, LateStart], float]:
+        """Return until when each start of a job matters at most, by executor and start."""
+        return {
+            (executor, start): until if executor in self._gone else self._find_end(until, last)
+            for executor in list(self._until)
+            for last in (self._find_last_deadline(executor),)
+            for start, until in self._list_known(executor).items()
+            if start.task.job == job
+        }
+
+    def _find_end(self, until: float, last_deadline: float) -> float:
+        """Return when the run of a start that may begin until a time is over."""
+        return max(until, last_deadline) + self._longest_run_s
+
     def list_unresolved(self, executor: str) -> list[LateStart]:
         """Return the unresolved starts at an executor."""
         now = trio.current_time()
@@ -227,9 +241,7 @@
         now = trio.current_time()
         starts = self._until.pop(executor, {})
         last = self._find_last_deadline(executor)
-        known = {
-            s: until for s, until in starts.items() if now < max(until, last) + self._longest_run_s
-        }
+        known = {s: until for s, until in starts.items() if now < self._find_end(until, last)}
         if known:
             self._until[executor] = known
         else:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/stall_monitor.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/stall_monitor.py
@@ -12,6 +12,7 @@
 
 from .events import log_event
 from .fleet import ExecutorState
+from .job_waits import describe_waits
 from .model import TaskKey
 from .offers import count_fits
 from .owned_cell import OwnedCell
@@ -242,6 +243,7 @@
             term_age_s=self.term_age_s,
             step=step.number,
             occurrence=step.occurrence,
+            waits=describe_waits(self.cell, job, stalled.cause, now),
             accepted_ago_s=round(self.cell.parts.wall_clock() - job.spec.accepted_at, 3),
             open=step.waiting_count,
             of=len(step.tasks),
