List stalls and waits at a cost that does not grow with both

Cause: the late starts of a job were listed once for each of its runs, and a row was made of each stall before the longest were chosen.

Change: late starts are listed once a line, and the longest stalls are taken with a heap; names of causes are looked up.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/job_waits.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/job_waits.py
@@ -5,6 +5,7 @@
 import math
 from typing import Any
 
+from .model import TaskKey
 from .owned_cell import OwnedCell
 from .progress import Attempt, JobState
 from .wait_causes import WaitCause
@@ -21,7 +22,7 @@
     `left_s` is for how long (s) each keeps it at most, if nothing more is heard of it.
     """
     if cause is WaitCause.UNSETTLED_RUN:
-        found = [_describe_attempt(cell, attempt, now) for attempt in job.attempts()]
+        found = _describe_attempts(cell, job, now)
     elif cause is WaitCause.LATE_START:
         found = _describe_late_starts(cell, job, now)
     else:
@@ -29,13 +30,18 @@
     return sorted(found, key=lambda row: -row["left_s"])[:MAX_WAITS]
 
 
-def _describe_attempt(cell: OwnedCell, attempt: Attempt, now: float) -> dict[str, Any]:
-    state = cell.executors.get(attempt.executor)
-    ends = cell.late_starts.list_ends(attempt.task.job)
-    late = [until for (_, start), until in ends.items() if start.task == attempt.task]
-    until = max([*late, state.lease_ends_by if state is not None else now])
-    started = _describe_start(attempt)
-    return _describe(cell, attempt.executor, attempt.run, started, until, now)
+def _describe_attempts(cell: OwnedCell, job: JobState, now: float) -> list[dict[str, Any]]:
+    late_until: dict[TaskKey, float] = {}
+    for (_, start), until in cell.late_starts.list_ends(job.spec.id).items():
+        late_until[start.task] = max(until, late_until.get(start.task, now))
+    found = []
+    for attempt in job.attempts():
+        state = cell.executors.get(attempt.executor)
+        lease_ends_by = now if state is None else state.lease_ends_by
+        until = max(lease_ends_by, late_until.get(attempt.task, now))
+        started = _describe_start(attempt)
+        found.append(_describe(cell, attempt.executor, attempt.run, started, until, now))
+    return found
 
 
 def _describe_start(attempt: Attempt) -> str:
@@ -48,18 +54,11 @@
 
 
 def _describe_late_starts(cell: OwnedCell, job: JobState, now: float) -> list[dict[str, Any]]:
-    ends = cell.late_starts.list_ends(job.spec.id)
-    return [
-        _describe(
-            cell,
-            executor,
-            start.run,
-            "of an earlier owner" if start.is_inherited else "no answer",
-            until,
-            now,
-        )
-        for (executor, start), until in ends.items()
-    ]
+    found = []
+    for (executor, start), until in cell.late_starts.list_ends(job.spec.id).items():
+        started = "of an earlier owner" if start.is_inherited else "no answer"
+        found.append(_describe(cell, executor, start.run, started, until, now))
+    return found
 
 
 def _describe(
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/stall_report.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/stall_report.py
@@ -4,10 +4,11 @@
 
 from collections import Counter
 from collections.abc import Mapping
+from heapq import nlargest
 
 from .clock import boot_time
 from .owned_cell import OwnedCell
-from .stall_summary import MAX_AGE_S, StalledRow, StallSummary, fit_summary
+from .stall_summary import MAX_AGE_S, MAX_JOBS, StalledRow, StallSummary, fit_summary
 from .stalls import JobStall
 
 MIN_REPORTED_S = 2.0
@@ -62,14 +63,10 @@
 
     def _list_rows(self, standing: Mapping[str, JobStall], now: float) -> tuple[StalledRow, ...]:
         """Return the longest stalls, those that go on first."""
-        going_on = [
-            StalledRow(job, stall.cause, stall.for_s)
-            for job, stall in standing.items()
-            if stall.for_s >= MIN_REPORTED_S
-        ]
-        ended = [
-            StalledRow(job, stall.cause, stall.for_s, now - at)
-            for job, (stall, at) in self._ended.items()
-        ]
-        groups = (sorted(rows, key=lambda row: -row.for_s) for rows in (going_on, ended))
-        return tuple(row for rows in groups for row in rows)
+        long = ((job, s) for job, s in standing.items() if s.for_s >= MIN_REPORTED_S)
+        going_on = nlargest(MAX_JOBS, long, key=lambda row: row[1].for_s)
+        ended = nlargest(MAX_JOBS, self._ended.items(), key=lambda row: row[1][0].for_s)
+        return (
+            *(StalledRow(job, stall.cause, stall.for_s) for job, stall in going_on),
+            *(StalledRow(job, stall.cause, stall.for_s, now - at) for job, (stall, at) in ended),
+        )
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/stall_summary.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/stall_summary.py
@@ -22,6 +22,7 @@
 MAX_CAUSES = 32
 MAX_S = 1e9
 """Bound of every duration in a summary."""
+NAMES = {cause.value: cause.name for cause in WaitCause}
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,7 +119,7 @@
 
 def _shorten(cause: str) -> str:
     """Return the name of a cause, or the cause itself if this version doesn't know it."""
-    return next((known.name for known in WaitCause if known.value == cause), cause)
+    return NAMES.get(cause, cause)
 
 
 def _expand(name: str) -> str:
