--- a/packages/heronthread-dispatch/src/heronthread_dispatch/gangs.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/gangs.py
@@ -15,8 +15,9 @@
 
 SPREAD_WAIT_S = 1.5
 IDLE_SPREAD_WAIT_S = 2.0
-"""How long other gangs wait for a rack while much of the pool is idle. Callers tolerate 3 s with
-nothing running, and a plan is made each 0.5 s."""
+"""How long other gangs wait for a rack while there is ample room in several. Callers tolerate 3 s
+with nothing running, and a plan is made each 0.5 s."""
+AMPLE_ROOM_FACTOR = 2
 MAX_RESERVATIONS = 2
 SPEED_COST = 300.0
 SLOW_COST = 1e3
@@ -125,18 +126,26 @@
             scopes = [near] if near is not None else []
             others = [rack_scope for rack_scope in eligible.racks if rack_scope is not near]
         possible = any(s.fits_when_empty(spec, len(candidate.tasks)) for s in scopes)
-        if possible and not self._may_spread(candidate):
+        if possible and not self._may_spread(candidate, eligible):
             return scopes
         return [*scopes, *others, eligible]
 
-    def _may_spread(self, candidate: Candidate) -> bool:
-        """Whether a gang may use any racks although one would have room for it when empty."""
+    def _may_spread(self, candidate: Candidate, eligible: Scope) -> bool:
+        """Whether a gang may use any racks although one would have room for it when empty.
+
+        A spread gang runs for several times as long, so one that is not urgent waits for a rack
+        unless there is ample room.
+        """
         waited_s = candidate.waited_s(self._now)
         if candidate.queue.priority == URGENT:
             return waited_s >= SPREAD_WAIT_S
         if waited_s < IDLE_SPREAD_WAIT_S or candidate.job.has_attempts:
             return False
-        return self._is_mostly_idle(candidate.queue.pool)
+        required = AMPLE_ROOM_FACTOR * len(candidate.tasks)
+        return (
+            self._is_mostly_idle(candidate.queue.pool)
+            and eligible.count(candidate.step.spec.need) >= required
+        )
 
     def _best_fit(
         self, candidate: Candidate, scopes: list[Scope], avoided: set[str], held: Counter[str]
