Send first starts only to executors that have just answered

Cause: a report of the last 2 s counted as recent before a first start, so an executor that was partitioned or had crashed up to 2 s before was sent the start. It got no answer, and the task, with its gang, waited for that executor's lease.

Ruled out: a shorter age alone. At a busy executor the watch has a hold in flight that waits up to 1 s for an end, and the probe went out only after it, later than its timeout.

Change: a start goes out only to an executor that has reported in the last 0.1 s, else it is probed, also beside a hold in flight, by the code that already confirmed stops there (now concurrent_probes). Of the answer only that this instance answers is used, and which stopped runs it does not list. All starts that wait for an executor share a probe. After a naming of over 0.1 s there is one more. An executor without an answer gets no work until it reports.

Of test_probing.py both partitions of the chosen executors, the burst and the slow store failed before. test_unnoticed_crashes, test_orders, test_executor_watch, test_refusals, test_instance_restart, test_late_starts, test_owner and the emulator's test_rounds pass.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/stop_confirmation.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/concurrent_probes.py
@@ -1,17 +1,20 @@
-"""Confirms quickly that a stopped run is not at its executor.
+"""Probes of an executor that go out concurrently, also beside a hold that waits for an end.
 
-The run was in no report, as its start was not answered and may never have arrived. A report that is
-requested after the stop and does not list it confirms this. A hold that waits for an end would not
-return for it.
+- A start goes out only to an executor that has just answered.
+- A stopped run that was in no report may never have arrived, as its start was not answered. A
+  report that is requested after the stop and does not list it confirms this.
+
+The hold would return for neither.
 """
 
 from __future__ import annotations
 
 import trio
 
-from .executor_link import HoldOrder, HoldOutcome, NoAnswer, Report
+from .executor_link import HoldOrder, HoldOutcome, InstanceEnded, NoAnswer, Report
 from .fleet import ExecutorState
 from .owned_cell import OwnedCell
+from .probing import needs_probe
 from .progress import UNSETTLED, Attempt, Phase
 
 REPROBE_AFTER_S = 0.4
@@ -26,15 +29,15 @@
 
 
 async def send_hold(cell: OwnedCell, state: ExecutorState, order: HoldOrder) -> HoldOutcome:
-    """Send a hold, and confirm stops concurrently while it waits for an end."""
+    """Send a hold, and probe on request while it waits for an end."""
     link = cell.parts.link
     if order.until_ms is not None:
         cell.fences.deadlines.note_sent(state.instance)
-    state.stop_settled = trio.Event()
+    state.report_wanted = trio.Event()
     if not order.wait_s:
         return await link.hold(state.executor, order)
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_confirm_stops, cell, state)
+        nursery.start_soon(_probe_on_request, cell, state)
         outcome = await link.hold(state.executor, order)
         nursery.cancel_scope.cancel()
     return outcome
@@ -76,19 +79,31 @@
     return isinstance(outcome, NoAnswer) and not outcome.unsent
 
 
-async def _confirm_stops(cell: OwnedCell, state: ExecutorState) -> None:
-    """Request a report each time a stop is acknowledged.
+async def _probe_on_request(cell: OwnedCell, state: ExecutorState) -> None:
+    """Probe an executor each time that a start or a stopped run waits for its report."""
+    sent = float("-inf")
+    while True:
+        await state.report_wanted.wait()
+        state.report_wanted = trio.Event()
+        has_stops = any(needs_confirmation(attempt, sent) for attempt in state.list_held())
+        if has_stops or needs_probe(state):
+            outcome, sent = await probe_repeatedly(cell, state)
+            _take_answer(cell, state, outcome, sent)
+
+
+def _take_answer(cell: OwnedCell, state: ExecutorState, outcome: HoldOutcome, sent: float) -> None:
+    """Process an answer to a probe that was sent beside a hold.
 
-    Only missing runs are taken from it, as the hold in flight may be older but be answered later.
+    Only missing runs are taken from its report, and that this instance answers, as the hold may be
+    older but be answered later. Another instance is left to the next hold.
     """
-    while True:
-        await state.stop_settled.wait()
-        state.stop_settled = trio.Event()
-        sent = trio.current_time()
-        order = HoldOrder(cell.fences.tokens.find(state.id), 0, None, 0.0)
-        outcome = await cell.parts.link.hold(state.executor, order)
-        if isinstance(outcome, Report) and outcome.born in (0, state.instance.born):
-            _close_unnamed(cell, state, outcome, sent)
+    if isinstance(outcome, InstanceEnded):
+        state.mark_ended()
+    elif isinstance(outcome, Report) and outcome.born in (0, state.instance.born):
+        _close_unnamed(cell, state, outcome, sent)
+        state.mark_reported(trio.current_time())
+    else:
+        state.notify_waiters()
 
 
 def _close_unnamed(cell: OwnedCell, state: ExecutorState, report: Report, sent: float) -> None:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/executor_watch.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/executor_watch.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from .concurrent_probes import needs_confirmation, probe_repeatedly, send_hold
 from .events import describe_instance, describe_run, log_event
 from .executor_link import (
     EndedRun,
@@ -27,7 +28,6 @@
 from .probing import needs_probe
 from .progress import UNSETTLED, Attempt, JobState, Phase
 from .speed import measure_speed, shows_executor_speed
-from .stop_confirmation import needs_confirmation, probe_repeatedly, send_hold
 
 WAIT_S = 1.0
 SHORT_WAIT_S = 0.35
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
@@ -80,9 +80,9 @@
       entry for this instance at another address, until it answers there. `asked`: the last of these
       entries that was probed. `has_own_entry`: an entry of this instance was read.
     - `reported_at`: when its last report arrived. `needs_report`: it must report once more before
-      it gets work.
-    - `news`: set and replaced when it reports or fails to. `stop_settled`: set when an unreported
-      run was stopped.
+      it gets work. `report_wanted_since`: a start waits for a report that arrives after this.
+    - `news`: set and replaced when it reports or fails to. `report_wanted`: set to probe it beside
+      a hold in flight, as a start waits for that or an unreported run was stopped.
     """
 
     executor: Executor
@@ -122,6 +122,7 @@
     has_own_entry: bool = True
     reported_at: float = float("-inf")
     needs_report: bool = False
+    report_wanted_since: float = float("-inf")
     leaves_at: float | None = None
     backoff_until: float = 0.0
     backoff_streak: int = 0
@@ -131,7 +132,7 @@
     healthy_at: float = float("-inf")
     wake: trio.Event = field(default_factory=trio.Event)
     news: trio.Event = field(default_factory=trio.Event)
-    stop_settled: trio.Event = field(default_factory=trio.Event)
+    report_wanted: trio.Event = field(default_factory=trio.Event)
 
     @property
     def id(self) -> str:
@@ -271,6 +272,11 @@
         self.needs_report = False
         self.notify_waiters()
 
+    def request_report(self) -> None:
+        """Have its watch probe it, also while a hold waits for an end."""
+        self.wake.set()
+        self.report_wanted.set()
+
     def notify_waiters(self) -> None:
         """Wake the tasks that wait for its next report, or for a failure to report."""
         self.news.set()
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
@@ -139,6 +139,10 @@
         if not await self._confirm_refusals(orders, checkpoint):
             self._abandon_unsent(orders, "its executor may still take an earlier start")
             return
+        # The store may have taken seconds.
+        if not await wait_for_reports(executors, self.cell.executors.values()):
+            self._abandon_unsent(orders, "its executor has not answered a second probe")
+            return
         for start, attempt in orders:
             self._nursery.start_soon(self._start, start, attempt, checkpoint)
 
@@ -439,7 +443,7 @@
             self.cell.late_starts.mark_refused(attempt.instance, attempt.task, attempt.run)
             state.wake.set()
             if not attempt.seen:
-                state.stop_settled.set()
+                state.report_wanted.set()
             return True
         if isinstance(outcome, InstanceEnded):
             state.mark_ended()
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/probing.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/probing.py
@@ -1,7 +1,8 @@
-"""Probing of idle executors before they are sent a start.
+"""Probing of executors before they are sent a start.
 
-An idle executor gets no calls, so a crash or partition goes unnoticed. A start sent there has an
-unknown outcome and blocks its task for seconds, while a probe has no side effects.
+A crash or partition goes unnoticed until the next call: for long at an idle executor, which gets
+none, and for up to 1.8 s at one with work. A start sent there has an unknown outcome and blocks its
+task for seconds, while a probe has no side effects.
 """
 
 from __future__ import annotations
@@ -11,10 +12,11 @@
 import trio
 
 from .fleet import ExecutorState
-from .progress import Phase
 
+PROOF_AGE_S = 0.1
+"""Age up to which a report replaces the probe before a start; a few round trips."""
 RECENT_S = 2.0
-"""Age up to which a report counts as recent and replaces a probe.
+"""Age up to which a report counts where another executor of the rack has not answered.
 
 An executor with work reports within 1.8 s or is unresponsive.
 """
@@ -29,41 +31,43 @@
     """
     if state.unresponsive_since is not None:
         return False
-    if state.needs_fence:
-        return True
-    waits = any(a.phase is Phase.STARTING and not a.sends for a in state.attempts.values())
-    return state.needs_report or (waits and not _has_recent_report(state))
+    is_start_waiting = state.reported_at < state.report_wanted_since
+    return state.needs_fence or state.needs_report or is_start_waiting
 
 
 async def wait_for_reports(asked: Iterable[ExecutorState], known: Iterable[ExecutorState]) -> bool:
-    """Wait for a recent report of each asked executor; False if one does not report.
+    """Wait until each asked executor has just reported; False if one does not report.
 
-    The other executors in its rack then need a probe before they get work, as the whole rack may
-    have failed.
+    Those that do not report get no work until they do. The other executors in their racks then need
+    a probe before they get work, as a whole rack may have failed.
     """
-    asked = list(asked)
+    since = trio.current_time() - PROOF_AGE_S
+    waited_for = [state for state in asked if not _has_reported(state, since)]
+    for state in waited_for:
+        state.report_wanted_since = since
+        state.request_report()
     with trio.move_on_after(PROBE_TIMEOUT_S):
-        for state in asked:
-            await _wait_for_report(state)
-    unanswered = [state for state in asked if not _has_recent_report(state)]
-    racks = {_get_rack(state) for state in unanswered if not state.dead}
+        for state in waited_for:
+            await _wait_for_report(state, since)
+    unanswered = [state for state in waited_for if not _has_reported(state, since)]
+    lost = [state for state in unanswered if not state.dead]
+    racks = {_get_rack(state) for state in lost}
+    recent = trio.current_time() - RECENT_S
     for state in known if racks else ():
-        if _get_rack(state) in racks and not _has_recent_report(state):
+        if state in lost or (_get_rack(state) in racks and state.reported_at < recent):
             state.needs_report = True
-            state.wake.set()
+            state.request_report()
     return not unanswered
 
 
-async def _wait_for_report(state: ExecutorState) -> None:
-    """Wait until an executor has a recent report, or is known to be silent or dead."""
-    if _has_recent_report(state) or state.dead or state.unresponsive_since is not None:
-        return
-    state.wake.set()
-    await state.news.wait()
+async def _wait_for_report(state: ExecutorState, since: float) -> None:
+    """Wait until an executor has reported since a time, or is known to be silent or dead."""
+    if state.reported_at < since and not state.dead and state.unresponsive_since is None:
+        await state.news.wait()
 
 
-def _has_recent_report(state: ExecutorState) -> bool:
-    return trio.current_time() - state.reported_at <= RECENT_S
+def _has_reported(state: ExecutorState, since: float) -> bool:
+    return state.unresponsive_since is None and state.reported_at >= since
 
 
 def _get_rack(state: ExecutorState) -> tuple[str, str]:
