--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from dataclasses import asdict
+from dataclasses import asdict, replace
 from typing import Any
 
 import trio
@@ -375,12 +375,18 @@
         return await self._handle_job(operation, body)
 
     def _exchange_news(self, body: dict[str, Any]) -> dict[str, Any]:
-        """Take a peer's news and return this host's, which tell what it has noted by now."""
+        """Take a peer's news and return this host's, which tell what it has noted by now.
+
+        A peer with a summary of stalled jobs gets none, as newer ones are sent to it soon; that
+        halves their traffic.
+        """
         news = decode_news(body)
         if news is not None:
             self.preassignment_log.take(news)
         self.spawn(self.news.take, news)
-        return encode_news(self.news.make())
+        own = self.news.make()
+        has_summary = news is not None and bool(news.stalls)
+        return encode_news(replace(own, stalls={}) if has_summary else own)
 
     def _check_placement(self, spec: JobSpec) -> tuple[int, dict[str, Any]]:
         """Return whether a job can ever be placed; only the owner, with a valid lease, can tell."""
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/stall_report.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/stall_report.py
@@ -13,8 +13,8 @@
 
 MIN_REPORTED_S = 2.0
 """Shorter stalls are counted only, as every host logs those that are listed."""
-ENDED_KEPT_S = 8.0
-"""How long an ended stall is listed; news reaches all hosts in a few seconds."""
+ENDED_KEPT_S = 12.0
+"""How long an ended stall is listed, so that it reaches every host."""
 
 
 class StallReport:
