Let a start ask for a short lease, and renew it once it is answered

Cause: a first start to an idle executor asked for the full lease of 6 s, and so did the hold that was sent beside it. Without an answer the task, and its whole gang, waited 6.5 s to 6.8 s for a lease that nothing else had asked for.

Change: a start asks for 2.2 s (Timing.start_lease_s; its three sends lie within it). While no start at an executor is answered and no report names a run, its holds carry no deadline. Where lives say their start and an executor refuses every stop, its start counts as settled no sooner than before, as the next life has another clock.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/executor_watch.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/executor_watch.py
@@ -21,6 +21,7 @@
 )
 from .executor_restart import replace_instance
 from .fleet import ExecutorState
+from .lease_renewal import renew_fully
 from .length_measure import find_far_factor
 from .model import Executor, ExecutorInstance, TaskKey
 from .owned_cell import OwnedCell
@@ -55,23 +56,32 @@
         self._failed_holds = 0
         self._logged_instance: ExecutorInstance | None = None
         self._hold_sent_at = float("-inf")
+        self._has_new_run = False
 
     async def run(self) -> None:
         """Renew, process reports and acknowledge ends until the executor is gone."""
+        async with trio.open_nursery() as nursery:
+            await self._renew_until_gone(nursery)
+            nursery.cancel_scope.cancel()
+        self.cell.handle_instance_end(self.state)
+        if self.state.dead:
+            self.cell.late_starts.note_gone(self.state.id)
+        self._close_all("the executor is gone")
+        self.cell.executors.pop(self.state.id, None)
+
+    async def _renew_until_gone(self, nursery: trio.Nursery) -> None:
         while not self.state.dead:
             while self._is_idle():
                 await self._pause(min(self.state.ack_deferred_until.values(), default=float("inf")))
             if not self.cell.parts.may_send_orders():
                 await trio.sleep(PAUSE_S)
                 continue
+            if self._has_new_run:
+                self._has_new_run = False
+                nursery.start_soon(renew_fully, self.cell, self.state)
             await self._renew_once()
             if self.state.dead or self._can_be_dropped():
                 break
-        self.cell.handle_instance_end(self.state)
-        if self.state.dead:
-            self.cell.late_starts.note_gone(self.state.id)
-        self._close_all("the executor is gone")
-        self.cell.executors.pop(self.state.id, None)
 
     async def _pause(self, until: float) -> None:
         """Wait until there is something to do, or until a time on trio's clock."""
@@ -125,6 +135,8 @@
             await self._handle_report(outcome, order, sent)
             if state is self.state:
                 state.asked = entry or state.asked
+                if order.until_ms is not None:
+                    state.renewed_at = max(state.renewed_at, sent)
             if self.state.ack_deferred_until:
                 await self._pause(sent + DEFERRED_ACK_PAUSE_S)
         elif isinstance(outcome, InstanceEnded):
@@ -248,9 +260,9 @@
 
         An unresponsive executor is only probed: a renewal without an answer may be carried out, and
         would extend the time until its runs have certainly ended. The lease is not renewed either
-        where everything is to be stopped and no stop is answered.
+        where all starts and stops are without an answer, as a start carries a lease of its own.
         """
-        if self._failed_holds or all(map(_is_stop_pending, self.state.list_held())):
+        if self._failed_holds or not any(map(_needs_lease, self.state.list_held())):
             return None
         return self.state.deadline_ms(now, self.cell.parts.timing.executor_lease_s)
 
@@ -383,6 +395,7 @@
             attempt.phase = Phase.RUNNING
             attempt.settled_at = received
             attempt.progressed_at = received
+            self._has_new_run = True
         factor = self._far_factor(job, attempt)
         policy = self.cell.parts.policy
         if measure_speed(job, attempt, self.state, run.percent, received, factor, policy):
@@ -448,11 +461,18 @@
         if sent <= self.state.lease_ends_by:
             return
         for attempt in self.state.list_held():
+            if self.cell.late_starts.is_open(attempt) and sent <= self._find_full_end(attempt):
+                # A later instance would not refuse it.
+                continue
             if _is_stop_pending(attempt) and (attempt.task, attempt.run) not in listed:
                 # It refuses late sends of the expired lease, so the start is resolved as well.
                 self.cell.late_starts.settle(attempt)
                 self.cell.close(attempt, "the holding time has run out")
 
+    def _find_full_end(self, attempt: Attempt) -> float:
+        """Return when a full lease from the last send of an attempt's start is over."""
+        return attempt.sent_at + self.cell.parts.timing.max_run_after_order_s
+
     def _close_unlisted(self, listed: set[tuple[TaskKey, int]], sent: float) -> None:
         """Close attempts that are missing in a report requested after their orders were settled."""
         for attempt in self.state.list_held():
@@ -477,6 +497,11 @@
     return attempt.sends > 0 or attempt.phase is not Phase.STARTING
 
 
+def _needs_lease(attempt: Attempt) -> bool:
+    """Return whether a lease is renewed for an attempt: its start or its stop was answered."""
+    return attempt.phase is not Phase.STARTING and not _is_stop_pending(attempt)
+
+
 def _is_stop_pending(attempt: Attempt) -> bool:
     """Return whether an attempt is to be stopped and no answer has settled that yet."""
     return attempt.phase is Phase.STOPPING and attempt.settled_at == UNSETTLED
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
@@ -56,6 +56,8 @@
       instance. `late_orders_until`: until when a deadline that was sent to another instance may
       arrive. `late_lease_until`: until when such a deadline may extend the lease.
       `needs_fence`: orders carry a token that refuses such deadlines, and it has not answered one.
+    - `renewed_at`: when the last answered renewal to the full lease was sent. `is_renewing`: one is
+      sent until it is answered.
     - `processed_end`: the highest end processed; `recorded_end`: the highest end in the store;
       `acknowledged`: the highest end acknowledged to the executor. Ends in `ack_deferred_until` are
       acknowledged at their times.
@@ -94,6 +96,8 @@
     late_orders_until: float = float("-inf")
     late_lease_until: float = float("-inf")
     needs_fence: bool = False
+    renewed_at: float = float("-inf")
+    is_renewing: bool = False
     processed_end: int = 0
     recorded_end: int = 0
     acknowledged: int = 0
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/late_starts.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/late_starts.py
@@ -196,9 +196,12 @@
 
     def is_open(self, attempt: Attempt) -> bool:
         """Return whether a start of an attempt may still be carried out by another instance."""
+        return trio.current_time() < self.find_open_until(attempt)
+
+    def find_open_until(self, attempt: Attempt) -> float:
+        """Return until when another instance may carry out a start of an attempt, 0.0 if none."""
         start = LateStart(attempt.task, attempt.run)
-        until = self._until.get(attempt.executor, {}).get(start, 0.0)
-        return trio.current_time() < until
+        return self._until.get(attempt.executor, {}).get(start, 0.0)
 
     def list_open_of_job(self, job: str) -> tuple[frozenset[UnresolvedStart], float]:
         """Return a job's starts whose runs may begin or go on, and until when they may begin."""
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
@@ -21,6 +21,7 @@
     Unhealthy,
 )
 from .fleet import ExecutorState
+from .lease_renewal import renew_fully
 from .model import NO_RESOURCES
 from .owned_cell import OwnedCell
 from .plan import Start
@@ -167,7 +168,7 @@
             if start.task.attempt is not attempt or self._find_obstacle(state) is not None:
                 return False
             now = trio.current_time()
-            until = state.deadline_ms(now, self.cell.parts.timing.executor_lease_s)
+            until = state.deadline_ms(now, self.cell.parts.timing.start_lease_s)
             if until is None or not self.cell.late_starts.is_stopped(state, attempt.task, run):
                 return False
             sent = Attempt(attempt.task, run, attempt.instance, NO_RESOURCES, now, sent_at=now)
@@ -234,7 +235,7 @@
             return
         # All sends share one deadline, as a later one would extend the time in which they may be
         # executed.
-        until = state.deadline_ms(trio.current_time(), self.cell.parts.timing.executor_lease_s)
+        until = state.deadline_ms(trio.current_time(), self.cell.parts.timing.start_lease_s)
         if until is None:
             self._give_up(attempt, "its executor may not be held")
             return
@@ -337,6 +338,7 @@
                 attempt.phase = Phase.RUNNING
                 attempt.settled_at = now
                 attempt.progressed_at = now
+            self._begin_renewal(attempt)
             if attempt.instance.born and not list_pending_starts(start.job):
                 # The next owner would otherwise restrict the tasks to the executors of these
                 # starts.
@@ -368,6 +370,12 @@
         else:
             self._give_up(attempt, f"refused: {reason}")
 
+    def _begin_renewal(self, attempt: Attempt) -> None:
+        """Renew the lease of a run that has just begun, as its start asked for a short one."""
+        state = self.cell.executors.get(attempt.executor)
+        if state is not None and state.holds(attempt):
+            self._nursery.start_soon(renew_fully, self.cell, state)
+
     def _apply_refusal(
         self, attempt: Attempt, state: ExecutorState, outcome: OrderOutcome, now: float
     ) -> None:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
@@ -101,13 +101,15 @@
 class Timing:
     """Deployment timing settings, in seconds.
 
-    `executor_lease_s` is the lease that an executor is asked for, `max_executor_lease_s` the
-    longest one that it grants, and `stop_s` the time that a stop may take. `far_factor` is the
+    `executor_lease_s` is the lease that an executor is asked for, `start_lease_s` the one that a
+    start asks for until it is answered, `max_executor_lease_s` the longest one that is granted, and
+    `stop_s` the time that a stop may take. `far_factor` is the
     slowdown of a task away from its data, or of a one-rack gang that is spread over racks.
     `retention_s` is how long a final job is kept.
     """
 
     executor_lease_s: float = 6.0
+    start_lease_s: float = 2.2
     max_executor_lease_s: float = 10.0
     stop_s: float = 0.9
     gang_timeout_s: float = 3.0
