Close what was at a silent executor when its lease is over

Cause: attempts at a silent executor were closed only as the next probe or hold failed after the end of the lease, as each of these takes seconds.

Change: beside the probes, the watch waits for the end of the lease, or until a start that a later instance may carry out can't be late any more, and closes then. It decides what may be closed as before, and does nothing while the owner may not send orders.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/executor_watch.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/executor_watch.py
@@ -61,6 +61,7 @@
     async def run(self) -> None:
         """Renew, process reports and acknowledge ends until the executor is gone."""
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._close_at_lease_end)
             await self._renew_until_gone(nursery)
             nursery.cancel_scope.cancel()
         self.cell.handle_instance_end(self.state)
@@ -284,8 +285,6 @@
         self.state.notify_waiters()
         self.state.backoff_until = max(self.state.backoff_until, now + MAX_PAUSE_S)
         if now > self.state.lease_ends_by and self.state.has_reported:
-            self.cell.crashes.record_possible_crash(self.state)
-            self.cell.fail_crashing_jobs_at(self.state)
             self._close_expired("the holding time has run out")
         await trio.sleep(min(MAX_PAUSE_S, PAUSE_S * 2 ** min(self._failed_holds, 4)))
 
@@ -311,8 +310,38 @@
             self.cell.close(attempt, why)
             self.cell.stop_gang(attempt, why)
 
+    async def _close_at_lease_end(self) -> None:
+        """Close the attempts at an unresponsive executor at the end of its lease.
+
+        The probe in flight may take seconds to fail.
+        """
+        while True:
+            reported_or_failed = self.state.news
+            with trio.move_on_at(self._find_next_expiry()):
+                await reported_or_failed.wait()
+            if trio.current_time() < self._find_next_expiry():
+                continue
+            if self.cell.parts.may_send_orders():
+                self._close_expired("the holding time has run out")
+            else:
+                await trio.sleep(PAUSE_S)
+
+    def _find_next_expiry(self) -> float:
+        """Return when the next attempt at an unresponsive executor can't be there any more."""
+        state = self.state
+        if state.unresponsive_since is None or not state.has_reported:
+            return float("inf")
+        late_starts = self.cell.late_starts
+        ends = (
+            max(state.lease_ends_by, late_starts.find_open_until(attempt))
+            for attempt in state.list_held()
+        )
+        return min(ends, default=float("inf"))
+
     def _close_expired(self, why: str) -> None:
         """Close the attempts that can't be here, nor be started by a new instance."""
+        self.cell.crashes.record_possible_crash(self.state)
+        self.cell.fail_crashing_jobs_at(self.state)
         for attempt in self.state.list_held():
             if not self.cell.late_starts.is_open(attempt):
                 self.cell.close(attempt, why)
--- a/packages/heronthread-dispatch/tests/test_executor_watch.py
+++ b/packages/heronthread-dispatch/tests/test_executor_watch.py
@@ -1,10 +1,14 @@
 import pytest
 import trio
 from heronthread_dispatch.executor_link import HoldOrder, HoldOutcome
+from heronthread_dispatch.fleet import ExecutorState
+from heronthread_dispatch.late_starts import MAX_ORDER_DELAY_S
 from heronthread_dispatch.model import Executor, TaskKey
 from heronthread_dispatch.record import JobStatus
 from heronthread_emulator import EmulatedSite, check_promises
 
+TASK = TaskKey("a", 0, 0)
+
 
 async def _status(site: EmulatedSite, job: str) -> JobStatus | None:
     for host in site.hosts.values():
@@ -40,6 +44,58 @@
         assert await _status(site, "a") is JobStatus.SUCCEEDED
 
 
+async def _submit_and_cut(site: EmulatedSite, cut_s: float) -> ExecutorState:
+    """Cut off the executor of a run after a time (s), and return its state."""
+    await site.wait_for_owner()
+    await site.hosts["h0"].requests.accept(site.make_job("a", work_s=30.0), 2.0)
+    await trio.sleep(cut_s)
+    name = site.executors.starts(TASK)[0].executor
+    site.executors.by_id[name].is_cut = True
+    owner = site.hosts["h0"].owner
+    assert owner is not None
+    return owner.cell.executors[name]
+
+
+@pytest.mark.parametrize("says_born", [False, True])
+@pytest.mark.parametrize("cut_s", [1.0, 1.2, 1.4, 1.6, 1.8, 2.0])
+async def test_task_of_an_unresponsive_executor_is_free_once_the_lease_is_over(
+    cut_s: float, says_born: bool, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against attempts that are closed only as the next probe fails."""
+    async with EmulatedSite.open(hosts=1, executors=2, says_born=says_born) as site:
+        state = await _submit_and_cut(site, cut_s)
+        await trio.sleep(9.0)
+        assert len(site.executors.starts(TASK)) == 2
+        waited_s = site.executors.starts(TASK)[1].at - state.lease_ends_by
+        assert 0.0 <= waited_s <= 0.1
+        assert check_promises(site.executors, {}) == []
+
+
+async def test_attempt_whose_start_may_be_late_is_not_closed_at_the_end_of_the_lease(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """A later instance with another clock may carry the start out."""
+    async with EmulatedSite.open(hosts=1, executors=1) as site:
+        await site.wait_for_owner()
+        await trio.sleep(14.0)
+        site.executors.by_id["e0"].lose_starts, site.executors.by_id["e0"].late_s = 9, 30.0
+        await site.hosts["h0"].requests.accept(site.make_job("a", work_s=30.0), 2.0)
+        await trio.sleep(0.1)
+        site.executors.by_id["e0"].is_cut = True
+        owner = site.hosts["h0"].owner
+        assert owner is not None
+        state = owner.cell.executors["e0"]
+        (attempt,) = state.list_held()
+        await trio.sleep(1.0)
+        await trio.sleep_until(state.lease_ends_by + 1.0)
+        assert state.unresponsive_since is not None
+        assert state.holds(attempt)
+        await trio.sleep_until(attempt.sent_at + MAX_ORDER_DELAY_S - 0.1)
+        assert state.holds(attempt)
+        await trio.sleep(0.2)
+        assert not state.holds(attempt)
+
+
 async def test_an_incomplete_first_report_does_not_count(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
