Let emulated gangs break at once when a member ends

Cause: the users' executors end the other members of a run as broken as soon as one has ended; the emulated ones left them to the gang's time limit, which ends them as alone, so no play could show what an owner makes of such ends. Change: a switch, off by default. A member's end, or a crash, ends the rest of its run as broken at once, except on executors that are cut off, which run on.

--- a/packages/heronthread-emulator/src/heronthread_emulator/executors.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/executors.py
@@ -155,7 +155,8 @@
     A task in `crashing` crashes each executor that starts it, so many seconds later;
     `on_crash` is then called with its name. `overfull` are the starts (when ordered, where)
     that went over a capacity that is not guarded. `on_tick` is called after each step of time.
-    `unanswered` are the starts that were sent and have got no answer.
+    `unanswered` are the starts that were sent and have got no answer. With `breaks_gangs` a
+    member's end or crash ends the rest of its run as broken at once, where that is not cut off.
     """
 
     def __init__(self) -> None:
@@ -165,6 +166,7 @@
         self.shown_percent: float | None = None
         self.approver: EmulatedApprover | None = None
         self.hides_ends = False
+        self.breaks_gangs = False
         self.crashing: dict[TaskKey, float] = {}
         self.overfull: list[tuple[float, str]] = []
         self.on_crash: Callable[[str], None] = self.crash
@@ -198,6 +200,8 @@
                 self._end(executor, run, EndKind.LAPSED)
             return
         for run in list(executor.running.values()):
+            if (run.task, run.run) not in executor.running:
+                continue
             if run.stopping_at is not None and now >= run.stopping_at:
                 self._end(executor, run, EndKind.STOPPED)
             elif run.stopping_at is None and not executor.stands_still:
@@ -253,6 +257,15 @@
         self._log(kind.value, executor, run.task, run.run, number=executor.numbers)
         executor.news.set()
         executor.news = trio.Event()
+        if kind not in (EndKind.DONE, EndKind.BROKEN):
+            self._break_gang(run)
+
+    def _break_gang(self, run: Run) -> None:
+        """End the rest of a run of which a member has ended."""
+        if self.breaks_gangs and run.members > 1:
+            for place, member in self._sort(self._wholes.get(run.whole, [])):
+                if not place.is_cut:
+                    self._end(place, member, EndKind.BROKEN)
 
     def _log(
         self,
@@ -274,9 +287,12 @@
         place = self.by_id[name]
         place.is_gone = True
         place.news.set()
-        for run in list(place.running.values()):
+        ended = list(place.running.values())
+        for run in ended:
             self._drop(place, run)
             self._log("gone", place, run.task, run.run)
+        for run in ended:
+            self._break_gang(run)
 
     def plant_run(self, name: str, task: TaskKey, run: int, work_s: float = 30.0) -> None:
         """Have a run begin that nobody ordered, as one that was thought to be nowhere."""
