Start a broken gang again without waiting for a silent executor's lease

The attempt at the executor that had gone stayed open until its lease was over, and the gang had nothing running for 6 s. Change: a member ends broken only because another one of its run has ended, so if each member elsewhere ended so and all that is left is at one silent instance, the first to end was there, and the rest there is over too. These attempts are closed at once. Left alone as before: another end or a stop may be the cause, a member is not known, two executors or instances, a start that may yet be carried out, an answered start that no report confirmed where instances share an id, and a last permitted failure. A run that was closed so counts as failed until the lease is over, and the store names its executor until then, as the next owner can't count that failure (without this a next owner started a fifth run of four).

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/executor_watch.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/executor_watch.py
@@ -135,6 +135,7 @@
             await trio.sleep(PAUSE_S)
         else:
             await self._handle_failed_hold(outcome)
+            self.cell.close_broken_gangs(state)
 
     def _make_hold_order(self, now: float, entry: Executor | None) -> HoldOrder:
         state, token = self.state, self.cell.fences.tokens.find(self.state.id)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
@@ -10,6 +10,7 @@
 from heronthread_coordination import Measure
 
 from .approval import Approvals, Approver, NoApprover
+from .broken_gangs import note_end, take_ended
 from .crashes import Crashes
 from .entries import DirectoryFormat
 from .evacuation import Evacuations
@@ -40,6 +41,7 @@
     Attempt,
     JobState,
     Phase,
+    StepState,
     TaskState,
     critical_path_s,
     list_pending_starts,
@@ -460,7 +462,8 @@
     def _find_late(self, job: JobState, starts: Collection[UnresolvedStart]) -> TaskMasks:
         """Return where starts of a job may still be carried out late, or orphaned runs of it exist.
 
-        Entries of earlier owners are dropped where their orders can have no effect any more.
+        Entries of earlier owners are dropped where their orders can have no effect any more. A
+        gang's run of which a failure may yet be listed counts as well, as it uses up an attempt.
         """
         deadlines, places = self._find_deadlines(), job.places
         if deadlines.now >= self.late_orders_until:
@@ -472,6 +475,7 @@
         return unite(
             places.earlier,
             *({start.executor: job.mask_of(start)} for start in starts),
+            *({u.executor: s.mask} for s in job.steps for u in s.ends.list_unlisted(deadlines.now)),
             job.locate_attempts(orphan for orphan in orphans if orphan.task.job == job.spec.id),
         )
 
@@ -650,6 +654,7 @@
             log_event("end.unknown", **run, why=end.kind.value)
             return
         task.last_run = max(task.last_run, end.run)
+        note_end(job.step_of(end.task), end)
         self.late_starts.mark_refused(state.instance, end.task, end.run)
         attempt = task.attempt
         is_current = attempt is not None and attempt.run == end.run
@@ -670,6 +675,19 @@
             self.recorder.mark(job)
         if is_current and attempt is not None and end.kind is not EndKind.DONE:
             self.stop_gang(attempt, f"a member ended {end.kind.value}")
+            self._close_ended(job, job.step_of(end.task))
+
+    def close_broken_gangs(self, state: ExecutorState) -> None:
+        """Close the attempts at a silent executor that the ends of other members prove over."""
+        for attempt in list(state.attempts.values()):
+            job = self.jobs.get(attempt.task.job)
+            if job is not None and state.holds(attempt):
+                self._close_ended(job, job.step_of(attempt.task))
+
+    def _close_ended(self, job: JobState, step: StepState) -> None:
+        limit = self.parts.desired().current_queue(job.spec).max_attempts
+        for attempt in take_ended(step, self.executors, self.late_starts, limit):
+            self.close(attempt, "another member of its run ended there first")
 
     def _log_unowned_end(self, state: ExecutorState, end: EndedRun) -> None:
         """Log the end of a run that has no attempt in this term, as after a takeover."""
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from .gang_ends import GangEnds
 from .model import ExecutorInstance, JobSpec, Queue, Resources, StepSpec, TaskKey, UnresolvedStart
 from .placements import JobPlacements
 from .record import Blame, JobStatus, ProgressRecord, StepProgress
@@ -196,7 +197,8 @@
     occurrence (Unix time in s), None for at once. `ratios` holds the last ratio of measured to
     estimated duration of each task. `first` is the number of its first task within the job.
     `done_count`, `attempt_count` and `waiting_count` are the numbers of tasks that are done, have
-    an attempt, and wait for one. `tenant` and `queue` name the job's customer and queue.
+    an attempt, and wait for one. `tenant` and `queue` name the job's customer and queue. `ends` are
+    those that were listed of a gang's newest run.
     """
 
     spec: StepSpec
@@ -216,6 +218,7 @@
     waiting_count: int = 0
     tenant: str = ""
     queue: str = ""
+    ends: GangEnds = field(default_factory=GangEnds)
 
     def __post_init__(self) -> None:
         for task in self.tasks:
