Let jobs whose runs are all at silent executors use headroom

Cause: a job with any attempt leaves headroom alone and does not count as held back by a reservation, as something of it runs. Attempts at executors that have fallen silent counted as well, until their leases are over.

Change: attempts at silent executors do not count in these two checks; the reference planner of the tests has the same rule. Only placement changes: the tasks with those attempts stay withheld as before.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -341,7 +341,7 @@
     def _is_blocked_by_reservations(self, candidate: Candidate) -> bool:
         """Whether a candidate with nothing running has waited and would fit now in some scope."""
         spec = candidate.step.spec
-        if candidate.job.has_attempts or candidate.waited_s(self.now) < HEADROOM_WAIT_S:
+        if self._has_runs(candidate.job) or candidate.waited_s(self.now) < HEADROOM_WAIT_S:
             return False
         eligible = self._find_eligible(candidate, self._avoids_headroom(candidate))
         scopes = self._gangs.list_scopes(candidate, eligible) if spec.gang else [eligible]
@@ -423,11 +423,19 @@
             return False
         if candidate.queue.pool in self.room.demands and self._may_borrow(candidate):
             return False
-        if candidate.job.has_attempts or candidate.waited_s(self.now) < HEADROOM_WAIT_S:
+        if self._has_runs(candidate.job) or candidate.waited_s(self.now) < HEADROOM_WAIT_S:
             return True
         is_due = self.now >= candidate.rank.latest_start - DUE_MARGIN_S
         return not (is_due or self._headroom.is_mostly_idle(candidate.queue.pool))
 
+    def _has_runs(self, job: JobState) -> bool:
+        """Whether anything of a job may run, apart from attempts at silent executors."""
+        return job.has_attempts and any(
+            self._states[attempt.executor].unresponsive_since is None
+            for attempt in job.attempts()
+            if attempt.executor in self._states
+        )
+
     def _may_borrow(self, candidate: Candidate) -> bool:
         """Whether a candidate may use the capacity reserved for urgent work."""
         job, spec, queue = candidate.job, candidate.step.spec, candidate.queue
--- a/packages/heronthread-dispatch/tests/test_idle_pool_waits.py
+++ b/packages/heronthread-dispatch/tests/test_idle_pool_waits.py
@@ -164,3 +164,35 @@
 def test_busy_cores_do_not_make_a_pool_with_free_accelerators_busy() -> None:
     """Guards against headroom kept for long while under half of the accelerators are in use."""
     assert max(run_seeded(seed, _measure_task_beside_busy_cores) for seed in SEEDS) < MAX_DELAY_S
+
+
+async def _measure_task_beside_lost_runs() -> float:
+    """Return for how long (s) a job with an open task has nothing running after it lost two runs.
+
+    Seven of 15 executors have no room for its tasks, and six of the others are headroom.
+    """
+    async with EmulatedSite.open(hosts=1, executors=15, racks=15) as site:
+        site.crashes_dark, site.back_after_s = True, LONG_S
+        await site.wait_for_owner()
+        await _submit(site, site.make_job("long", count=7, accelerators=6, work_s=LONG_S))
+        await trio.sleep(1.0)
+        await _submit(site, site.make_job("u", queue="urgent", count=6, accelerators=8, work_s=1.0))
+        await trio.sleep(2.0)
+        job = site.make_job("a", count=3, accelerators=8, work_s=LONG_S)
+        await _submit(site, job)
+        await trio.sleep(1.0)
+        lost = [start.executor for start in site.executors.starts() if start.task.job == "a"]
+        assert len(lost) == 2
+        for name in lost:
+            site.crash_executor(name)
+        lost_at = trio.current_time()
+        while len([s for s in site.executors.starts() if s.task.job == "a"]) == 2:
+            assert _fits_twice(site, job)
+            assert _is_under_half_used(site, _count_accelerators)
+            await trio.sleep(POLL_S)
+        return trio.current_time() - lost_at
+
+
+def test_lost_runs_do_not_keep_a_job_out_of_headroom() -> None:
+    """Guards against attempts at executors that are gone counting as something that runs."""
+    assert max(run_seeded(seed, _measure_task_beside_lost_runs) for seed in SEEDS) < MAX_DELAY_S
--- a/tests/reference_planner/planner.py
+++ b/tests/reference_planner/planner.py
@@ -199,7 +199,7 @@
     def _is_blocked_by_reservations(self, candidate: Candidate) -> bool:
         """Whether a candidate with nothing running has waited and would fit now in some scope."""
         spec = candidate.step.spec
-        if candidate.job.attempts() or candidate.waited_s(self.now) < HEADROOM_WAIT_S:
+        if self._has_runs(candidate) or candidate.waited_s(self.now) < HEADROOM_WAIT_S:
             return False
         wanted = len(candidate.tasks) if spec.gang else 1
         eligible = self._find_eligible(candidate)
@@ -210,6 +210,11 @@
             for scope in scopes
         )
 
+    def _has_runs(self, candidate: Candidate) -> bool:
+        """Whether a job has attempts at executors that are not silent."""
+        states = (self.by_id.get(attempt.executor) for attempt in candidate.job.attempts())
+        return any(state is not None and state.unresponsive_since is None for state in states)
+
     def _filter_approved(self, candidate: Candidate, offers: list[Offer]) -> list[Offer]:
         """Return the offers of executors for which the step holds an approval ticket."""
         if self._approvals is None:
@@ -271,7 +276,7 @@
         """
         if candidate.queue.priority == URGENT or not self.policy.headroom:
             return False
-        if candidate.job.attempts() or candidate.waited_s(self.now) < HEADROOM_WAIT_S:
+        if self._has_runs(candidate) or candidate.waited_s(self.now) < HEADROOM_WAIT_S:
             return True
         is_due = self.now >= candidate.rank.latest_start - DUE_MARGIN_S
         return not (is_due or self._headroom.is_mostly_idle(candidate.queue.pool))
