Probe the whole pool where a gang's executors in several racks do not answer

Cause: a large gang went through a round of failed probes of 0.6 s for each group of lost executors that it was given, as only the other executors in their racks were checked, and of these only ones without a report for 2 s.

Change: where the executors that do not answer are in several racks, all executors of the pool are probed, and those that have not answered after 0.1 s get no work until they report. The others go on taking work meanwhile.

Ruled out: a pool without work until it answers.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/probing.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/probing.py
@@ -22,6 +22,8 @@
 """
 PROBE_TIMEOUT_S = 0.6
 """Timeout of a probe, including a second one that is sent 0.4 s later."""
+POOL_PROBE_TIMEOUT_S = 0.1
+"""Timeout of the probes of a whole pool; one that answers later can be used from then on."""
 
 
 def needs_probe(state: ExecutorState) -> bool:
@@ -38,26 +40,55 @@
 async def wait_for_reports(asked: Iterable[ExecutorState], known: Iterable[ExecutorState]) -> bool:
     """Wait until each asked executor has just reported; False if one does not report.
 
-    Those that do not report get no work until they do. The other executors in their racks then need
-    a probe before they get work, as a whole rack may have failed.
+    Those that do not report get no work until they do.
     """
     since = trio.current_time() - PROOF_AGE_S
     waited_for = [state for state in asked if not _has_reported(state, since)]
-    for state in waited_for:
-        state.report_wanted_since = since
-        state.request_report()
+    _request_reports(waited_for, since)
     with trio.move_on_after(PROBE_TIMEOUT_S):
         for state in waited_for:
             await _wait_for_report(state, since)
     unanswered = [state for state in waited_for if not _has_reported(state, since)]
     lost = [state for state in unanswered if not state.dead]
+    if lost:
+        await _check_others(lost, known)
+    return not unanswered
+
+
+async def _check_others(lost: list[ExecutorState], known: Iterable[ExecutorState]) -> None:
+    """Check the executors that may have been lost with those that have not answered.
+
+    The others in their racks need a probe before they get work, as a whole rack may have failed. If
+    they are in several racks, the whole pool is probed.
+    """
     racks = {_get_rack(state) for state in lost}
     recent = trio.current_time() - RECENT_S
-    for state in known if racks else ():
+    for state in known:
         if state in lost or (_get_rack(state) in racks and state.reported_at < recent):
             state.needs_report = True
             state.request_report()
-    return not unanswered
+    if len(racks) > 1:
+        pools = {state.executor.pool for state in lost}
+        await _probe_all([state for state in known if state.executor.pool in pools])
+
+
+async def _probe_all(states: list[ExecutorState]) -> None:
+    """Probe executors; those that do not answer soon get no work until they report.
+
+    They are not blocked meanwhile, as work that is sent there waits for the same probe.
+    """
+    since = trio.current_time() - PROOF_AGE_S
+    probed = [state for state in states if not _has_reported(state, since)]
+    _request_reports(probed, since)
+    await trio.sleep(POOL_PROBE_TIMEOUT_S)
+    for state in probed:
+        state.needs_report |= not _has_reported(state, since)
+
+
+def _request_reports(states: Iterable[ExecutorState], since: float) -> None:
+    for state in states:
+        state.report_wanted_since = since
+        state.request_report()
 
 
 async def _wait_for_report(state: ExecutorState, since: float) -> None:
--- a/packages/heronthread-dispatch/tests/test_probing.py
+++ b/packages/heronthread-dispatch/tests/test_probing.py
@@ -1,5 +1,6 @@
 """Starts at executors with work: each is probed beside the hold that waits for an end there."""
 
+import random
 from typing import Any
 
 import pytest
@@ -69,6 +70,23 @@
         assert check_promises(site.executors, {}) == []
 
 
+@pytest.mark.parametrize("seed", range(100, 106))
+async def test_gang_waits_for_one_round_of_failed_probes(autojump_clock: Clock, seed: int) -> None:
+    """Guards against further rounds where a sixth of all executors is lost, over several racks."""
+    async with EmulatedSite.open(hosts=1, executors=48, racks=6, zones=1, says_born=False) as site:
+        await _occupy_executors(site)
+        await trio.sleep(0.3)
+        for name in random.Random(seed).sample(sorted(site.executors.by_id), 8):
+            site.executors.by_id[name].is_cut = True
+        await trio.sleep(0.2)
+        handed_in = trio.current_time()
+        await _submit(site, "b", 24, accelerators=ACCELERATORS_LEFT, gang=True, work_s=5.0)
+        await trio.sleep(MAX_DELAY_S)
+        assert len(_list_starts(site, "b")) == 24
+        assert max(start.at for start in site.executors.starts()) - handed_in < 1.0
+        assert site.executors.unanswered == set()
+
+
 async def test_lost_answer_of_a_busy_executor_moves_no_start(autojump_clock: Clock) -> None:
     """Guards against starts given up after a single probe without an answer."""
     async with EmulatedSite.open(hosts=1, executors=1) as site:
