--- a/packages/heronthread-dispatch/src/heronthread_dispatch/gangs.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/gangs.py
@@ -17,7 +17,9 @@
 IDLE_SPREAD_WAIT_S = 2.0
 """How long other gangs wait for a rack while there is ample room in several. Callers tolerate 3 s
 with nothing running, and a plan is made each 0.5 s."""
+IDLE_SHARE = 0.5
 AMPLE_ROOM_FACTOR = 2
+"""Callers tolerate no long wait while less of the pool is in use and a job fits so many times."""
 MAX_RESERVATIONS = 2
 SPEED_COST = 300.0
 SLOW_COST = 1e3
@@ -28,14 +30,17 @@
 
 
 class GangPlacer:
-    """Places the gangs of one plan; `is_mostly_idle` returns whether much of a pool is idle."""
+    """Places the gangs of one plan.
+
+    `is_mostly_idle` returns whether less than a share of a pool is in use.
+    """
 
     def __init__(
         self,
         now: float,
         policy: Policy,
         speeds: SpeedPlacement | None = None,
-        is_mostly_idle: Callable[[str], bool] = lambda pool: False,
+        is_mostly_idle: Callable[[str, float], bool] = lambda pool, share: False,
     ) -> None:
         self._now = now
         self._policy = policy
@@ -141,9 +146,13 @@
             return waited_s >= SPREAD_WAIT_S
         if waited_s < IDLE_SPREAD_WAIT_S or candidate.job.has_attempts:
             return False
+        return self._has_ample_room(candidate, eligible)
+
+    def _has_ample_room(self, candidate: Candidate, eligible: Scope) -> bool:
+        """Whether a gang fits twice over in a pool of which less than half is in use."""
         required = AMPLE_ROOM_FACTOR * len(candidate.tasks)
         return (
-            self._is_mostly_idle(candidate.queue.pool)
+            self._is_mostly_idle(candidate.queue.pool, IDLE_SHARE)
             and eligible.count(candidate.step.spec.need) >= required
         )
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/headroom.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/headroom.py
@@ -49,8 +49,8 @@
             wanted -= max(0, offer.projected.accelerators)
         return chosen
 
-    def is_mostly_idle(self, pool: str) -> bool:
-        """Whether less than `BUSY_SHARE` of a pool is in use."""
+    def is_mostly_idle(self, pool: str, busy_share: float = BUSY_SHARE) -> bool:
+        """Whether less than a share of a pool is in use."""
         offers = self._offers.get(pool, [])
         if not offers:
             return False
@@ -62,7 +62,7 @@
         total, used = self._weights[pool]
         pool_changes = offers[0].changes.parent
         assert pool_changes is not None, "a rack is part of its pool"
-        return used + pool_changes.millicores_allocated < BUSY_SHARE * total
+        return used + pool_changes.millicores_allocated < busy_share * total
 
 
 def _list_emptiest(offers: list[Offer]) -> list[Offer]:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -339,13 +339,17 @@
         return self._blocks_others[pool]
 
     def _is_blocked_by_reservations(self, candidate: Candidate) -> bool:
-        """Whether a candidate with nothing running has waited and would fit now in some scope."""
+        """Whether a candidate with nothing running has waited and would fit now in any rack."""
         spec = candidate.step.spec
         if self._has_runs(candidate.job) or candidate.waited_s(self.now) < HEADROOM_WAIT_S:
             return False
-        eligible = self._find_eligible(candidate, self._avoids_headroom(candidate))
-        scopes = self._gangs.list_scopes(candidate, eligible) if spec.gang else [eligible]
-        return any(scope.count(spec.need) >= _count_required(candidate) for scope in scopes)
+        required = _count_required(candidate)
+        if spec.same_rack and required > 1:
+            return False
+        return (
+            self._find_eligible(candidate, self._avoids_headroom(candidate)).count(spec.need)
+            >= required
+        )
 
     def _filter_approved(self, candidate: Candidate, offers: list[Offer]) -> list[Offer]:
         """Return the offers of executors for which the step holds an approval ticket."""
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/stall_monitor.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/stall_monitor.py
@@ -103,7 +103,9 @@
     def find_stall(self, job: str) -> JobStall | None:
         """Return why and for how long a job has been stalled, None if it is not."""
         stalled = self.stalled_jobs.get(job)
-        return None if stalled is None else self._describe(stalled, trio.current_time())
+        if stalled is None or not stalled.job.is_active:
+            return None
+        return self._describe(stalled, trio.current_time())
 
     def _describe(self, stalled: StalledJob, now: float) -> JobStall:
         return JobStall(
