Count failures that are not listed yet before a broken gang starts again

With a limit of four, two listed failures, a hidden one and a third listed one let a fifth run start, which the executor's late list then shows to be beyond the limit. And an end listed by a later instance counted as evidence, though the instance before it may have ended first while another member ran on behind a partition. Change: a gang waits while the failures listed and those that may yet be listed come to its limit; a member that is moved to a later instance voids the evidence of its run. Measured: the new test of a listed failure after a hidden one failed before (a fifth run) and passes; test_broken_gangs, test_instance_restart, test_two_late_runs and test_planner pass.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/broken_gangs.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/broken_gangs.py
@@ -41,7 +41,8 @@
     state = _find_silent(step, executors)
     if state is None or any(_may_begin(a, state, late_starts) for a in step.attempts()):
         return []
-    if not step.spec.lasting and _count_possible_failures(step) >= max_attempts:
+    failures = step.list_possible_failures(trio.current_time()) | {step.ends.run}
+    if not step.spec.lasting and len(failures) >= max_attempts:
         return []
     step.ends.unlisted += (UnlistedRun(step.ends.run, state.id, state.lease_ends_by),)
     return step.attempts()
@@ -79,10 +80,3 @@
     was_here = attempt.seen if attempt.instance.born else attempt.has_begun
     is_settled = was_here and not attempt.is_in_flight and state.holds(attempt)
     return not is_settled or late_starts.is_open(attempt)
-
-
-def _count_possible_failures(step: StepState) -> int:
-    """Return the number of failed runs if each end that is not listed yet is a failure."""
-    listed: set[int] = set().union(*(task.failed_runs for task in step.tasks))
-    unlisted = {unlisted.run for unlisted in step.ends.list_unlisted(trio.current_time())}
-    return len(listed | unlisted | {step.ends.run})
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/executor_restart.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/executor_restart.py
@@ -96,6 +96,10 @@
 
 def _move(cell: OwnedCell, attempt: Attempt, old: ExecutorState, new: ExecutorState) -> None:
     is_orphan = old.orphans.get((attempt.task, attempt.run)) is attempt
+    job = cell.jobs.get(attempt.task.job)
+    if job is not None and job.task(attempt.task) is not None:
+        # It may have ended with the previous instance, before the one that the new one lists.
+        job.step_of(attempt.task).ends.void(attempt.run)
     old.release(attempt)
     attempt.instance = new.instance
     # A rate measured across both instances would count as the new one's speed.
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/gang_ends.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/gang_ends.py
@@ -34,6 +34,12 @@
         """Begin to note a run; `is_stopping`: a stop of it was requested before its first end."""
         self.run, self.broken, self.has_other_cause = run, frozenset(), is_stopping
 
+    def void(self, run: int) -> None:
+        """Record that the ends of a run may have another cause than a member's first end."""
+        if run > self.run:
+            self.run, self.broken = run, frozenset()
+        self.has_other_cause |= run == self.run
+
     def note(self, member: int, kind: EndKind) -> None:
         """Note a listed end of the run."""
         if kind is EndKind.BROKEN:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -201,7 +201,8 @@
                     continue
                 if step.ready_at is None:
                     step.ready_at = self.now
-                if not step.waiting_count or (step.spec.gang and step.attempt_count):
+                is_under_way = step.spec.gang and step.attempt_count
+                if not step.waiting_count or is_under_way or self._awaits_failure(step, queue):
                     continue
                 tasks = self._exclude_possibly_running(job, step, step.open_tasks())
                 if step.has_suspects:
@@ -211,6 +212,12 @@
                 for allowed_executors, part in self._split_by_allowed_executors(job, step, tasks):
                     yield self._rank(job, step, queue, part, allowed_executors)
 
+    def _awaits_failure(self, step: StepState, queue: Queue) -> bool:
+        """Whether failures that executors may yet list would use up a gang's attempts."""
+        if not step.ends.unlisted or step.spec.lasting:
+            return False
+        return len(step.list_possible_failures(self.now)) >= queue.max_attempts
+
     def _replan_when_due(self, step: StepState) -> None:
         """Request another plan for the time at which a step becomes due."""
         if step.due_at is not None and step.due_at > self.wall_now:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
@@ -256,6 +256,11 @@
             return len(task.failed_runs)
         return len(set().union(*(t.failed_runs for t in self.tasks)))
 
+    def list_possible_failures(self, now: float) -> set[int]:
+        """Return the failed runs of a gang, and those of which a failure may yet be listed."""
+        listed = set[int]().union(*(task.failed_runs for task in self.tasks))
+        return listed.union(unlisted.run for unlisted in self.ends.list_unlisted(now))
+
     def attempts(self) -> list[Attempt]:
         """Return the current attempts, in task order."""
         if not self.attempt_count:
--- a/packages/heronthread-dispatch/tests/test_broken_gangs.py
+++ b/packages/heronthread-dispatch/tests/test_broken_gangs.py
@@ -200,6 +200,29 @@
             assert check_promises(site.executors, {}) == []
 
 
+async def test_listed_failure_after_one_that_is_not_listed_uses_up_attempts(
+    autojump_clock: Clock,
+) -> None:
+    """Guards against a start while the failures of earlier runs may come to the limit."""
+    for says_born in (False, True):
+        async with EmulatedSite.open(hosts=1, executors=12, says_born=says_born) as site:
+            await _start_gang(site, count=2)
+            limit = site.make_job("b").spec.queue.max_attempts
+            for _ in range(limit - 2):
+                await trio.sleep(MAX_DELAY_S)
+                await _fail_in_touch(site, _find_place(site, 1))
+            await trio.sleep(MAX_DELAY_S)
+            _partition(site, _find_place(site, 1), fails=True)
+            await trio.sleep(1.5)
+            assert len(_list_runs(site)) == limit
+            await _fail_in_touch(site, _find_place(site, 1))
+            await trio.sleep(2.0)
+            ends = [event.what for event in site.executors.events]
+            assert ends.count(EndKind.FAILED.value) == limit
+            assert len(_list_runs(site)) == limit
+            await trio.sleep(CUT_S + SETTLE_S)
+
+
 async def test_next_owner_waits_for_failures_that_are_not_listed_yet(
     autojump_clock: Clock,
 ) -> None:
@@ -303,7 +326,12 @@
     gang.attempt(1).run = 2
 
 
+def _move_to_next_instance(gang: _Gang) -> None:
+    gang.step.ends.void(1)
+
+
 VOIDING = (
+    _move_to_next_instance,
     _close_without_end,
     _move_to_other_executor,
     _report_again,
