--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -58,6 +58,7 @@
 from .wire.ttypes import Frame
 
 CONTEND_S = 0.05
+GUARD_INTERVAL_S = 0.05
 OWNED_POLL_S = 0.5
 """Polling interval while another host owns the cell; a free cell wakes the loop at once."""
 SUCCESSION_CHECK_S = 0.5
@@ -280,11 +281,29 @@
 
     async def _guard(self, owner: Owner) -> None:
         """Depose the local owner once it may no longer send orders."""
+        was_valid = True
         while True:
-            await trio.sleep(0.05)
+            await trio.sleep(GUARD_INTERVAL_S)
             if self.host_lease.lease is None or not self._may_send_orders():
+                self._log_lease("lease.not_extended", owner)
                 owner.depose()
                 return
+            is_valid = self.host_lease.is_valid
+            if was_valid and not is_valid:
+                self._log_lease("lease.extended", owner)
+            was_valid = is_valid
+
+    def _log_lease(self, event: str, owner: Owner) -> None:
+        """Log what was known when an owner's lease could not be renewed in time."""
+        log_event(
+            event,
+            host=self.settings.name,
+            term=owner.cell.term.number,
+            is_over=self.host_lease.lease is None,
+            unrenewed_s=round(boot_time() - self.host_lease.last_renewed, 3),
+            store_answering=self.store.is_answering,
+            peers=self.news.describe_fresh(),
+        )
 
     async def _hand_over_to_stronger(self, owner: Owner) -> None:
         """End the term if a clearly stronger host exists and this one is idle or overloaded."""
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/news.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/news.py
@@ -36,6 +36,8 @@
 """How long the store's watch may take to deliver a new version before it is fetched from a peer."""
 FETCH_TRIES = 3
 OUTAGE_LIMIT_S = 40.0
+MAX_DESCRIBED = 12
+"""Peers in one log line."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,13 +124,31 @@
             return False
         if now - self._host.host_lease.last_renewed > OUTAGE_LIMIT_S:
             return False
-        fresh = [heard.news for heard in self.heard.values() if now - heard.at <= FRESH_S]
+        fresh = [heard.news for heard in self._list_fresh()]
         own_term = self._host.owner.cell.term.number if self._host.owner else 0
         if any(news.term > own_term for news in fresh):
             return False
         reports = [news.store_ok for news in fresh]
         return is_store_down_for_all(reports, has_peers=bool(self.others()))
 
+    def _list_fresh(self) -> list[HeardNews]:
+        """Return the news that are recent enough to act on."""
+        now = boot_time()
+        return [heard for heard in self.heard.values() if now - heard.at <= FRESH_S]
+
+    def describe_fresh(self) -> list[dict[str, Any]]:
+        """Describe the recent news of some peers: whether they reach the store, and their terms."""
+        now = boot_time()
+        return [
+            {
+                "host": heard.news.host,
+                "store_ok": heard.news.store_ok,
+                "term": heard.news.term,
+                "age_s": round(now - heard.at, 3),
+            }
+            for heard in self._list_fresh()[:MAX_DESCRIBED]
+        ]
+
     async def run(self, nursery: trio.Nursery) -> None:
         """Send news to a few peers periodically, and to more peers at once after a change."""
         while True:
