Take a missing entry for an executor's end only after an outage that can explain it

Cause: executor.gone, 2.5 s after the term began. Entries that expire in an outage are back 2 s after it, so a missing one counted as the executor's end, whenever this process had ever missed the store (returned_at stays set). Ruled out: the end told by the previous owner's host (it had set the wait to 6.5 s), a lost track of the run (owner.waits names the executor).

Change: a missing entry counts only if the outage was one of the store for all hosts (news tell for how long each has had it, store_up_s), ended at most 4 s before the term began, no owner saw the entry go (is_unlisted in the row of the executor), the previous owner's host does not say when its orders ended, and the quorum has shown that no earlier owner goes on.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/directory.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/directory.py
@@ -145,6 +145,7 @@
 
     def _add(self, executor: Executor, now: float) -> None:
         state = make_executor_state(executor, now)
+        state.was_listed = True
         # No owner has used it yet, or it would be recorded as in use.
         state.is_listed_by_jobs = True
         # The store may still say how soon it lapses, of one that was given up before.
@@ -230,6 +231,8 @@
             self.listings.note_removed(state)
         state.listed = False
         state.wake.set()
+        # The next owner needs to know that the entry did not expire in an outage.
+        self._cell.notify_use_changed()
 
     def _forget(self, executor_id: str) -> None:
         self._invalid.pop(executor_id, None)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/executors_in_use.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/executors_in_use.py
@@ -41,7 +41,7 @@
     store lists the executor for every job that may be there. `lapses_in_s`: its lease is not
     renewed until this is withdrawn, so everything there ends within this time (s) after the write;
     None if the lease may be renewed. `lapse` is the first write of an unbroken series with
-    `lapses_in_s`, None in that one.
+    `lapses_in_s`, None in that one. `is_unlisted`: an owner saw its entry go.
     """
 
     address: str
@@ -51,6 +51,7 @@
     is_listed_by_jobs: bool = False
     lapses_in_s: float | None = None
     lapse: RecordedLapse | None = None
+    is_unlisted: bool = False
 
 
 class UsedExecutors:
@@ -89,6 +90,7 @@
         state.recorded = True
         state.is_inherited = True
         state.is_listed_by_jobs = row.is_listed_by_jobs
+        state.was_unlisted_before = row.is_unlisted
         if row.tasks is not None:
             state.only_tasks = frozenset(row.tasks)
         # Continue the recorded wait: restarting it at each takeover would delay jobs without limit.
@@ -174,6 +176,7 @@
             state.is_listed_by_jobs,
             lapses_in_s,
             None if lapses_in_s is None else state.recorded_lapse,
+            not state.listed and (state.was_listed or state.was_unlisted_before),
         )
 
     def _update_revision(self, outcome: ConditionFailed) -> None:
@@ -246,12 +249,13 @@
 
 
 def _encode_row(row: UsedExecutor) -> list[Any]:
-    values = [row.address, row.pool, row.tasks, row.born, row.is_listed_by_jobs]
+    values: list[Any] = [row.address, row.pool, row.tasks, row.born, row.is_listed_by_jobs]
+    lapse = (None, None) if row.lapse is None else (row.lapse.revision, row.lapse.left_s)
+    values += [row.lapses_in_s, *lapse, row.is_unlisted or None]
     # Omitted if None, so that earlier versions can read the record.
-    if row.lapses_in_s is None:
-        return values
-    lapse = () if row.lapse is None else (row.lapse.revision, row.lapse.left_s)
-    return [*values, row.lapses_in_s, *lapse]
+    while values[-1] is None:
+        values.pop()
+    return values
 
 
 def decode_used(data: bytes) -> dict[str, UsedExecutor] | Unreadable:
@@ -275,15 +279,25 @@
     lapses_in_s: Any = None,
     lapse_revision: Any = None,
     lapse_left_s: Any = None,
+    is_unlisted: Any = None,
 ) -> UsedExecutor:
     if not isinstance(is_listed_by_jobs, bool):
         raise TypeError(f"is_listed_by_jobs of executor {name} is not a boolean")
+    if is_unlisted is not None and is_unlisted is not True:
+        raise TypeError(f"is_unlisted of executor {name} is neither true nor absent")
     keys = None if tasks is None else tuple(map(_read_task, tasks))
     instance = decode_instance(name, born)
     left_s = read_remaining_s(lapses_in_s)
     lapse = None if lapse_revision is None else _read_lapse(lapse_revision, lapse_left_s)
     return UsedExecutor(
-        str(address), str(pool), keys, instance.born, is_listed_by_jobs, left_s, lapse
+        str(address),
+        str(pool),
+        keys,
+        instance.born,
+        is_listed_by_jobs,
+        left_s,
+        lapse,
+        bool(is_unlisted),
     )
 
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
@@ -62,7 +62,8 @@
       `acknowledged`: the highest end acknowledged to the executor. Ends in `ack_deferred_until` are
       acknowledged at their times.
     - `has_reported`: it has reported to this owner.
-    - `listed`: its entry exists; `was_listed`: it existed at some time in this term.
+    - `listed`: its entry exists; `was_listed`: it existed at some time in this term;
+      `was_unlisted_before`: an earlier owner saw it go.
     - `unresponsive_since`: when it stopped reporting, None while it reports.
       `held_when_unresponsive`: its attempts then with their ages (s);
       `was_listed_when_unresponsive`: whether its entry existed then; `refuses_connections`: whether
@@ -110,6 +111,7 @@
     exclusive_until: float = 0.0
     listed: bool = True
     was_listed: bool = False
+    was_unlisted_before: bool = False
     recorded: bool = False
     is_renewal_suspended: bool = False
     is_inherited: bool = False
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -250,7 +250,7 @@
             self.statistics,
             self.parts.approver,
             self.settings.policy,
-            lambda: self.store.returned_at,
+            self.news.find_outage_end,
             lambda: self.store.is_answering,
             lambda: self.store.is_answering or self.relay.is_open,
             self.relay,
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/news.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/news.py
@@ -35,6 +35,8 @@
 WATCH_GRACE_S = 0.25
 """How long the store's watch may take to deliver a new version before it is fetched from a peer."""
 FETCH_TRIES = 3
+RETURN_SPREAD_S = 1.5
+"""By how much hosts may differ in when they see the store's return."""
 MAX_DESCRIBED = 12
 """Peers in one log line."""
 
@@ -81,6 +83,7 @@
             self._host.preassignment_log.closed,
             self._encode_load(),
             self._encode_stalls(),
+            self._host.store.find_up_s(),
         )
 
     def _encode_load(self) -> dict[str, Any]:
@@ -128,6 +131,21 @@
         fresh = [heard.news for heard in self._list_fresh()]
         return not any(news.store_ok or news.term > own_term for news in fresh)
 
+    def find_outage_end(self) -> float:
+        """Return when the last outage of the store ended, by trio's clock.
+
+        Infinite without one, while it goes on, and if it may have been an outage of this host's
+        path alone: a peer has reached the store since before, or no peer is heard.
+        """
+        reached = [heard for heard in self._list_fresh() if heard.news.store_ok]
+        if not reached and self.others():
+            return float("inf")
+        longest_s = self._host.store.find_up_s() + RETURN_SPREAD_S
+        now = boot_time()
+        if any(heard.news.store_up_s + now - heard.at > longest_s for heard in reached):
+            return float("inf")
+        return self._host.store.returned_at
+
     def _list_fresh(self) -> list[HeardNews]:
         """Return the news that are recent enough to act on."""
         now = boot_time()
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/observed_store.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/observed_store.py
@@ -87,6 +87,10 @@
         """Time (trio's clock) of the last recovery; infinite while silent or if never silent."""
         return self.answering_since if self._was_unavailable else float("inf")
 
+    def find_up_s(self) -> float:
+        """Return for how long (s) it has answered, 0.0 while it is silent."""
+        return max(0.0, trio.current_time() - self.answering_since)
+
     async def _observe(self, call: str, outcome: Awaitable[Outcome]) -> Outcome:
         """Await a call that a healthy store answers at once, and track its latency."""
         number, began = self._next_call, trio.current_time()
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
@@ -140,6 +140,8 @@
 class OwnerParts:
     """The dependencies of an owner.
 
+    `find_outage_end` returns when the last outage of the store for all hosts ended (trio's clock),
+    infinite if it goes on or there was none.
     `relay` writes to the store by way of another host. `can_write_store` returns whether either way
     to the store accepts writes. `find_revision_age_s` returns for how long (s) the store has had a
     revision at least, and `learn_revisions` asks peers for what they know of that. Without
@@ -158,7 +160,7 @@
     statistics: Statistics
     approver: Approver = field(default_factory=NoApprover)
     policy: Policy = DEFAULT_POLICY
-    store_recovered_at: Callable[[], float] = lambda: float("inf")
+    find_outage_end: Callable[[], float] = lambda: float("inf")
     is_store_available: Callable[[], bool] = lambda: True
     can_write_store: Callable[[], bool] = lambda: True
     relay: StoreRelay | None = None
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -62,6 +62,9 @@
 NAMES_WRITE_INTERVAL_S = 0.5
 ENTRY_RETURN_TIMEOUT_S = 2.0 + 0.5
 """The documented time in which an executor rewrites its entry, plus the notification delay."""
+MAX_TAKEOVER_S = 4.0
+"""How long after the end of a store outage a lost owner is replaced: its lease, which waited, and
+the time until the next owner has loaded the state."""
 DIRECTORY_GATHER_S = 0.25
 """How long directory updates are batched; shorter than the minimum drain time of 2 s. Each executor
 writes its entry every 1.5 s."""
@@ -83,6 +86,7 @@
     def __init__(self, parts: OwnerParts, term: Term, predecessor: Predecessor) -> None:
         self.parts = parts
         self._predecessor = predecessor
+        self._is_predecessor_known = False
         self.cell = OwnedCell(parts, term)
         self.cell.load_sources = make_load_sources(self.cell)
         self.is_ready = False
@@ -283,6 +287,7 @@
                 return
             ended_at = await self._predecessor.find_end_of_orders(term, STALE_OWNER_S)
             if ended_at is not None:
+                self._is_predecessor_known = True
                 self._limit_earlier_runs(max(ended_at, before), "its host")
                 return
             await trio.sleep(PREDECESSOR_RETRY_S)
@@ -393,21 +398,27 @@
                 self.cell.recorder.mark(job)
 
     def _drop_missing_executors(self, started: float) -> None:
-        """Drop inherited executors whose entries did not return with the store.
+        """Drop inherited executors whose entries expired in a store outage and did not return.
 
-        An entry that expired during a store outage is rewritten within 2 s of its end, so an
-        executor without one is gone. Without an outage a missing entry proves nothing: a
-        partitioned executor keeps running until its lease expires.
+        They are rewritten within 2 s of the end of an outage, so an executor without one is gone.
+        That holds for an outage that ended as this term began, for entries that no owner saw go,
+        and unless the predecessor's host says when that sent its last order. Any other missing
+        entry proves nothing: an executor that left or that is partitioned keeps its runs until
+        their lease expires.
         """
-        since = max(started, self.parts.store_recovered_at())
-        if trio.current_time() < since + ENTRY_RETURN_TIMEOUT_S:
+        if trio.current_time() < started + ENTRY_RETURN_TIMEOUT_S:
+            return
+        returned_at = self.parts.find_outage_end()
+        is_recent = started - MAX_TAKEOVER_S <= returned_at <= started
+        if not is_recent or self._is_predecessor_known or not self._earlier_owners.have_ended():
             return
         for state in self.cell.silent():
-            if not state.was_listed:
+            if not state.was_listed and not state.was_unlisted_before:
                 log_event(
                     "executor.gone",
                     **describe_instance(state.instance),
                     entry_missing_s=ENTRY_RETURN_TIMEOUT_S,
+                    store_back_s=round(trio.current_time() - returned_at, 3),
                 )
                 state.mark_ended()
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/peer_messages.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/peer_messages.py
@@ -37,7 +37,8 @@
     the last such revision for which it notes no further use. `load` is the newest load digest that
     it knows, as `encode_digest` returns it, and `stalls` the newest summary of stalled jobs, as
     `encode_summary` does, left out while there is none; both are read apart from the rest, as news
-    with a malformed one is still of use.
+    with a malformed one is still of use. `store_up_s` is for how long (s) its store has answered,
+    0.0 if that is unknown.
     """
 
     host: str
@@ -55,6 +56,7 @@
     closed_preassignments: int = 0
     load: object = field(default_factory=dict)
     stalls: object = field(default_factory=dict)
+    store_up_s: float = 0.0
 
 
 NEWS_FIELD_TYPES = {
@@ -71,6 +73,7 @@
     "member_revision": int,
     "used_preassignments": dict,
     "closed_preassignments": int,
+    "store_up_s": float,
 }
 
 
@@ -139,7 +142,7 @@
 
 def _are_durations(news: News) -> bool:
     """Return whether the durations of news are numbers from 0."""
-    durations = [news.no_orders_s, *news.owners_seen_s.values()]
+    durations = [news.no_orders_s, news.store_up_s, *news.owners_seen_s.values()]
     return all(isinstance(value, float) and value >= 0.0 for value in durations)
 
 
--- a/packages/heronthread-dispatch/tests/test_executors_in_use.py
+++ b/packages/heronthread-dispatch/tests/test_executors_in_use.py
@@ -26,6 +26,8 @@
         "e2": UsedExecutor("a:3", "pool", (), 18, True, 0.0),
         "e3": UsedExecutor("a:4", "pool", None, 19, True, 7.4),
         "e4": UsedExecutor("a:5", "pool", None, 19, True, 3.4, RecordedLapse(42, 7.4)),
+        "e5": UsedExecutor("a:6", "pool", None, 19, True, is_unlisted=True),
+        "e6": UsedExecutor("a:7", "pool", None, 19, True, 3.4, RecordedLapse(42, 7.4), True),
     }
     assert decode_used(encode_used(used)) == used
 
--- a/packages/heronthread-dispatch/tests/test_news.py
+++ b/packages/heronthread-dispatch/tests/test_news.py
@@ -218,3 +218,35 @@
             await trio.sleep(0.05)
         await trio.sleep(0.1)
         assert restored == [(POOL, {"first": 640.0})]
+
+
+async def test_outage_of_the_store_ends_for_all_hosts_at_about_the_same_time(
+    autojump_clock: Clock,
+) -> None:
+    async with EmulatedSite.open(hosts=3) as site:
+        await site.wait_for_owner()
+        await trio.sleep(3.0)
+        site.store.is_down = True
+        await trio.sleep(2.5)
+        site.store.is_down = False
+        back_at = trio.current_time()
+        await trio.sleep(3.0)
+        for host in site.hosts.values():
+            assert back_at <= host.news.find_outage_end() <= back_at + 1.5
+
+
+@pytest.mark.parametrize("is_alone", [False, True])
+async def test_path_that_one_host_lost_is_no_outage_of_the_store(
+    is_alone: bool, autojump_clock: Clock
+) -> None:
+    """The host hears the others, or none of them."""
+    async with EmulatedSite.open(hosts=3) as site:
+        await site.wait_for_owner()
+        await trio.sleep(3.0)
+        site.views["h1"].is_cut = True
+        await trio.sleep(2.5)
+        site.views["h1"].is_cut = False
+        if is_alone:
+            site.paths.cut(["h1"], ["h0", "h2"])
+        await trio.sleep(3.0)
+        assert site.hosts["h1"].news.find_outage_end() == float("inf")
