Give what a new owner knows of earlier owners a module of its own

Cause: executor_quorum held two jobs, the right of an owner to go on and the proof of a new owner that earlier ones have ended.

A full quorum is kept without sorting all executors.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/executor_quorum.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/executor_quorum.py
@@ -6,8 +6,8 @@
 that the store lists. An executor that has seen a new owner's token refuses all earlier owners, so
 they have ended once so many of the quorum have answered the new owner that the rest is no majority.
 
-An owner records a quorum only when all earlier owners are known to have ended. So only the owner
-that recorded it may have gone on without a lease.
+An owner records a quorum only when all earlier owners are known to have ended (`earlier_owners`).
+So only the owner that recorded it may have gone on without a lease.
 """
 
 from __future__ import annotations
@@ -18,27 +18,16 @@
 from heronthread_coordination import Unavailable
 
 from .clock import boot_time
-from .events import log_event
 from .executor_link import HoldOrder, Report
 from .fleet import ExecutorState
-from .host_lease import MAX_EXTENSION_S
-from .keystore import Committed, ConditionFailed, Listing, Put, Transaction
+from .keystore import Committed, ConditionFailed, Put, Transaction
 from .model import ExecutorInstance
 from .owned_cell import OwnedCell
-from .quorum_record import (
-    QUORUM_KEY,
-    QuorumRecord,
-    choose_members,
-    count_blocking,
-    count_majority,
-)
-from .record import Unreadable
+from .quorum_record import QUORUM_KEY, QuorumRecord, choose_members, count_majority
 
 NEVER = float("-inf")
 ACCEPTED_S = 0.75
 """How long a member's acceptance of an order counts for the owner, from when it was sent."""
-REFUSED_AFTER_S = ACCEPTED_S + 0.1
-"""How long an earlier owner may count the acceptance of an executor that has answered a new one."""
 PROBE_INTERVAL_S = 0.2
 PROBE_BEFORE_EXPIRY_S = 1.0
 """How long before its lease is over an owner begins to probe the quorum."""
@@ -48,96 +37,6 @@
 """After so long without a report a member is replaced."""
 
 
-class EarlierOwners:
-    """What a new owner knows of the end of earlier owners by the quorum that they recorded."""
-
-    def __init__(self, cell: OwnedCell) -> None:
-        self._cell = cell
-        self._began = trio.current_time()
-        self._record: QuorumRecord | Unreadable | None = None
-        self._record_revision = 0
-        self._refusing: set[ExecutorInstance] = set()
-        self._inherited: dict[ExecutorInstance, ExecutorState] = {}
-
-    def take(self, listing: Listing) -> int:
-        """Load the recorded quorum; return the revision of its key, 0 without one.
-
-        Earlier owners may go on for long if there is one, until enough of it has answered.
-        """
-        for item in listing.items:
-            self._record_revision = item.revision
-            self._record = QuorumRecord.decode(item.value)
-            if isinstance(self._record, Unreadable):
-                log_event("record.unreadable", key=item.key, reason=self._record.reason)
-            self._cell.expect_earlier_orders(self._began + MAX_EXTENSION_S)
-        return self._record_revision
-
-    def find_members(self) -> frozenset[ExecutorInstance]:
-        """Return the recorded members."""
-        return self._record.members if isinstance(self._record, QuorumRecord) else frozenset()
-
-    def find_end_before(self, term_revision: int) -> float | None:
-        """Return until when owners before a term may have sent orders, None if that is unknown.
-
-        The owner of that term knew the end of those before if it recorded a quorum. The times are
-        on trio's clock.
-        """
-        if self._record is None:
-            return float("-inf")
-        if isinstance(self._record, Unreadable) or self._record.term_revision != term_revision:
-            return None
-        age_s = self._cell.parts.find_revision_age_s(self._record_revision)
-        return trio.current_time() - age_s + REFUSED_AFTER_S
-
-    def have_ended(self) -> bool:
-        """Return whether no earlier owner can have a majority of its quorum any more."""
-        if self._record is None or trio.current_time() >= self._began + MAX_EXTENSION_S:
-            return True
-        if isinstance(self._record, Unreadable):
-            return False
-        return self._count_refusing() >= count_blocking(len(self._record.members))
-
-    async def probe(self) -> None:
-        """Probe the members that are known until enough have answered, or all owners have ended.
-
-        For a load that has to wait before the executors are watched.
-        """
-        while not self.have_ended():
-            members = self.find_members()
-            async with trio.open_nursery() as nursery:
-                for state in list(self._cell.executors.values()):
-                    if state.instance in members - self._refusing:
-                        nursery.start_soon(self._probe_member, state)
-            await trio.sleep(PROBE_INTERVAL_S)
-
-    async def _probe_member(self, state: ExecutorState) -> None:
-        if await send_probe(self._cell, state):
-            self._refusing.add(state.instance)
-
-    def _count_refusing(self) -> int:
-        """Return how many members refuse earlier owners, or have ended."""
-        for member in self.find_members():
-            state = self._cell.executors.get(member.id)
-            if state is not None and state.instance == member:
-                self._inherited[member] = state
-            elif state is not None and state.has_reported and state.instance > member:
-                self._refusing.add(member)
-            known = self._inherited.get(member)
-            if known is not None and (known.has_reported or known.dead):
-                self._refusing.add(member)
-        return len(self._refusing)
-
-    def describe(self) -> dict[str, int]:
-        """Return the fields of a log line that say how much of the quorum has answered."""
-        members = self.find_members()
-        refusing = self._count_refusing()
-        return {
-            "quorum": len(members),
-            "quorum_answered": refusing,
-            "quorum_required": count_blocking(len(members)) if members else 0,
-        }
-
-
 class ExecutorQuorum:
     """Records an owner's quorum, and probes it while the owner's lease is not renewed."""
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
@@ -541,7 +541,7 @@
         for state in silent:
             state.renewed_until = min(state.renewed_until, until)
         self.fences.limit_earlier(ended_at + MAX_ORDER_DELAY_S, silent)
-        # Waits for late starts count from the term's start if earlier owners end soon after it.
+        # Late starts are counted from the term's start unless earlier owners went on for long.
         past_s = max(0.0, ended_at - self._began - STALE_OWNER_S)
         self._limit_earlier_starts(self._began + past_s)
         self.wake_planner()
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -11,8 +11,9 @@
 
 from .directory import Directory
 from .domains import log_evacuation_limits
+from .earlier_owners import REFUSED_AFTER_S, EarlierOwners
 from .events import RepeatedEvents, describe_instance, log_event
-from .executor_quorum import REFUSED_AFTER_S, EarlierOwners, ExecutorQuorum
+from .executor_quorum import ExecutorQuorum
 from .executor_watch import ExecutorWatch
 from .executors_in_use import USED_KEY, UsedExecutors
 from .fleet import ExecutorState
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/quorum_record.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/quorum_record.py
@@ -58,6 +58,8 @@
     """
     candidates = {state.instance: state for state in states}
     chosen = {member for member in current if member in candidates}
+    if len(chosen) >= MAX_MEMBERS:
+        return frozenset(chosen)
     domains = Counter(candidates[member].executor.zone for member in chosen)
     racks = Counter(candidates[member].rack for member in chosen)
     rest = [candidates[member] for member in sorted(candidates.keys() - chosen)]
