--- a/packages/heronthread-dispatch/src/heronthread_dispatch/executor_quorum.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/executor_quorum.py
@@ -108,9 +108,7 @@
 
     def _update_revision(self, outcome: ConditionFailed) -> None:
         """Read the revision after a conflict, or depose this owner if the term is over."""
-        key, revision = self._cell.term.guard
-        guard = outcome.items.get(key)
-        if guard is None or guard.revision != revision:
+        if self._cell.term.is_over(outcome):
             self._depose()
         item = outcome.items.get(QUORUM_KEY)
         self._revision = item.revision if item else 0
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host_lease.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host_lease.py
@@ -78,6 +78,12 @@
     counter_key: str = "term/0"
     fence_record: FenceRecord = field(default_factory=FenceRecord)
 
+    def is_over(self, outcome: ConditionFailed) -> bool:
+        """Return whether a write with the guard as a condition failed because the term is over."""
+        key, revision = self.guard
+        guard = outcome.items.get(key)
+        return guard is None or guard.revision != revision
+
 
 class HostLease:
     """Keeps this process's lease and member key, and takes ownership of the cell.
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
@@ -61,7 +61,7 @@
 
 JOB_PREFIX = "job/"
 STALE_OWNER_S = 1.2
-"""How long an earlier owner may keep sending orders after the next term began."""
+"""How long an earlier owner without a quorum may keep sending orders after the next term began."""
 SLOW_FACTOR = 1.05
 """How much longer a lease may last than requested, because of the executor's own clock."""
 RUNS_PER_TERM = 1000
@@ -132,7 +132,7 @@
 
     @property
     def max_unreported_run_s(self) -> float:
-        """How long runs of an earlier owner may continue after the next term began."""
+        """How long runs of an earlier owner without a quorum may go on after a term began."""
         return STALE_OWNER_S + self.executor_lease_s * SLOW_FACTOR
 
 
