Log which queues were refused, and how old a host's sight of the configuration is

Refusals are limited by method, status and reason, so of all queues refused in 5 s one was written, without the host name that picks the queue; no line said how late a version came, that a watch had ended without an answer, or when a host last knew that no newer version was there.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/configuring.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/configuring.py
@@ -6,9 +6,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from os.path import commonprefix
+from typing import Any
 
 import trio
 
+from .clock import boot_time
 from .events import log_event
 from .model import DesiredState
 
@@ -39,12 +41,17 @@
 
 @dataclass(slots=True)
 class ConfigurationInForce:
-    """The newest configuration known; `raw` is its stored form, for peers."""
+    """The newest configuration known; `raw` is its stored form, for peers.
+
+    `source` is who delivered it: `store`, or a peer's address; `since` when (suspend-aware clock).
+    """
 
     format: ConfigurationFormat
     state: DesiredState = EMPTY
     raw: bytes = b""
     packed: bytes = b""
+    source: str = ""
+    since: float = 0.0
     changed: trio.Event = field(default_factory=trio.Event)
 
     @property
@@ -71,18 +78,26 @@
             return False
         return self.offer(raw, source)
 
-    def offer(self, raw: bytes, source: str) -> bool:
-        """Apply a version if it is newer than the one in force."""
+    def offer(self, raw: bytes, source: str, **inputs: Any) -> bool:
+        """Apply a version if it is newer than the one in force; `inputs` are logged with it."""
         state = self.format.parse(raw)
         if state is None:
             log_event("config.invalid", source=source, size=len(raw))
             return False
         if state.version <= self.state.version:
             return False
-        self.state = state
+        log_event(
+            "config.in_force",
+            version=state.version,
+            source=source,
+            previous=self.state.version,
+            previous_s=round(boot_time() - self.since, 3) if self.is_known else None,
+            queues=len(state.queues),
+            **inputs,
+        )
+        self.state, self.source, self.since = state, source, boot_time()
         self.raw = raw
         self.packed = b""
-        log_event("config.in_force", version=state.version, source=source)
         self.changed.set()
         self.changed = trio.Event()
         return True
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -88,6 +88,12 @@
         self.news = NewsExchange(self)
         self.requests = Requests(self, self.news)
         self.relay = StoreRelay(self.ask_peer, self.news.find_peer_with_store)
+        self.operator_watcher = PrefixWatcher(
+            self.store,
+            self.parts.configuration.prefix,
+            self._apply_operator_listing,
+            self._apply_operator_change,
+        )
 
     @property
     def is_ready(self) -> bool:
@@ -97,18 +103,12 @@
     async def run(self) -> None:
         """Run until cancelled; the peer address must be bound, so that no other process uses it."""
         self.no_orders_since = boot_time()
-        configuration = PrefixWatcher(
-            self.store,
-            self.parts.configuration.prefix,
-            self._apply_operator_listing,
-            self._apply_operator_change,
-        )
         cell = PrefixWatcher(
             self.store, CELL_PREFIX, self._apply_cell_listing, self._apply_cell_change
         )
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            nursery.start_soon(configuration.run)
+            nursery.start_soon(self.operator_watcher.run)
             nursery.start_soon(cell.run)
             nursery.start_soon(self.host_lease.run)
             nursery.start_soon(self.loop.run)
@@ -140,7 +140,23 @@
 
     def _apply_configuration(self, event: Item | KeyRemoved) -> None:
         if isinstance(event, Item) and event.key == self.parts.configuration.key:
-            self.configuration.offer(event.value, "store")
+            self.configuration.offer(
+                event.value,
+                "store",
+                revision=event.revision,
+                reached_s=round(self.store.revisions.find_age_s(event.revision), 3),
+                **self.operator_watcher.describe(),
+            )
+
+    def describe_configuration(self) -> dict[str, Any]:
+        """Return the version in force, how old this host's sight of it is, and its origin."""
+        return {
+            "version": self.configuration.state.version,
+            **self.operator_watcher.describe(),
+            "source": self.configuration.source,
+            "in_force_s": round(boot_time() - self.configuration.since, 3),
+            "store_answering": self.store.is_answering,
+        }
 
     def _apply_cell_listing(self, listing: Listing) -> None:
         keys = {item.key for item in listing.items}
@@ -362,6 +378,9 @@
         known_load = self.known_load.find(boot_time())
         if known_load is not None:
             gauges["load_digest_age_s"] = known_load.age_s
+        for name, age_s in self.operator_watcher.describe().items():
+            if age_s is not None:
+                gauges[f"configuration_{name}"] = age_s
         for call, count in self.store.calls.items():
             gauges[f"store_{call}_calls"] = count
         for call, count in self.store.failures.items():
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -9,6 +9,7 @@
 import trio
 from heronthread_coordination import Measure, Unavailable
 
+from .clock import boot_time
 from .directory import Directory
 from .domains import log_evacuation_limits
 from .earlier_owners import REFUSED_AFTER_S, EarlierOwners
@@ -187,6 +188,7 @@
         Evacuations are read as well, so that they are in force from the first start on.
         """
         found: dict[str, Listing] = {}
+        began = boot_time()
 
         async def fetch(prefix: str) -> None:
             found[prefix] = await self._list(prefix)
@@ -202,8 +204,8 @@
             self.parts.evacuations.take_listing(found[prefix], (prefix,))
         self.quorum.inherit(self._earlier_owners.take(found[QUORUM_KEY]))
         is_use_known = self._used_executors.take(found[USED_KEY])
-        jobs.begin(found[jobs.prefix])
-        directory.begin(found[directory.prefix])
+        jobs.begin(found[jobs.prefix], began)
+        directory.begin(found[directory.prefix], began)
         if not is_use_known:
             await self._wait_for_unknown_runs()
         self._load_progress(found[PROGRESS_PREFIX])
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -10,7 +10,7 @@
 from heronthread_dispatch.intake import DEFAULT_RETRY_AFTER_S
 from heronthread_dispatch.load_digest import LoadDigest, PoolLoad, PriorityLoad
 from heronthread_dispatch.model import DesiredState, Queue, Tenant
-from heronthread_emulator import EmulatedSite
+from heronthread_emulator import EmulatedSite, captured_events
 from heronthread_platform.callers import make_app
 
 from .asgi_client import call_app
@@ -117,6 +117,24 @@
         assert (await client.send("DELETE", headers=other))[0] == 410
 
 
+async def test_refusals_are_logged_with_the_queue_named_and_the_age_of_the_configuration(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """A configuration that came late is traced by these lines."""
+    async with EmulatedSite.open(hosts=1) as site:
+        client = await _open_client(site)
+        with captured_events() as messages:
+            for path in ("/gone/", "/other/", "/gone/"):
+                await client.send("GET", path, headers={**HEADERS, "Host": "site"})
+    lines = [m for m in messages if m["message_type"] == "call.refused"]
+    assert [(line["called"], line["path"]) for line in lines] == [
+        ("site", "/gone/"),
+        ("site", "/other/"),
+    ]
+    assert all(line["version"] == 1 and line["source"] == "store" for line in lines)
+    assert all(line["unconfirmed_s"] >= 1.0 and line["in_force_s"] >= 1.0 for line in lines)
+
+
 async def test_503_has_retry_after_header(autojump_clock: trio.testing.MockClock) -> None:
     async with EmulatedSite.open(hosts=2) as site:
         client = await _open_client(site)
