Show changes that no watch delivers, and how late they are in force

Cause: hosts learn of a change by watches alone, and the emulated store's watches never missed one, so no test measured the delay of a change that they miss.

Both stand-ins share one watch.

--- a/packages/heronthread-emulator/src/heronthread_emulator/store.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/store.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum
+from typing import TypeVar
 
 import trio
 from heronthread_coordination import Unavailable, Unknown
@@ -25,6 +28,19 @@
 
 LATENCY_S = 0.004
 SILENCE_S = 0.9
+WATCH_TIMEOUT_MARGIN_S = 0.8
+"""How much longer than a watch its client waits for the answer."""
+
+Refusal = TypeVar("Refusal")
+
+
+class WatchFault(Enum):
+    """How watches miss changes, while reads and listings are answered with them."""
+
+    SILENT = "silent"
+    """A watch is not answered before its client gives up."""
+    SKIPPED = "skipped"
+    """A watch ends in time without the changes, and the next one begins behind them."""
 
 
 @dataclass(slots=True)
@@ -38,6 +54,8 @@
     """The one store; hosts call it through views of their own.
 
     `is_down` refuses every host; with `lapses` leases run out meanwhile, else they wait.
+    `watch_fault` keeps changes from all watches. With `compacts_unnoticed` a watch from before the
+    history that is kept is told so only at the end of its wait.
     """
 
     def __init__(self) -> None:
@@ -48,6 +66,9 @@
         self.is_down = False
         self.lapses = False
         self.latency_s = LATENCY_S
+        self.watch_fault: WatchFault | None = None
+        self.compacts_unnoticed = False
+        self._cuts = 0
         self._leases: dict[int, _Lease] = {}
         self._next_lease = 1
         self._changed = trio.Event()
@@ -146,9 +167,33 @@
         """Return what changed under a prefix after a revision."""
         return [e for e in self.history if e.revision > after and e.key.startswith(prefix)]
 
-    async def wait_changed(self) -> None:
-        """Wait for any change."""
-        await self._changed.wait()
+    def cut_watches(self) -> None:
+        """End all waiting watches without an answer."""
+        self._cuts += 1
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def watch(
+        self, prefix: str, after: int, wait_s: float, refuse: Callable[[], Refusal | None]
+    ) -> WatchOutcome | Refusal:
+        """Wait for changes under a prefix; `refuse` is asked after each change what ends it."""
+        ends_at, cuts = trio.current_time() + wait_s, self._cuts
+        while self._cuts == cuts:
+            left = ends_at - trio.current_time()
+            if after < self.forgotten and (left <= 0 or not self.compacts_unnoticed):
+                return HistoryCompacted()
+            events = self.changes(prefix, after) if self.watch_fault is None else []
+            if left <= 0 and self.watch_fault is WatchFault.SILENT:
+                await trio.sleep(WATCH_TIMEOUT_MARGIN_S)
+                return Unavailable("no answer")
+            if events or left <= 0:
+                return Events(tuple(events), max(after, self.revision))
+            with trio.move_on_after(left):
+                await self._changed.wait()
+            refusal = refuse()
+            if refusal is not None:
+                return refusal
+        return Unavailable("cut")
 
 
 @dataclass(slots=True)
@@ -198,18 +243,11 @@
         failure = await self._reach()
         if failure is not None:
             return failure
-        ends_at = trio.current_time() + wait_s
-        while True:
-            if after < self.store.forgotten:
-                return HistoryCompacted()
-            events = self.store.changes(prefix, after)
-            left = ends_at - trio.current_time()
-            if events or left <= 0:
-                return Events(tuple(events), max(after, self.store.revision))
-            with trio.move_on_after(left):
-                await self.store.wait_changed()
-            if self.is_cut or self.is_silent or self.store.is_down:
-                return Unavailable("cut")
+        return await self.store.watch(prefix, after, wait_s, self._refuse_watch)
+
+    def _refuse_watch(self) -> Unavailable | None:
+        is_away = self.is_cut or self.is_silent or self.store.is_down
+        return Unavailable("cut") if is_away else None
 
     async def commit(self, transaction: Transaction) -> CommitOutcome:
         """Do a transaction."""
--- a/packages/heronthread-emulator/src/heronthread_emulator/store_server.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/store_server.py
@@ -5,10 +5,21 @@
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 import trio
-from heronthread_dispatch.keystore import Committed, ConditionFailed, Item, LeaseHeld, Transaction
+from heronthread_coordination import Unavailable
+from heronthread_dispatch.keystore import (
+    Committed,
+    ConditionFailed,
+    Events,
+    HistoryCompacted,
+    Item,
+    LeaseHeld,
+    Transaction,
+    WatchOutcome,
+)
 
 from . import spelling
 from .addresses import EXECUTORS_FACE
@@ -105,21 +116,19 @@
 
     async def _watch(self, face: int, request: Request) -> Answer:
         prefix, after = spelling.read_prefix(request.query), spelling.read_after(request.query)
-        revision = int(after or 0)
-        ends_at = trio.current_time() + spelling.read_wait_s(request.query)
-        while True:
-            if revision < self.store.forgotten:
-                return Response(410)
-            events = self.store.changes(prefix, revision)
-            left = ends_at - trio.current_time()
-            if events or left <= 0:
-                rows = [self._show(face, event) for event in events]
-                return Response(200, {"events": rows, "at": max(revision, self.store.revision)})
-            with trio.move_on_after(left):
-                await self.store.wait_changed()
-            turned_away = self._turn_away(face)
-            if turned_away is not None:
-                return turned_away
+        wait_s = spelling.read_wait_s(request.query)
+        refuse = partial(self._turn_away, face)
+        outcome: WatchOutcome | Answer = await self.store.watch(
+            prefix, int(after or 0), wait_s, refuse
+        )
+        if isinstance(outcome, HistoryCompacted):
+            return Response(410)
+        if isinstance(outcome, Unavailable):
+            return NoResponse.RESET
+        if isinstance(outcome, Events):
+            rows = [self._show(face, event) for event in outcome.events]
+            return Response(200, {"events": rows, "at": outcome.at})
+        return outcome
 
     def _write(self, face: int, request: Request) -> Answer:
         if request.path == spelling.COMMIT_PATH:
