Bound how late a missed change of the configuration is noticed by the settings

Cause: hosts learned of changes by a watch alone, and a watch that misses one shows no sign. It went unnoticed until the client's own time-out and a pause, 3.45 s by three constants, or for good; nothing read the bound, 2 to 4 s by deployment. All watches begin at the same event, so no peer knows better. Ruled out as enough: not repeating a watch that was cut (the change is late by the quiet time before the cut), a shorter watch (it costs the same calls and may go on behind a change).

Change: the bound is a setting. A host lists the operators' keys once half of it has passed since a listing confirmed them; the other half is for one listing without an answer and the next. A listing that shows the known revisions costs no parsing; another one is applied, and the watch begins anew from it. Beside that a watch may wait 10 s. News say how long ago a listing showed which keys, by a checksum: a host whose keys a peer has confirmed lists none. Only replies count, as a request may have been under way for any time.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -88,12 +88,6 @@
         self.news = NewsExchange(self)
         self.requests = Requests(self, self.news)
         self.relay = StoreRelay(self.ask_peer, self.news.find_peer_with_store)
-        self.operator_watcher = PrefixWatcher(
-            self.store,
-            self.parts.configuration.prefix,
-            self._apply_operator_listing,
-            self._apply_operator_change,
-        )
 
     @property
     def is_ready(self) -> bool:
@@ -108,7 +102,7 @@
         )
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            nursery.start_soon(self.operator_watcher.run)
+            nursery.start_soon(self.operator_keys.run)
             nursery.start_soon(cell.run)
             nursery.start_soon(self.host_lease.run)
             nursery.start_soon(self.loop.run)
@@ -125,38 +119,7 @@
         with trio.move_on_after(1.0):
             await self.host_lease.release()
 
-    # Configuration and membership
-
-    def _apply_operator_listing(self, listing: Listing) -> None:
-        """Apply a listing of the operators' keys: the configuration and evacuation requests."""
-        operators = self.parts.configuration.evacuations
-        self.evacuations.take_listing(listing, (operators,) if operators else ())
-        for item in listing.items:
-            self._apply_configuration(item)
-
-    def _apply_operator_change(self, event: Item | KeyRemoved) -> None:
-        self.evacuations.take(event)
-        self._apply_configuration(event)
-
-    def _apply_configuration(self, event: Item | KeyRemoved) -> None:
-        if isinstance(event, Item) and event.key == self.parts.configuration.key:
-            self.configuration.offer(
-                event.value,
-                "store",
-                revision=event.revision,
-                reached_s=round(self.store.revisions.find_age_s(event.revision), 3),
-                **self.operator_watcher.describe(),
-            )
-
-    def describe_configuration(self) -> dict[str, Any]:
-        """Return the version in force, how old this host's sight of it is, and its origin."""
-        return {
-            "version": self.configuration.state.version,
-            **self.operator_watcher.describe(),
-            "source": self.configuration.source,
-            "in_force_s": round(boot_time() - self.configuration.since, 3),
-            "store_answering": self.store.is_answering,
-        }
+    # Membership
 
     def _apply_cell_listing(self, listing: Listing) -> None:
         keys = {item.key for item in listing.items}
@@ -378,7 +341,7 @@
         known_load = self.known_load.find(boot_time())
         if known_load is not None:
             gauges["load_digest_age_s"] = known_load.age_s
-        for name, age_s in self.operator_watcher.describe().items():
+        for name, age_s in self.operator_keys.describe_ages().items():
             if age_s is not None:
                 gauges[f"configuration_{name}"] = age_s
         for call, count in self.store.calls.items():
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host_state.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host_state.py
@@ -21,6 +21,7 @@
 from .known_load import KnownLoad
 from .known_summary import Aged
 from .observed_store import ObservedStore
+from .operator_keys import OperatorKeys
 from .owned_cell import Timing
 from .owner import Owner
 from .peer import Peers, PeerUnreachable
@@ -74,6 +75,13 @@
         self.evacuations = Evacuations(parts.configuration.evacuations)
         host_record = HostRecord(settings.name, settings.peer_address, settings.strength)
         self.host_lease = HostLease(self.store, host_record)
+        self.operator_keys = OperatorKeys(
+            self.store,
+            self.configuration,
+            self.evacuations,
+            lambda: self.settings.timing.configuration_apply_s,
+            settings.name,
+        )
         self.members: dict[str, HostRecord] = {}
         self.member_revisions: dict[str, int] = {}
         self.preassignment_log = PreassignmentLog()
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/news.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/news.py
@@ -84,6 +84,7 @@
             self._encode_load(),
             self._encode_stalls(),
             self._host.store.find_up_s(),
+            *self._host.operator_keys.describe_confirmed(),
         )
 
     def _encode_load(self) -> dict[str, Any]:
@@ -206,8 +207,13 @@
     async def _send(self, address: str) -> None:
         sent_at = boot_time()
         reply = await self._exchange(address)
-        if reply is not None:
-            await self.take(decode_news(reply.body), boot_time() - sent_at)
+        if reply is None:
+            return
+        news = decode_news(reply.body)
+        if news is not None:
+            # Only a reply's age is bounded: a request may have been under way for any time.
+            self._host.operator_keys.confirm(news.confirmed_digest, sent_at - news.confirmed_s)
+        await self.take(news, boot_time() - sent_at)
 
     async def ask(self, address: str) -> News | None:
         """Return the news of the host at an address, None if it does not answer."""
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
@@ -108,7 +108,8 @@
     start asks for until it is answered, `max_executor_lease_s` the longest one that is granted, and
     `stop_s` the time that a stop may take. `far_factor` is the
     slowdown of a task away from its data, or of a one-rack gang that is spread over racks.
-    `retention_s` is how long a final job is kept.
+    `retention_s` is how long a final job is kept. Within `configuration_apply_s` of its storing a
+    configuration is in force at every host that reaches the store.
     """
 
     executor_lease_s: float = 6.0
@@ -118,6 +119,7 @@
     gang_timeout_s: float = 3.0
     far_factor: float = 3.0
     retention_s: float = 600.0
+    configuration_apply_s: float = 2.0
 
     @property
     def longest_run_s(self) -> float:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/peer_messages.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/peer_messages.py
@@ -38,7 +38,8 @@
     it knows, as `encode_digest` returns it, and `stalls` the newest summary of stalled jobs, as
     `encode_summary` does, left out while there is none; both are read apart from the rest, as news
     with a malformed one is still of use. `store_up_s` is for how long (s) its store has answered,
-    0.0 if that is unknown.
+    0.0 if that is unknown. `confirmed_digest` is the checksum of the operators' keys that it
+    knows, 0 without any, and `confirmed_s` how long ago (s) a listing of the store showed them so.
     """
 
     host: str
@@ -57,6 +58,8 @@
     load: object = field(default_factory=dict)
     stalls: object = field(default_factory=dict)
     store_up_s: float = 0.0
+    confirmed_digest: int = 0
+    confirmed_s: float = 0.0
 
 
 NEWS_FIELD_TYPES = {
@@ -74,6 +77,8 @@
     "used_preassignments": dict,
     "closed_preassignments": int,
     "store_up_s": float,
+    "confirmed_digest": int,
+    "confirmed_s": float,
 }
 
 
@@ -142,7 +147,7 @@
 
 def _are_durations(news: News) -> bool:
     """Return whether the durations of news are numbers from 0."""
-    durations = [news.no_orders_s, news.store_up_s, *news.owners_seen_s.values()]
+    durations = [news.no_orders_s, news.store_up_s, news.confirmed_s, *news.owners_seen_s.values()]
     return all(isinstance(value, float) and value >= 0.0 for value in durations)
 
 
--- a/packages/heronthread-emulator/src/heronthread_emulator/site.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/site.py
@@ -51,6 +51,7 @@
 """The Unix ms at which the emulated clock begins."""
 BACK_AFTER_S = 3.3
 """After a crash, until another instance of the executor is there."""
+SITE_TIMING = Timing(executor_lease_s=6.0, stop_s=0.1, gang_timeout_s=3.0)
 ENTRY_LAPSES_S = 4.5
 """Three heartbeats of silence, after which an executor's entry goes."""
 
@@ -142,6 +143,7 @@
     def __init__(self, nursery: trio.Nursery, policy: Policy = DEFAULT_POLICY) -> None:
         self.nursery = nursery
         self.policy = policy
+        self.timing = SITE_TIMING
         self.strengths: dict[str, Strength] = {}
         self.store = EmulatedStore()
         self.executors = EmulatedExecutors()
@@ -177,6 +179,7 @@
         policy: Policy = DEFAULT_POLICY,
         strengths: Mapping[str, Strength] | None = None,
         says_born: bool = True,
+        timing: Timing = SITE_TIMING,
     ) -> AsyncIterator[EmulatedSite]:
         """Run a site for as long as the context is open; hosts are equal unless `strengths`.
 
@@ -185,6 +188,7 @@
         """
         async with trio.open_nursery() as nursery:
             site = cls(nursery, policy)
+            site.timing = timing
             site.says_born = says_born
             site.strengths.update(strengths or {})
             nursery.start_soon(site.store.run)
@@ -383,7 +387,7 @@
             name,
             name,
             strength=self.strengths.get(name, Strength()),
-            timing=Timing(executor_lease_s=6.0, stop_s=0.1, gang_timeout_s=3.0),
+            timing=self.timing,
             policy=self.policy,
         )
 
--- a/packages/heronthread-emulator/src/heronthread_emulator/soak_site.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak_site.py
@@ -42,6 +42,7 @@
 GRACE_S = 4.0
 STOP_S = 0.9
 DRAIN_S = 2.0
+APPLY_S = 2.0
 HOLD_S = 10.0
 SPARE_HOSTS = 12
 SPARE_EXECUTORS = 12
@@ -252,6 +253,7 @@
             stop_s=STOP_S,
             drain_s=DRAIN_S,
             hold_s=HOLD_S,
+            apply_s=APPLY_S,
         )
         template = (self.settings.root / TEMPLATE).read_text(encoding="utf-8")
         path = self.processes.folder / f"h{host}.json"
--- a/packages/heronthread-emulator/src/heronthread_emulator/spelling.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/spelling.py
@@ -335,6 +335,7 @@
     stop_s: float,
     drain_s: float,
     hold_s: float,
+    apply_s: float,
 ) -> dict[str, Any]:
     """Return the fields from which the platform fills a host's settings."""
     return {
@@ -355,6 +356,7 @@
             "status_s": 120,
             "grace-s": grace_s,
             "drain-ms": int(drain_s * 1000),
+            "config-apply-ms": int(apply_s * 1000),
         },
     }
 
