--- a/packages/heronthread-dispatch/src/heronthread_dispatch/operator_keys.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/operator_keys.py
@@ -13,6 +13,9 @@
 from .observed_store import ObservedStore
 from .prefix_watcher import PrefixWatcher
 
+OPERATORS_WATCH_S = 10.0
+"""Wait of the watch; long, as listings notice what it misses."""
+
 
 class OperatorKeys:
     """Keeps the configuration in force and the evacuation requests as the store has them.
@@ -37,6 +40,7 @@
             configuration.format.prefix,
             self._apply_listing,
             self._apply_change,
+            wait_s=OPERATORS_WATCH_S,
             max_staleness_s=max_staleness_s,
             jitter=random.Random(host),
         )
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/prefix_watcher.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/prefix_watcher.py
@@ -19,8 +19,6 @@
 from .keystore import HistoryCompacted, Item, KeyRemoved, KeyStore, Listing
 
 WATCH_S = 2.5
-RELISTED_WATCH_S = 10.0
-"""Wait of a watch beside listings, which notice what it misses."""
 RETRY_PAUSE_S = 0.15
 RELIST_FRACTION = 0.5
 """The part of the staleness bound after which the keys are listed again."""
@@ -59,6 +57,7 @@
     jitter: random.Random = field(default_factory=lambda: random.Random(0))
     confirmed_at: float = float("-inf")
     answered_at: float = float("-inf")
+    _has_failed: bool = False
     _revisions: dict[str, int] = field(default_factory=dict)
     _watching: trio.CancelScope = field(default_factory=trio.CancelScope)
     _failures: RepeatedEvents = field(default_factory=RepeatedEvents)
@@ -128,8 +127,10 @@
     async def _watch_once(self) -> None:
         after, began = self.at, boot_time()
         assert after is not None
-        wait_s = self.wait_s if self.max_staleness_s is None else RELISTED_WATCH_S
+        # After a failure the history since is asked for at once: it may be gone already.
+        wait_s = 0.0 if self._has_failed else self.wait_s
         outcome = await self.store.watch(self.prefix, after, wait_s)
+        self._has_failed = isinstance(outcome, Unavailable)
         if self.at != after:
             return  # a listing has gone beyond this answer
         if isinstance(outcome, HistoryCompacted):
--- a/packages/heronthread-dispatch/tests/test_prefix_watcher.py
+++ b/packages/heronthread-dispatch/tests/test_prefix_watcher.py
@@ -3,7 +3,7 @@
 import trio
 from heronthread_dispatch.keystore import Item, KeyRemoved, Listing, WatchOutcome
 from heronthread_dispatch.observed_store import ObservedStore
-from heronthread_dispatch.prefix_watcher import PrefixWatcher
+from heronthread_dispatch.prefix_watcher import RETRY_PAUSE_S, PrefixWatcher
 from heronthread_emulator import EmulatedSite, captured_events
 from heronthread_emulator.store import WatchFault
 
@@ -112,3 +112,23 @@
         assert values == sorted(values)
         newest = follower.listings[-1].items[0]
         assert newest.value == b"3" and (values[-1] == b"3" or values[-1] < newest.value)
+
+
+async def test_the_watch_after_a_cut_does_not_wait(autojump_clock: Clock) -> None:
+    """Guards against a store that tells of a compaction only as a watch's wait ends."""
+    async with EmulatedSite.open(hosts=1) as site:
+        changes: list[Item | KeyRemoved] = []
+        listings: list[Listing] = []
+        watcher = PrefixWatcher(
+            ObservedStore(site.store_view()), "beat/", listings.append, changes.append
+        )
+        site.nursery.start_soon(watcher.run)
+        await trio.sleep(0.5)
+        site.store.compacts_unnoticed = True
+        site.store.watch_fault = WatchFault.SILENT
+        site.store.put("beat/a", b"")
+        site.store.watch_fault = None
+        site.store.forget_history()
+        site.store.cut_watches()
+        await trio.sleep(RETRY_PAUSE_S + 0.05)
+        assert [item.key for item in listings[-1].items] == ["beat/a"]
