Bound how late missed changes of entries, owner and members are noticed

An executor that leaves was given work for as long as no watch told the owner, whatever notice it has (drain_ms, 2 to 4 s), and a host that was not told of the owner's loss waited for ever: in a test whose watches go on behind the change nobody had taken over after 30 s. drain_ms was a setting that nothing read.

Change: the owner lists the executors' entries within half of drain_ms, each host the keys of owner and members within half of recovery_s, a new setting. Not bounded yet: jobs, as their listing is as long as all jobs kept, and the first daemon's readers.

Measured: the listed test of a leaving executor failed before and passes, so does that of an owner's loss (30 s and more before, under its 12 s now).

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import random
 from dataclasses import asdict, replace
 from typing import Any
 
@@ -98,7 +99,12 @@
         """Run until cancelled; the peer address must be bound, so that no other process uses it."""
         self.no_orders_since = boot_time()
         cell = PrefixWatcher(
-            self.store, CELL_PREFIX, self._apply_cell_listing, self._apply_cell_change
+            self.store,
+            CELL_PREFIX,
+            self._apply_cell_listing,
+            self._apply_cell_change,
+            max_staleness_s=lambda: self.settings.timing.recovery_s,
+            jitter=random.Random(self.settings.name),
         )
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
@@ -109,7 +109,9 @@
     `stop_s` the time that a stop may take. `far_factor` is the
     slowdown of a task away from its data, or of a one-rack gang that is spread over racks.
     `retention_s` is how long a final job is kept. Within `configuration_apply_s` of its storing a
-    configuration is in force at every host that reaches the store.
+    configuration is in force at every host that reaches the store, and an executor gets no new work
+    from `drain_s` on after it said that it leaves. Within `recovery_s` of the loss of any hosts
+    callers are served again.
     """
 
     executor_lease_s: float = 6.0
@@ -120,6 +122,8 @@
     far_factor: float = 3.0
     retention_s: float = 600.0
     configuration_apply_s: float = 2.0
+    drain_s: float = 2.0
+    recovery_s: float = 12.0
 
     @property
     def longest_run_s(self) -> float:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -134,6 +134,7 @@
                 self.directory.take_listing,
                 self.directory.take,
                 gather_s=DIRECTORY_GATHER_S,
+                max_staleness_s=lambda: self.parts.timing.drain_s,
             )
             await self._load(jobs, directory)
             log_event(
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/prefix_watcher.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/prefix_watcher.py
@@ -27,6 +27,8 @@
 ATTEMPT_FRACTION = 0.3
 """The part of the bound that a listing without an answer may take, so that a second one fits."""
 MAX_ATTEMPT_S = 2.0
+DEAF_AFTER_S = 0.25
+"""How long a watch may take to tell of a change; far longer than an answer is under way."""
 MAX_LOGGED_KEYS = 8
 
 
@@ -58,6 +60,7 @@
     confirmed_at: float = float("-inf")
     answered_at: float = float("-inf")
     _has_failed: bool = False
+    _waiting_since: float = float("inf")
     _revisions: dict[str, int] = field(default_factory=dict)
     _watching: trio.CancelScope = field(default_factory=trio.CancelScope)
     _failures: RepeatedEvents = field(default_factory=RepeatedEvents)
@@ -106,7 +109,7 @@
         """Start from an existing listing of the prefix, which was requested at `sent_at`."""
         self.at = listing.at
         if self.max_staleness_s is not None:
-            self._revisions = _list_revisions(listing)
+            self._revisions = {item.key: item.revision for item in listing.items}
         self._note_confirmed(sent_at)
         self.on_listing(listing)
 
@@ -129,7 +132,9 @@
         assert after is not None
         # After a failure the history since is asked for at once: it may be gone already.
         wait_s = 0.0 if self._has_failed else self.wait_s
+        self._waiting_since = trio.current_time()
         outcome = await self.store.watch(self.prefix, after, wait_s)
+        self._waiting_since = float("inf")
         self._has_failed = isinstance(outcome, Unavailable)
         if self.at != after:
             return  # a listing has gone beyond this answer
@@ -193,35 +198,48 @@
         with trio.move_on_at(next_at):
             listing = await self.store.list(self.prefix)
             if isinstance(listing, Listing):
-                self._compare(listing, sent_at)
+                self._take_relisting(listing, sent_at)
                 return True
         await trio.sleep_until(next_at)
         return False
 
-    def _compare(self, listing: Listing, sent_at: float) -> None:
-        """Start again from a listing unless it confirms the known keys."""
+    def _take_relisting(self, listing: Listing, sent_at: float) -> None:
+        """Apply what a listing shows beyond the known keys, and note that it confirms the rest."""
         if self.at is None or listing.at < self.at:
+            return  # the watch has gone beyond this listing
+        changes = self._find_changes(listing)
+        if changes:
+            self._restart_deaf_watch(changes, listing.at)
+            self.at = listing.at
+        for change in changes:
+            self._apply(change)
+        self._note_confirmed(sent_at)
+
+    def _find_changes(self, listing: Listing) -> list[Item | KeyRemoved]:
+        """Return the changes that lead from the known keys to those of a listing."""
+        removed = self._revisions.keys() - {item.key for item in listing.items}
+        changed = [i for i in listing.items if i.revision != self._revisions.get(i.key)]
+        return [*(KeyRemoved(key, listing.at) for key in sorted(removed)), *changed]
+
+    def _restart_deaf_watch(self, changes: list[Item | KeyRemoved], at: int) -> None:
+        """End the watch if it has waited for a while without telling of changes listed since.
+
+        A watch that has just begun may still tell of them, as under a prefix that changes often.
+        """
+        waited_s = trio.current_time() - self._waiting_since
+        if waited_s < DEAF_AFTER_S:
             return
-        found = _list_revisions(listing)
-        if found == self._revisions:
-            self._note_confirmed(sent_at)
-            return
-        missed = dict(found.items() ^ self._revisions.items())
         log_event(
             "watch.missed",
             prefix=self.prefix,
-            keys=sorted(missed)[:MAX_LOGGED_KEYS],
-            count=len(missed),
-            at=listing.at,
+            keys=[change.key for change in changes[:MAX_LOGGED_KEYS]],
+            count=len(changes),
+            at=at,
             after=self.at,
+            waited_s=round(waited_s, 3),
             **self.describe(),
         )
         self._watching.cancel()
-        self.begin(listing, sent_at)
-
-
-def _list_revisions(listing: Listing) -> dict[str, int]:
-    return {item.key: item.revision for item in listing.items}
 
 
 def _find_age_s(at: float) -> float | None:
--- a/packages/heronthread-emulator/src/heronthread_emulator/soak_checks.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak_checks.py
@@ -11,13 +11,12 @@
 from .checker import Violation, check_promises
 from .executors import Event
 from .soak_history import IN_TOUCH_S, NOT_ENDED, SoakHistory
-from .soak_site import APPLY_S, DRAIN_S, GRACE_S, STOP_S
+from .soak_site import APPLY_S, DRAIN_S, GRACE_S, RECOVERY_S, STOP_S
 from .soak_standing import check_standing
 from .soak_starving import check_starving
 
 CANCEL_S = 3.0
 ROLLBACK_S = 0.25
-RECOVERY_S = 12.0
 VISIBLE_S = 3.0
 LOSS_S = 0.2
 SLACK_S = 0.5
--- a/packages/heronthread-emulator/src/heronthread_emulator/soak_site.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak_site.py
@@ -43,6 +43,7 @@
 STOP_S = 0.9
 DRAIN_S = 2.0
 APPLY_S = 2.0
+RECOVERY_S = 12.0
 HOLD_S = 10.0
 SPARE_HOSTS = 12
 SPARE_EXECUTORS = 12
@@ -254,6 +255,7 @@
             drain_s=DRAIN_S,
             hold_s=HOLD_S,
             apply_s=APPLY_S,
+            recovery_s=RECOVERY_S,
         )
         template = (self.settings.root / TEMPLATE).read_text(encoding="utf-8")
         path = self.processes.folder / f"h{host}.json"
--- a/packages/heronthread-emulator/src/heronthread_emulator/spelling.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/spelling.py
@@ -336,6 +336,7 @@
     drain_s: float,
     hold_s: float,
     apply_s: float,
+    recovery_s: float,
 ) -> dict[str, Any]:
     """Return the fields from which the platform fills a host's settings."""
     return {
@@ -357,6 +358,7 @@
             "grace-s": grace_s,
             "drain-ms": int(drain_s * 1000),
             "config-apply-ms": int(apply_s * 1000),
+            "recovery-s": recovery_s,
         },
     }
 
--- a/packages/heronthread-emulator/tests/test_spelling.py
+++ b/packages/heronthread-emulator/tests/test_spelling.py
@@ -123,6 +123,7 @@
         drain_s=2.0,
         hold_s=10.0,
         apply_s=3.0,
+        recovery_s=15.0,
     )
     template = (
         '{"host": {{node|json}}, "ip": {{ip|json}},'
