Play watches that miss changes in the soak of processes

Cause: no fault of the soak kept a change from watches while the store answered the rest, so that hosts had nothing to notice; a forgotten history was told of at once.

These are no disruptions: the newest configuration has to be in use 2 s after the store took it, at hosts that own nothing, too. Faults that change the version take turns.

--- a/packages/heronthread-emulator/src/heronthread_emulator/soak_faults.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak_faults.py
@@ -14,6 +14,7 @@
 from .soak_power_faults import PowerFaults
 from .soak_refusal_faults import RefusalFaults
 from .soak_site import EXECUTORS, LINKS, STORE, SoakSite
+from .soak_watch_faults import WatchFaults
 
 LONGEST_S = 7.0
 PAUSE_S = (0.2, 1.5)
@@ -33,6 +34,7 @@
         "power_lost_beside_silence",
         "owner_killed_beside_silence",
         "owners_killed_in_rounds",
+        "watches_miss_changes",
     }
 )
 """These are no disruptions, or note each of theirs: promises hold on beside them."""
@@ -85,6 +87,7 @@
         self.lasting = LastingFaults(site)
         self.power = PowerFaults(site)
         self.refusals = RefusalFaults(site)
+        self.watches = WatchFaults(site)
         if only:
             wanted = only.split(",")
             unknown = set(wanted) - set(self.names)
@@ -95,11 +98,13 @@
             self.lasting.all = [f for f in self.lasting.all if f.__name__ in wanted]
             self.power.all = [f for f in self.power.all if f.__name__ in wanted]
             self.refusals.all = [f for f in self.refusals.all if f.__name__ in wanted]
+            self.watches.all = [f for f in self.watches.all if f.__name__ in wanted]
 
     @property
     def names(self) -> list[str]:
         """Return the names of the faults that may be drawn."""
-        every = [*self._all, *self.lasting.all, *self.power.all, *self.refusals.all]
+        apart = [*self.power.all, *self.refusals.all, *self.watches.all]
+        every = [*self._all, *self.lasting.all, *apart]
         return list(dict.fromkeys(fault.__name__ for fault in every))
 
     def draw(self) -> Fault:
@@ -118,7 +123,7 @@
                 alone = trio.CapacityLimiter(1)
                 await nursery.start(self._play_one, fault, -1 - place, alone)
                 self.played += not self._all
-            for source in (self.power, self.refusals):
+            for source in (self.power, self.refusals, self.watches):
                 for fault in source.draw():
                     nursery.start_soon(self._play_now_and_then, source, fault, ends_at)
             while self._all and trio.current_time() < ends_at:
@@ -128,7 +133,7 @@
                 await nursery.start(self._play_one, fault, self.played, limit)
 
     async def _play_now_and_then(
-        self, source: PowerFaults | RefusalFaults, fault: Fault, ends_at: float
+        self, source: PowerFaults | RefusalFaults | WatchFaults, fault: Fault, ends_at: float
     ) -> None:
         """Play a fault again and again, whatever else goes on."""
         await source.pause()
@@ -452,14 +457,14 @@
 
     async def change_configuration(self) -> None:
         """Put a new version in force: one route comes, and the last version's goes."""
-        await self.site.configure(self.site.version + self.random.randint(1, 3))
+        await self.site.configure_next(self.random.randint(1, 3))
 
 
 def list_faults() -> list[str]:
     """Return the names of all faults."""
     return [
         name
-        for kind in (SoakFaults, LastingFaults, PowerFaults, RefusalFaults)
+        for kind in (SoakFaults, LastingFaults, PowerFaults, RefusalFaults, WatchFaults)
         for name, value in vars(kind).items()
         if iscoroutinefunction(value) and not name.startswith("_") and name not in ("play", "pause")
     ]
--- a/packages/heronthread-emulator/src/heronthread_emulator/soak_site.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak_site.py
@@ -88,6 +88,7 @@
     next_host: int = 0
     next_executor: int = 0
     version: int = 0
+    configuring: trio.Lock = field(default_factory=trio.Lock)
     parts: int = 0
     client: HttpClient = field(default_factory=HttpClient)
 
@@ -345,6 +346,11 @@
         if f"{MODULES[CALLERS]}" in self.processes.running:
             await self.steer(CALLERS, "version", version=version)
 
+    async def configure_next(self, step: int) -> None:
+        """Put a version in force that is newer by a step, however many faults do so at a time."""
+        async with self.configuring:
+            await self.configure(self.version + step)
+
     async def add_executor(self) -> None:
         """Have another executor join."""
         if self.next_executor >= self.most_executors:
--- a/packages/heronthread-emulator/src/heronthread_emulator/store_server.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/store_server.py
@@ -26,7 +26,7 @@
 from .http_server import NoResponse, Request, Response, serve_http
 from .sight import Sight
 from .standin import StandinSettings, run_standin, serve_commands
-from .store import EmulatedStore
+from .store import EmulatedStore, WatchFault
 
 PAGE_ITEMS = 500
 HOLDS_ENTRIES = 32
@@ -188,6 +188,14 @@
         """Forget what changed."""
         self.store.forget_history()
 
+    async def set_watches(self, values: dict[str, Any]) -> None:
+        """Set by name how watches miss changes; an empty name ends it."""
+        self.store.watch_fault = WatchFault(values["fault"]) if values["fault"] else None
+
+    async def cut_watches(self, values: dict[str, Any]) -> None:
+        """Reset all watches that wait."""
+        self.store.cut_watches()
+
     async def operate(self, values: dict[str, Any]) -> float:
         """Put a configuration; return when the store took it."""
         self.store.put(spelling.CONFIGURATION_KEY, values["value"].encode())
@@ -203,6 +211,7 @@
         """End every fault."""
         self.faults = StoreFaults()
         self.store.is_down = self.store.lapses = False
+        self.store.watch_fault = None
 
 
 async def play(settings: StandinSettings, sight: Sight, nursery: trio.Nursery) -> None:
@@ -219,6 +228,8 @@
         "faults": server.set_faults,
         "store": server.set_store,
         "history": server.forget_history,
+        "watches": server.set_watches,
+        "cut": server.cut_watches,
         "configuration": server.operate,
         "key": server.find_owner,
         "mend": server.mend,
--- a/packages/heronthread-emulator/tests/test_soak_faults.py
+++ b/packages/heronthread-emulator/tests/test_soak_faults.py
@@ -36,12 +36,15 @@
     apart = [make_faults(seed=seed).lasting.draw() for seed in range(40)]
     power = [make_faults(seed=seed).power.draw() for seed in range(40)]
     refusals = [make_faults(seed=seed).refusals.draw() for seed in range(40)]
-    beside = {fault.__name__ for chosen in [*apart, *power, *refusals] for fault in chosen}
+    watches = [make_faults(seed=seed).watches.draw() for seed in range(40)]
+    every = [*apart, *power, *refusals, *watches]
+    beside = {fault.__name__ for chosen in every for fault in chosen}
     assert drawn.isdisjoint(beside)
     assert drawn | beside == set(faults.names)
     assert any(not chosen for chosen in apart)
     assert any(not chosen for chosen in power)
     assert any(not chosen for chosen in refusals)
+    assert any(not chosen for chosen in watches)
 
 
 def test_faults_drawn_apart_leave_the_others_of_a_seed_as_they_were():
--- a/packages/heronthread-emulator/tests/test_soak_run.py
+++ b/packages/heronthread-emulator/tests/test_soak_run.py
@@ -18,6 +18,7 @@
     2: "kill_owner,stop_any,reload_settings,change_configuration",
     3: "links_silent_for_good,links_reset,store_busy",
     4: "power_lost_beside_silence,owner_killed_beside_silence,executor_cut_by_refusals",
+    5: "watches_miss_changes,change_configuration",
 }
 SEEDS_TRIED = 3
 
--- a/packages/heronthread-emulator/tests/test_store_server.py
+++ b/packages/heronthread-emulator/tests/test_store_server.py
@@ -119,3 +119,27 @@
     assert isinstance(await views[0].commit(PUT), Unavailable)
     await server.set_store({"is_down": False, "lapses": False})
     assert isinstance(await views[0].commit(PUT), Committed)
+
+
+async def test_watches_miss_changes_that_a_listing_shows(site):
+    server, (store, *_) = site[0], site[1].values()
+    await server.set_watches({"fault": "skipped"})
+    done = await store.commit(PUT)
+    assert await store.watch("", 0, 0.1) == Events((), done.revision)
+    assert len((await store.list("")).items) == 1
+    await server.set_watches({"fault": "silent"})
+    assert isinstance(await store.watch("", 0, 0.1), Unavailable)
+    await server.mend({})
+    assert len((await store.watch("", 0, 0.1)).events) == 1
+
+
+async def test_cut_watches_are_reset(site, nursery):
+    server, (store, *_) = site[0], site[1].values()
+
+    async def cut():
+        await trio.sleep(0.1)
+        await server.cut_watches({})
+
+    nursery.start_soon(cut)
+    with trio.fail_after(5.0):
+        assert isinstance(await store.watch("", 0, 20.0), Unavailable)
