Send the owner a job again until it has it

Cause: a host tells the owner of a job once and looks at no answer; the owner's watch was to deliver what that missed. A watch that goes on behind the job leaves it unknown for the rest of the term, and an owner that had listed the jobs but did not decide yet dropped the notice.

Change: the owner answers whether it has the job, and the host sends it up to four times, 0.3 s apart, to whoever is the owner by then. An owner whose term begins later lists it.

Measured: the new test (watches that skip changes, the first notice lost) failed before and passes; 149 tests of owner, hosts, requests and partitions passed. No calls more where the first notice is answered.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -452,9 +452,7 @@
             count = self.owner.count_pending(body["queue"]) if self.owner else None
             return (OK, {"count": count}) if count is not None else (NOT_HERE, {})
         if operation == Operation.NOTE_JOB:
-            if self.owner is not None and self.host_lease.is_valid:
-                self.owner.apply_job(decode_record(body))
-            return OK, {}
+            return (OK if self.give_to_owner(decode_record(body)) else NOT_HERE), {}
         return await self._handle_intake(operation, body)
 
     async def _handle_intake(
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host_state.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host_state.py
@@ -29,7 +29,7 @@
 from .policy import DEFAULT_POLICY, Policy
 from .preassignments import Membership, PreassignmentLog
 from .predecessor import SeenOwner
-from .record import MALFORMED
+from .record import MALFORMED, JobRecord
 from .stall_summary import MAX_AGE_S, KnownStalls, StallSummary
 from .stalls import StallHistory
 from .statistics import Statistics
@@ -119,6 +119,12 @@
             return {}
         return {"unknown_in_term": owner.cell.term.number}
 
+    def give_to_owner(self, record: JobRecord) -> bool:
+        """Give a job to the local owner; False without one, or if another may have taken over."""
+        if self.owner is None or not self.host_lease.is_valid:
+            return False
+        return self.owner.apply_job(record)
+
     def note_owner(self, seen: SeenOwner) -> None:
         """Note an owner of the cell, unless it is already known."""
         if all(owner.revision != seen.revision for owner in self.seen_owners):
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -461,10 +461,16 @@
         elif isinstance(record, JobRecord) and record.spec.id not in self._set_aside:
             self.cell.apply_job(record, event.created)
 
-    def apply_job(self, record: JobRecord) -> None:
-        """Apply a job or a cancellation that a peer reports."""
-        if self.is_ready and record.spec.id not in self._set_aside:
+    def apply_job(self, record: JobRecord) -> bool:
+        """Apply a job or a cancellation that a peer reports; False if this owner does not decide.
+
+        It may have listed the jobs already, so the peer has to report it again.
+        """
+        if not self.is_ready:
+            return False
+        if record.spec.id not in self._set_aside:
             self.cell.apply_job(record)
+        return True
 
     def view(self, job_id: str) -> JobView | None:
         """Return the public view of a job; None if this owner doesn't know it."""
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/requests.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/requests.py
@@ -57,6 +57,8 @@
 PEER_INTAKE_S = 1.2
 MAX_PEERS_TRIED = 2
 QUERY_BUDGET_S = 0.8
+NOTICE_TRIES = 4
+NOTICE_RETRY_S = 0.3
 MAX_CACHED_FINAL = 20_000
 NOT_KNOWN_TO_OWNER = "it does not know the job, or does not decide yet"
 
@@ -216,15 +218,24 @@
         return NotTaken(reason) if reply.status == NOT_TAKEN else Unsettled(reason)
 
     def _notify_owner(self, record: JobRecord) -> None:
-        """Send a new job to the owner at once; its watch would deliver it later."""
-        if self._host.owner is not None:
-            # Without a valid lease another owner may have taken over.
-            if self._host.host_lease.is_valid:
-                self._host.owner.apply_job(record)
-        elif self._host.known_owner is not None:
-            body = encode_record(record)
-            address = self._host.known_owner.address
-            self._host.spawn(self._host.ask_peer, address, Operation.NOTE_JOB, body)
+        """Send a new job to the owner at once; its watch would deliver it later, or miss it."""
+        if not self._host.give_to_owner(record):
+            self._host.spawn(self._send_notices, record)
+
+    async def _send_notices(self, record: JobRecord) -> None:
+        """Send a job until an owner has it; one whose term begins later lists it."""
+        for _ in range(NOTICE_TRIES):
+            if self._host.give_to_owner(record) or await self._send_notice(record):
+                return
+            await trio.sleep(NOTICE_RETRY_S)
+
+    async def _send_notice(self, record: JobRecord) -> bool:
+        """Send a job to another host that is the owner; return whether it has it."""
+        owner = self._host.known_owner
+        if owner is None or owner.host == self._host.settings.name:
+            return False
+        reply = await self._host.ask_peer(owner.address, Operation.NOTE_JOB, encode_record(record))
+        return isinstance(reply, PeerReply) and reply.status == OK
 
     async def find_job(self, job_id: str) -> JobView | NoSuchJob | Unavailable:
         """Return the status of a job as shown to callers."""
--- a/packages/heronthread-dispatch/tests/test_missed_changes.py
+++ b/packages/heronthread-dispatch/tests/test_missed_changes.py
@@ -12,6 +12,8 @@
 from heronthread_coordination import Unavailable
 from heronthread_dispatch.clock import boot_time
 from heronthread_dispatch.keystore import Listing
+from heronthread_dispatch.peer import PeerUnreachable
+from heronthread_dispatch.wire.ttypes import Frame, Operation
 from heronthread_emulator import EmulatedSite
 from heronthread_emulator.site import SITE_TIMING
 from heronthread_emulator.store import StoreView, WatchFault
@@ -214,3 +216,25 @@
             lambda: any(h.owner is not None for n, h in site.hosts.items() if n != owner)
         )
         assert delay <= SITE_TIMING.recovery_s
+
+
+async def test_a_job_that_neither_a_watch_nor_the_first_notice_tells_of_starts(
+    autojump_clock: Clock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Without another notice the job would stand for as long as the owner's term lasts."""
+    async with _open_site(2) as site:
+        site.store.watch_fault = WatchFault.SKIPPED
+        other = next(name for name in site.hosts if name != site.owner_name())
+        call, lost = site.peers.call, list[Frame]()
+
+        async def lose_first(address: str, frame: Frame, timeout_s: float) -> object:
+            is_notice = frame.forward and frame.forward.operation == Operation.NOTE_JOB
+            if is_notice and not lost:
+                lost.append(frame)
+                return PeerUnreachable("lost")
+            return await call(address, frame, timeout_s)
+
+        monkeypatch.setattr(site.peers, "call", lose_first)
+        await site.hosts[other].requests.accept(site.make_job("a", work_s=0.5), 2.0)
+        await trio.sleep(1.5)
+        assert lost and site.executors.starts()
