--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -273,11 +273,8 @@
         was_valid = True
         while True:
             await trio.sleep(GUARD_INTERVAL_S)
-            if not self._may_go_on() and self.store.is_answering:
-                # The store may have just returned, and no renewal been due since.
-                await self.host_lease.renew()
             is_valid = self.host_lease.is_valid
-            if not self._may_go_on():
+            if not is_valid and not self._may_extend():
                 self._log_lease("lease.not_extended", owner)
                 owner.depose()
                 return
@@ -325,10 +322,6 @@
             return True
         return self.owner is not None and self.owner.quorum.is_held and self._may_extend()
 
-    def _may_go_on(self) -> bool:
-        """Whether the local owner may keep its term."""
-        return self.host_lease.is_valid or self._may_extend()
-
     def _may_extend(self) -> bool:
         """Whether an owner may go on without a valid lease as long as it has a quorum."""
         return self.host_lease.lease is not None and self.news.may_be_outage()
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host_lease.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host_lease.py
@@ -125,7 +125,7 @@
                     await trio.sleep(RETRY_PAUSE_S)
                 continue
             await trio.sleep(self.duration_s / RENEWALS_PER_LEASE)
-            await self.renew()
+            await self._renew()
 
     async def _acquire(self) -> bool:
         sent = boot_time()
@@ -149,8 +149,7 @@
         self.last_renewed = sent
         self.until = sent + self.duration_s - EXPIRY_MARGIN_S
 
-    async def renew(self) -> None:
-        """Renew the lease once; it is dropped if the store says that it is over."""
+    async def _renew(self) -> None:
         lease = self.lease
         if lease is None:
             return
