--- a/packages/heronthread-dispatch/tests/test_missed_changes.py
+++ b/packages/heronthread-dispatch/tests/test_missed_changes.py
@@ -67,7 +67,7 @@
 
 
 async def test_changes_that_no_watch_delivers_are_in_force_in_time(autojump_clock: Clock) -> None:
-    """Guards against inc-75: all hosts were late alike, so that no peer knew better."""
+    """All hosts are late alike, so no peer knows better."""
     for fault in WatchFault:
         async with _open_site() as site:
             site.store.watch_fault = fault
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -12,7 +12,7 @@
 
 
 async def test_a_watch_that_was_cut_is_not_sent_again() -> None:
-    """Guards against inc-75: the second watch missed what the first one had."""
+    """The second watch would miss what the first one had missed."""
 
     def respond(request: ReceivedRequest) -> tuple[int, Any] | None:
         is_first = len(server.requests) == 1
