--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,9 +1,10 @@
-"""One wide job is handed in beside small ones: does any work go on?"""
+"""Ten jobs with a time each minute of a week come beside small ones: does any work go on?"""
 
 from __future__ import annotations
 
 import asyncio
 import sys
+import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -11,11 +12,13 @@
 
 from standins import Bystanders, Site, run_case  # noqa: E402
 
-EXECUTORS = 24
-CAPACITY = {"cpu": 128000, "mem-mb": 524288, "gpus": 8}
-NEED = {"cpu": 250, "mem-mb": 64}
-WIDTH = 5_000
-"""Half of what the system says it takes in one step; 1,250 of 3,072 cores."""
+EXECUTORS = 10
+CAPACITY = {"cpu": 64000, "mem-mb": 262144, "gpus": 8}
+NEED = {"cpu": 500, "mem-mb": 256}
+JOBS = 10
+TASKS = 4
+TIMES = 7 * 24 * 60
+"""Once a minute for a week, from the next hour on: 40,320 tasks, of 50,000 that a job may have."""
 STEADY_S = 9.0
 TRAFFIC_S = 24.0
 FINISH_S = 14.0
@@ -27,12 +30,18 @@
     await asyncio.sleep(1.0)
     bystanders = Bystanders(site, NEED)
     await bystanders.send_for(STEADY_S)
-    before = bystanders.find_standing()
+    before = bystanders.find_standing(3.0)
     assert not before, f"work stood before the disruption: {before}"
-    if is_troubled:
-        spec = {"work_s": 5.0, "need": NEED}
-        step = {"count": WIDTH, **NEED, "estimated-ms": 5000}
-        assert await site.submit("bulk", "00000000000000aa", spec, **step), "not taken"
+    spec = {"work_s": 1.0, "need": NEED}
+    schedule = {
+        "repeat-count": TIMES,
+        "start-at-ms": int((time.time() + 3600) * 1000),
+        "interval-ms": 60_000,
+    }
+    for number in range(JOBS if is_troubled else 0):
+        job = f"{number + 1:016x}"
+        step = {"count": TASKS, **NEED, "estimated-ms": 1000}
+        assert await site.submit("usual", job, spec, job_fields=schedule, **step), "not taken"
     await bystanders.send_for(TRAFFIC_S)
     await asyncio.sleep(FINISH_S)
     return await bystanders.judge()
