--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""Ten jobs with a time each minute of a week come beside small ones: does any work go on?"""
+"""Sixteen jobs with a time each minute of a week come beside small ones: does work go on?"""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 EXECUTORS = 10
 CAPACITY = {"cpu": 64000, "mem-mb": 262144, "gpus": 8}
 NEED = {"cpu": 500, "mem-mb": 256}
-JOBS = 10
+JOBS = 16
 TASKS = 4
 TIMES = 7 * 24 * 60
 """Once a minute for a week, from the next hour on: 40,320 tasks, of 50,000 that a job may have."""
