--- a/packages/heronthread-dispatch/src/heronthread_dispatch/broken_gangs.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/broken_gangs.py
@@ -14,7 +14,7 @@
 from .fleet import ExecutorState
 from .gang_ends import UnlistedRun
 from .late_starts import LateStarts
-from .progress import Attempt, Phase, StepState
+from .step_state import Attempt, Phase, StepState
 
 
 def note_end(step: StepState, end: EndedRun) -> None:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/colocation.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/colocation.py
@@ -11,7 +11,8 @@
 
 from .model import StepSpec
 from .offers import Offer
-from .progress import Attempt, JobState, Phase, StepState
+from .progress import JobState
+from .step_state import Attempt, Phase, StepState
 
 
 class Colocation:
@@ -26,13 +27,11 @@
                     self._add_step(step)
 
     def _add_step(self, step: StepState) -> None:
-        for task in step.tasks:
-            if task.attempt is None:
-                continue
+        for attempt in step.attempts():
             if step.spec.fills:
-                self._best_effort[task.attempt.executor].append(task.attempt)
+                self._best_effort[attempt.executor].append(attempt)
             elif step.spec.serves:
-                self._serving.add(task.attempt.executor)
+                self._serving.add(attempt.executor)
 
     def filter_compatible(self, spec: StepSpec, offers: list[Offer]) -> list[Offer]:
         """Return the offers on which a step's tasks neither disturb others nor are disturbed."""
@@ -68,11 +67,11 @@
     """
     if not step.spec.lasting or not step.spec.may_miss:
         return True
-    available = sum(1 for task in step.tasks if _is_available(task.attempt, victim_ids))
+    available = sum(1 for attempt in step.attempts() if _is_available(attempt, victim_ids))
     return len(step.tasks) - available < step.spec.may_miss
 
 
-def _is_available(attempt: Attempt | None, victim_ids: set[int]) -> bool:
-    if attempt is None or id(attempt) in victim_ids:
+def _is_available(attempt: Attempt, victim_ids: set[int]) -> bool:
+    if id(attempt) in victim_ids:
         return False
     return attempt.phase is Phase.RUNNING and attempt.percent >= 100
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/concurrent_probes.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/concurrent_probes.py
@@ -15,7 +15,7 @@
 from .fleet import ExecutorState
 from .owned_cell import OwnedCell
 from .probing import needs_probe
-from .progress import UNSETTLED, Attempt, Phase
+from .step_state import UNSETTLED, Attempt, Phase
 
 REPROBE_AFTER_S = 0.4
 MAX_PROBES = 4
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/crashes.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/crashes.py
@@ -15,9 +15,9 @@
 from .events import describe_instance, describe_run, log_event
 from .fleet import ExecutorState
 from .model import ExecutorInstance, TaskKey
-from .progress import Attempt, TaskState
 from .record import Blame
 from .statistics import Statistics
+from .step_state import Attempt, TaskState
 
 RECENT_START_S = 0.5
 """A run started within this time before its executor became unresponsive may have crashed it.
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/entry_change_log.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/entry_change_log.py
@@ -12,7 +12,7 @@
 
 from .events import describe_run, log_event
 from .fleet import ExecutorState
-from .progress import Attempt
+from .step_state import Attempt
 
 GATHER_S = 0.5
 MAX_NAMED = 16
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/evacuation_command.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/evacuation_command.py
@@ -17,7 +17,7 @@
 from .fleet import ExecutorState
 from .keystore import CommitOutcome, Committed, ConditionFailed, Put, Transaction
 from .owned_cell import OwnedCell
-from .progress import UNSETTLED, Attempt, Phase
+from .step_state import UNSETTLED, Attempt, Phase
 
 CONFIRM_TIMEOUT_S = 2.0
 """Longest wait for starts in flight; less than the 3 s timeout of the operator's command."""
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/executor_restart.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/executor_restart.py
@@ -15,7 +15,7 @@
 from .fleet import ExecutorState, make_executor_state
 from .late_starts import MAX_ORDER_DELAY_S
 from .owned_cell import OwnedCell
-from .progress import UNSETTLED, Attempt, Phase
+from .step_state import UNSETTLED, Attempt, Phase
 
 
 def replace_instance(
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/executor_watch.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/executor_watch.py
@@ -27,8 +27,9 @@
 from .model import Executor, ExecutorInstance, TaskKey
 from .owned_cell import OwnedCell
 from .probing import needs_probe
-from .progress import UNSETTLED, Attempt, JobState, Phase
+from .progress import JobState
 from .speed import measure_speed, shows_executor_speed
+from .step_state import UNSETTLED, Attempt, Phase
 
 WAIT_S = 1.0
 SHORT_WAIT_S = 0.35
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/fence_recorder.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/fence_recorder.py
@@ -14,7 +14,7 @@
 from .fleet import ExecutorState
 from .keystore import ConditionFailed, Put
 from .owned_cell import OwnedCell
-from .progress import Phase
+from .step_state import Phase
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/fleet.py
@@ -8,7 +8,7 @@
 import trio
 
 from .model import NO_RESOURCES, Executor, ExecutorInstance, Resources, TaskKey
-from .progress import Attempt, Phase
+from .step_state import Attempt, Phase
 
 CLOCK_DRIFT = 0.03
 LEASE_MARGIN_S = 0.3
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/gangs.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/gangs.py
@@ -10,8 +10,8 @@
 from .offers import Offer, Scope, count_fits, count_free_now, group_by_rack
 from .plan import Candidate
 from .policy import Policy
-from .progress import StepState, TaskState
 from .speed_placement import SpeedPlacement
+from .step_state import StepState, TaskState
 
 SPREAD_WAIT_S = 1.5
 IDLE_SPREAD_WAIT_S = 2.0
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/guarantee.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/guarantee.py
@@ -18,7 +18,7 @@
         and job.is_due(wall_now)
     ]
     for job in sorted(urgent, key=lambda j: j.spec.accepted_at):
-        required = max(s.spec.count * s.spec.need.accelerators for s in job.steps)
+        required = max(s.count * s.need.accelerators for s in job.spec.steps)
         remaining = remaining_by_customer.get(job.spec.tenant, 0)
         if required <= remaining:
             remaining_by_customer[job.spec.tenant] = remaining - required
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host.py
@@ -23,6 +23,7 @@
 from .host_lease import HostRecord, Term
 from .host_state import HostParts, HostSettings, HostState
 from .intake import NoSuchJob, NotTaken, PendingWrite, Taken
+from .job_memory import count_states, find_peak_memory_mb
 from .keystore import Item, KeyRemoved, Listing
 from .load_overview import explain_order, measure_load
 from .loop_lag import LoopLagMonitor
@@ -56,6 +57,7 @@
 from .requests import Requests
 from .revision_log import learn_revisions
 from .succession import RANK_DELAY_S, find_stronger, rank
+from .turn_monitor import TurnMonitor
 from .wire.ttypes import Frame
 
 CONTEND_S = 0.05
@@ -76,12 +78,18 @@
 
 
 class Host(HostState):
-    """Runs the tasks of one host until it is cancelled."""
+    """Runs the tasks of one host until it is cancelled.
 
-    def __init__(self, settings: HostSettings, parts: HostParts) -> None:
+    `turn_monitor` times the turns of the process's tasks, if its owner has entered it.
+    """
+
+    def __init__(
+        self, settings: HostSettings, parts: HostParts, turn_monitor: TurnMonitor | None = None
+    ) -> None:
         super().__init__(settings, parts)
         self.is_draining = False
         self.loop = LoopLagMonitor(self.statistics)
+        self.turn_monitor = turn_monitor or TurnMonitor()
         self._owner_lost_at = 0.0
         self._owner_lost = trio.Event()
         self._handed_over_at = float("-inf")
@@ -248,6 +256,7 @@
             self.known_stalls,
             self.settings.name,
             lambda: self.host_lease.left_s,
+            lambda: all(host.reads_sparse_progress for host in self.members.values()),
         )
 
     async def _learn_revisions(self) -> None:
@@ -334,6 +343,8 @@
             "store_answering": self.store.is_answering,
             "owner": self.owner is not None,
             "evacuated_domains": len(self.evacuations.domains),
+            "longest_turn_s": round(self.turn_monitor.longest_s, 4),
+            "peak_memory_mb": find_peak_memory_mb(),
         }
         if self.owner is not None:
             gauges["term"] = self.owner.cell.term.number
@@ -343,6 +354,7 @@
             gauges["executors"] = len(self.owner.cell.executors)
             gauges["entries_set_aside"] = self.owner.directory.invalid_count
             gauges.update(measure_load(self.owner.cell))
+            gauges.update(count_states(self.owner.cell.active.values()))
         gauges["jobs_standing"], gauges["longest_stand_s"] = self._measure_stalls()
         known_load = self.known_load.find(boot_time())
         if known_load is not None:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host_lease.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host_lease.py
@@ -41,15 +41,21 @@
 
 @dataclass(frozen=True, slots=True)
 class HostRecord:
-    """A host's record in the store: its name, address and strength."""
+    """A host's record in the store: its name, address and strength.
+
+    `reads_sparse_progress` is false for hosts of earlier versions, which only read progress records
+    that list all occurrences of a job.
+    """
 
     host: str
     address: str
     strength: Strength = Strength()
+    reads_sparse_progress: bool = True
 
     def encode(self) -> bytes:
         """Return the stored form."""
         value = {"host": self.host, "address": self.address, **asdict(self.strength)}
+        value["sparse_progress"] = self.reads_sparse_progress
         return json.dumps(value).encode()
 
     @classmethod
@@ -58,7 +64,8 @@
         try:
             value = json.loads(data)
             strength = Strength(float(value.get("cores", 1)), float(value.get("link_mbps", 0)))
-            return cls(str(value["host"]), str(value["address"]), strength)
+            reads_sparse = bool(value.get("sparse_progress", False))
+            return cls(str(value["host"]), str(value["address"]), strength, reads_sparse)
         except MALFORMED as error:
             return Unreadable(repr(error))
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/job_waits.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/job_waits.py
@@ -7,7 +7,8 @@
 
 from .model import TaskKey
 from .owned_cell import OwnedCell
-from .progress import Attempt, JobState
+from .progress import JobState
+from .step_state import Attempt
 from .wait_causes import WaitCause
 
 MAX_WAITS = 4
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/late_starts.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/late_starts.py
@@ -15,7 +15,7 @@
 
 from .fleet import ExecutorState
 from .model import ExecutorInstance, TaskKey, UnresolvedStart
-from .progress import Attempt
+from .step_state import Attempt
 
 MAX_ORDER_DELAY_S = 12.0
 """How long after its send an order without an answer may still be carried out; 2 s to 12 s were
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/lease_renewal.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/lease_renewal.py
@@ -11,7 +11,7 @@
 from .executor_link import HoldOrder, NoAnswer, Report
 from .fleet import ExecutorState
 from .owned_cell import OwnedCell
-from .progress import Phase
+from .step_state import Phase
 
 RESEND_AFTER_S = 0.3
 MAX_SENDS = 5
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/length_measure.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/length_measure.py
@@ -6,7 +6,7 @@
 
 from .fleet import ExecutorState
 from .learned import LearnedState
-from .progress import Attempt, StepState
+from .step_state import Attempt, StepState
 
 MAX_END_DELAY_S = 1.5
 """A report is due each second, so that a run without progress for longer ended unobserved."""
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/load_estimate.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/load_estimate.py
@@ -12,7 +12,8 @@
 from .learned import LearnedState
 from .load_digest import MAX_CUSTOMERS, MAX_S, PoolLoad, PriorityLoad
 from .model import URGENT, DesiredState, Queue
-from .progress import JobState, StepState, latest_starts
+from .progress import JobState, latest_starts
+from .step_state import StepState
 
 DRAIN_WINDOW_S = 10.0
 """How far back ends count for the drain rate. Several waves of work end within it, and demand of
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/load_overview.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/load_overview.py
@@ -11,9 +11,10 @@
 from .guarantee import find_guaranteed
 from .model import DesiredState
 from .owned_cell import OwnedCell
-from .progress import JobState, StepState
+from .progress import JobState
 from .share_accounting import is_waiting
 from .step_rank import rank_step
+from .step_state import StepState
 
 MAX_ROWS = 16
 """Rows of each section, so that the reply of a peer stays small with 790 customers."""
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/losses.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/losses.py
@@ -9,9 +9,10 @@
 from .learned import LearnedState
 from .model import NO_RESOURCES, URGENT, DesiredState, Resources
 from .offers import Offer
-from .progress import Attempt, JobState, Phase, StepState
+from .progress import JobState
 from .run_lengths import Evidence
 from .step_lengths import extrapolate_end_s, find_remaining_s, predict_step
+from .step_state import Attempt, Phase, StepState
 
 URGENT_LOSS_FACTOR = 6.0
 URGENT_MIN_LOSS_CORE_S = 10.0
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
@@ -26,7 +26,8 @@
 from .owned_cell import OwnedCell
 from .plan import Start
 from .probing import wait_for_reports
-from .progress import Attempt, JobState, Phase, list_pending_starts, to_open_start
+from .progress import JobState, list_pending_starts, to_open_start
+from .step_state import Attempt, Phase
 from .task_masks import TaskMasks
 
 START_TRIES = 3
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/overview.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/overview.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable, Iterator
+from itertools import islice
 from typing import Any
 
 import trio
@@ -13,6 +15,10 @@
 from .owned_cell import OwnedCell
 from .progress import JobState
 from .stalls import JobStall
+from .step_state import StepState, TaskState
+
+MAX_TASK_ROWS = 1_000
+"""Tasks that a job's description lists, so that the reply of a peer stays small."""
 
 
 def describe_cell(cell: OwnedCell, desired: DesiredState, host: str) -> dict[str, Any]:
@@ -106,27 +112,49 @@
     """Return a job's tasks with their executors, progress and failures.
 
     `stand` says why nothing of the job runs, None if it is not known to be stalled; `order` why its
-    waiting tasks have their place in the order.
+    waiting tasks have their place in the order. Of a job with more than `MAX_TASK_ROWS` tasks it
+    lists at most as many that are under way, or have failed, and counts the others.
     """
-    tasks = []
-    for step in job.steps:
-        for task in step.tasks:
-            attempt = task.attempt
-            tasks.append(
-                {
-                    "time": step.occurrence,
-                    "step": step.number,
-                    "task": task.index,
-                    "state": _describe_state(task.done, attempt is not None),
-                    "executor": attempt.executor if attempt else "",
-                    "run": task.last_run,
-                    "percent": attempt.percent if attempt else 0,
-                    "failed runs": len(task.failed_runs),
-                    "crashed": ", ".join(
-                        f"{instance.id} ({why})" for instance, why in task.crashes.items()
-                    ),
-                }
-            )
+    rows = [
+        _describe_task(step, step.tasks.peek(index))
+        for step, index in islice(_list_tasks(job), MAX_TASK_ROWS)
+    ]
+    described = _describe_job_state(job, stand, order)
+    unlisted = job.count_tasks() - len(rows)
+    if unlisted:
+        described["unlisted tasks"] = unlisted
+        described["times done"] = job.occurrences.closed_count
+    return {**described, "tasks": rows}
+
+
+def _list_tasks(job: JobState) -> Iterator[tuple[StepState, int]]:
+    """Yield the tasks of a job by step and index; of one with many, those that are under way."""
+    is_small = job.count_tasks() <= MAX_TASK_ROWS
+    numbers = range(job.spec.occurrences) if is_small else job.occurrences.list_open()
+    for number in numbers:
+        for step in job.occurrences.peek(number):
+            indexes: Iterable[int] = range(step.spec.count)
+            if not is_small:
+                indexes = (task.index for task in step.tasks.list_known())
+            yield from ((step, index) for index in indexes)
+
+
+def _describe_task(step: StepState, task: TaskState) -> dict[str, Any]:
+    attempt = task.attempt
+    return {
+        "time": step.occurrence,
+        "step": step.number,
+        "task": task.index,
+        "state": _describe_state(task.done, attempt is not None),
+        "executor": attempt.executor if attempt else "",
+        "run": task.last_run,
+        "percent": attempt.percent if attempt else 0,
+        "failed runs": len(task.failed_runs),
+        "crashed": ", ".join(f"{instance.id} ({why})" for instance, why in task.crashes.items()),
+    }
+
+
+def _describe_job_state(job: JobState, stand: JobStall | None, order: str) -> dict[str, Any]:
     return {
         "job": job.spec.id,
         "queue": job.spec.queue.name,
@@ -134,13 +162,13 @@
         "status": job.shown.value,
         "why": "; ".join(filter(None, (_explain_failures(job), _describe_stand(stand)))),
         "order": order,
-        "tasks": tasks,
     }
 
 
 def _explain_failures(job: JobState) -> str:
     """Return why a job failed, or why some of its tasks run isolated; empty if neither."""
-    tasks = [task for step in job.steps for task in step.tasks if task.crashes]
+    steps = (step for step in job.steps if step.has_suspects)
+    tasks = [task for step in steps for task in step.tasks.list_known() if task.crashes]
     if job.failed:
         is_given_up = any(task.is_given_up for task in tasks)
         return "executors crashed under a task" if is_given_up else "the runs of a task failed"
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owned_cell.py
@@ -36,17 +36,7 @@
 from .model import NO_RESOURCES, URGENT, DesiredState, TaskKey, UnresolvedStart
 from .policy import DEFAULT_POLICY, Policy
 from .preassignments import Preassignments
-from .progress import (
-    UNSETTLED,
-    Attempt,
-    JobState,
-    Phase,
-    StepState,
-    TaskState,
-    critical_path_s,
-    list_pending_starts,
-    make_job,
-)
+from .progress import JobState, critical_path_s, list_pending_starts, make_job
 from .record import JobRecord, ProgressRecord, round_remaining_s
 from .recorder import Recorder
 from .relay import StoreRelay
@@ -54,6 +44,7 @@
 from .stall_summary import KnownStalls
 from .stalls import StallHistory
 from .statistics import Statistics
+from .step_state import UNSETTLED, Attempt, Phase, StepState, TaskState
 from .task_masks import TaskMasks, keep, unite
 from .uncertainty import Deadlines, is_sole_instance, list_lapsed, list_uncertain
 from .urgent_forecast import GangShape
@@ -154,6 +145,7 @@
     `preassignments`, all that is recorded in advance counts as used. `known_load` has the newest
     load digest that the host knows, and `known_stalls` the newest summary of stalled jobs. `host`
     is the owner's name, and `find_lease_left_s` returns for how long (s) its lease is still valid.
+    `can_write_sparse` returns whether all hosts read progress records without all occurrences.
     """
 
     store: KeyStore
@@ -179,6 +171,7 @@
     known_stalls: KnownStalls = field(default_factory=KnownStalls)
     host: str = ""
     find_lease_left_s: Callable[[], float] = lambda: float("inf")
+    can_write_sparse: Callable[[], bool] = lambda: True
     random: random.Random = field(default_factory=random.Random)
 
 
@@ -188,7 +181,9 @@
     def __init__(self, parts: OwnerParts, term: Term) -> None:
         self.parts = parts
         self.term = term
-        self.recorder = Recorder(parts.store, term.guard, self._update_places, parts.relay)
+        self.recorder = Recorder(
+            parts.store, term.guard, self._update_places, parts.relay, parts.can_write_sparse
+        )
         self.jobs: dict[str, JobState] = {}
         self.active: dict[str, JobState] = {}
         self.executors: dict[str, ExecutorState] = {}
@@ -280,7 +275,7 @@
             chain_s=round(critical_path_s(job.spec), 3),
             stretch=queue.stretch,
             target_s=queue.target_s,
-            tasks=sum(step.spec.count for step in job.steps),
+            tasks=job.count_tasks(),
             term=self.term.number,
         )
 
@@ -313,7 +308,7 @@
     def restore_crashes(self, job: JobState) -> None:
         """Restore the crashes that an earlier owner recorded for a job's tasks."""
         for step in job.steps:
-            for task in step.tasks if step.has_suspects else ():
+            for task in step.tasks.list_known() if step.has_suspects else ():
                 self.crashes.restore(job.key_of(step, task), task)
 
     def _handle_crash(self, key: TaskKey) -> None:
@@ -351,11 +346,11 @@
     def count_suspects(self) -> int:
         """Return the number of tasks of active jobs that executors have crashed under."""
         steps = (s for job in self.active.values() for s in job.steps if s.has_suspects)
-        return sum(bool(task.crashes) for step in steps for task in step.tasks)
+        return sum(bool(task.crashes) for step in steps for task in step.tasks.list_known())
 
     def _fail_if_crashing(self, job: JobState) -> None:
         for step in job.steps:
-            for task in step.tasks if step.has_suspects else ():
+            for task in step.tasks.list_known() if step.has_suspects else ():
                 if not task.is_given_up or not job.is_active:
                     continue
                 job.failed = True
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -19,6 +19,7 @@
 from .executors_in_use import USED_KEY, UsedExecutors
 from .fleet import ExecutorState
 from .host_lease import Term
+from .job_memory import count_states, find_peak_memory_mb
 from .keystore import Item, KeyRemoved, Listing
 from .load_report import LoadReport
 from .load_rows import make_load_sources
@@ -47,6 +48,7 @@
 from .spares import Spares
 from .stall_monitor import StallMonitor, describe_unresponsive
 from .stalls import JobStall
+from .turns import TURN_S, Turns
 
 PAUSE_S = 0.15
 PREDECESSOR_RETRY_S = 0.3
@@ -54,8 +56,6 @@
 COALESCE_S = 0.012
 PLAN_EVERY_S = 0.5
 ROOM_NOTE_INTERVAL_S = 1.0
-PLAN_BUDGET_S = 0.02
-"""How long planning may run before other tasks (leases, reports, answers) get a turn."""
 FIRST_REPORTS_S = 0.04
 LONG_BARRIER_S = 1.0
 TOLD_EVERY_S = 2.0
@@ -126,7 +126,7 @@
         started = trio.current_time()
         with self._scope:
             jobs = PrefixWatcher(
-                self.parts.store, JOB_PREFIX, self._load_jobs, self._apply_job_event
+                self.parts.store, JOB_PREFIX, self._apply_jobs, self._apply_job_event
             )
             directory = PrefixWatcher(
                 self.parts.store,
@@ -144,6 +144,8 @@
                 active=len(self.cell.active),
                 executors=len(self.cell.executors),
                 seconds=round(trio.current_time() - started, 3),
+                peak_memory_mb=round(find_peak_memory_mb(), 1),
+                **count_states(self.cell.active.values()),
                 term_age_s=self.stall_monitor.term_age_s,
                 unlisted=self._describe_unlisted(),
             )
@@ -205,11 +207,12 @@
             self.parts.evacuations.take_listing(found[prefix], (prefix,))
         self.quorum.inherit(self._earlier_owners.take(found[QUORUM_KEY]))
         is_use_known = self._used_executors.take(found[USED_KEY])
-        jobs.begin(found[jobs.prefix], began)
+        await self._load_jobs(found[jobs.prefix])
+        jobs.resume(found[jobs.prefix], began)
         directory.begin(found[directory.prefix], began)
         if not is_use_known:
             await self._wait_for_unknown_runs()
-        self._load_progress(found[PROGRESS_PREFIX])
+        await self._load_progress(found[PROGRESS_PREFIX])
         self.cell.apply_evacuations()
         self.cell.notify_use_changed()
 
@@ -231,11 +234,13 @@
                 return listing
             await trio.sleep(PAUSE_S)
 
-    def _load_progress(self, listing: Listing) -> None:
+    async def _load_progress(self, listing: Listing) -> None:
+        turns = Turns()
         for item in listing.items:
             job = self.cell.jobs.get(item.key.removeprefix(PROGRESS_PREFIX))
             if job is not None:
                 self._restore(job, item)
+            await turns.take()
         for job in list(self.cell.active.values()):
             if job.status.is_final:
                 del self.cell.active[job.spec.id]
@@ -448,7 +453,13 @@
 
     # Jobs
 
-    def _load_jobs(self, listing: Listing) -> None:
+    async def _load_jobs(self, listing: Listing) -> None:
+        turns = Turns()
+        for item in listing.items:
+            self._apply_job_event(item)
+            await turns.take()
+
+    def _apply_jobs(self, listing: Listing) -> None:
         for item in listing.items:
             self._apply_job_event(item)
 
@@ -553,7 +564,7 @@
         planner.steps_to_explain = self.stall_monitor.take_explanation_requests()
         recheck = PLAN_EVERY_S
         while True:
-            plan = planner.make(PLAN_BUDGET_S)
+            plan = planner.make(TURN_S)
             self._urgent_demand.note(trio.current_time(), planner.urgent_demand())
             self._carry_out(plan)
             if plan.replan_in_s is not None:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/plan.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/plan.py
@@ -7,8 +7,9 @@
 from .approval import ApprovalRequest
 from .fleet import ExecutorState
 from .model import Queue, TaskKey
-from .progress import Attempt, JobState, StepState, TaskState
+from .progress import JobState
 from .step_rank import StepRank
+from .step_state import Attempt, StepState, TaskState
 from .urgent_room import LendReason
 
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -27,9 +27,10 @@
 from .offers import Offer, Scope, count_free, count_with_reserved, make_offers
 from .plan import Candidate, Plan, Preemption, Start
 from .policy import DEFAULT_POLICY, Policy
-from .progress import Attempt, JobState, Phase, StepState, TaskState, latest_starts
+from .progress import JobState, latest_starts
 from .speed_placement import SpeedPlacement
 from .step_rank import rank_step
+from .step_state import MAX_TASKS_PLANNED, Attempt, Phase, StepState, TaskState, key_of
 from .task_masks import find_executors
 from .urgent_room import (
     END_WAIT_SHARE,
@@ -49,6 +50,10 @@
 HEADROOM_WAIT_S = 1.5
 DUE_MARGIN_S = 1.0
 DEFAULT_STOP_S = 0.5
+JOBS_PER_CHECK = 32
+"""Jobs that are looked at before the budget of a call is checked."""
+MAX_WAITING_STEPS = 1_024
+"""The waiting steps of a job beyond which no further occurrences of it are opened."""
 NO_CAPACITY = Resources(-1, -1, -1)
 """Less than any task needs, even one that asks for nothing."""
 
@@ -121,7 +126,10 @@
         self._losses = self._make_losses(wait_s)
         self._victims = VictimSelector(self._losses, now, self._make_losses)
         self._approvals = approvals
+        self._collected = 0
+        self._found: list[Candidate] = []
         self._waiting: deque[Candidate] | None = None
+        self._cut_short: set[str] = set()
         self._orphaned_runs: dict[tuple[str, int, int], Counter[str]] = {}
 
     def _make_room(self) -> UrgentRoom:
@@ -147,7 +155,7 @@
     @property
     def is_complete(self) -> bool:
         """Whether the plan has reached every waiting step."""
-        return not self._waiting
+        return self._waiting is not None and not self._waiting
 
     def make(self, budget_s: float = float("inf")) -> Plan:
         """Return the tasks to start and the attempts to stop now.
@@ -157,11 +165,9 @@
         """
         deadline = trio.current_time() + budget_s if budget_s < float("inf") else budget_s
         self.plan = Plan()
+        if not self._collect(deadline):
+            return self.plan
         self._orphaned_runs = _count_orphaned_runs(self._offer_by_executor.values())
-        if self._waiting is None:
-            self._waiting = deque(sorted(self._candidates(), key=lambda c: c.rank.sort_key))
-        else:
-            self._refresh()
         while self._waiting:
             self._plan_step(self._waiting.popleft())
             if self._waiting and deadline < float("inf") and trio.current_time() >= deadline:
@@ -188,29 +194,99 @@
         candidate.tasks = tasks
         return candidate
 
-    def _candidates(self) -> Iterable[Candidate]:
-        for job in self.jobs:
-            if not job.is_active:
-                continue
-            queue = self.desired.current_queue(job.spec)
-            for step in job.steps:
-                if step.is_done or (step.ready_at is not None and not step.waiting_count):
-                    continue
-                if not job.is_ready(step, self.wall_now):
-                    self._replan_when_due(step)
-                    continue
-                if step.ready_at is None:
-                    step.ready_at = self.now
-                is_under_way = step.spec.gang and step.attempt_count
-                if not step.waiting_count or is_under_way or self._awaits_failure(step, queue):
-                    continue
-                tasks = self._exclude_possibly_running(job, step, step.open_tasks())
-                if step.has_suspects:
-                    tasks = [task for task in tasks if job.may_start(task)]
-                if not tasks or (step.spec.gang and len(tasks) < len(step.tasks)):
-                    continue
-                for allowed_executors, part in self._split_by_allowed_executors(job, step, tasks):
-                    yield self._rank(job, step, queue, part, allowed_executors)
+    def _collect(self, deadline: float) -> bool:
+        """Find the waiting steps in their order; return whether all were found by the deadline."""
+        if self._waiting is not None:
+            self._refresh()
+            return True
+        is_first_call, is_first_batch = not self._collected, True
+        while self._collected < len(self.jobs):
+            is_late = deadline < float("inf") and trio.current_time() >= deadline
+            if is_late and not is_first_batch:
+                return False
+            is_first_batch = False
+            for job in self.jobs[self._collected : self._collected + JOBS_PER_CHECK]:
+                self._found += self._list_candidates(job)
+            self._collected += JOBS_PER_CHECK
+        self._waiting = deque(sorted(self._found, key=lambda c: c.rank.sort_key))
+        self._found = []
+        if not is_first_call:
+            self._refresh()
+        return True
+
+    def _list_candidates(self, job: JobState) -> list[Candidate]:
+        """Return the steps of a job with tasks to start, and open occurrences that are due.
+
+        No more are opened, nor tasks of equal steps returned, than a plan is likely to start. The
+        rest is left to the next plan, so that its cost is bounded whatever is due at once.
+        """
+        if not job.is_active:
+            return []
+        found: list[Candidate] = []
+        queue, steps = self.desired.current_queue(job.spec), job.steps
+        left = [MAX_TASKS_PLANNED] * len(job.spec.steps)
+        waiting_steps = 0
+        while True:
+            for step in steps:
+                waiting_steps += bool(step.waiting_count)
+                tasks = self._find_startable(job, step, queue, left[step.number])
+                left[step.number] -= len(tasks)
+                if tasks:
+                    for allowed, part in self._split_by_allowed_executors(job, step, tasks):
+                        found.append(self._rank(job, step, queue, part, allowed))
+            is_enough = all(
+                count <= 0
+                for count, step in zip(left, job.spec.steps, strict=True)
+                if not step.after
+            )
+            if is_enough or waiting_steps >= MAX_WAITING_STEPS:
+                break
+            steps = job.occurrences.open_next_due(self.wall_now)
+            if not steps:
+                self._replan_when_due(job.occurrences.find_next_due_at())
+                break
+        if any(count <= 0 for count in left) or waiting_steps >= MAX_WAITING_STEPS:
+            self._cut_short.add(job.spec.id)
+        return found
+
+    def _find_startable(
+        self, job: JobState, step: StepState, queue: Queue, most: int
+    ) -> list[TaskState]:
+        """Return at most `most` tasks of a step that may start now; all of a gang's, or none."""
+        if step.is_done or (step.ready_at is not None and not step.waiting_count):
+            return []
+        if not job.is_ready(step, self.wall_now):
+            self._replan_when_due(step.due_at)
+            return []
+        if step.ready_at is None:
+            step.ready_at = self.now
+        is_under_way = step.spec.gang and step.attempt_count
+        if not step.waiting_count or is_under_way or self._awaits_failure(step, queue):
+            return []
+        if most <= 0:
+            return []
+        tasks = step.open_tasks(most, self._make_start_check(job, step))
+        return [] if step.spec.gang and len(tasks) < len(step.tasks) else tasks
+
+    def _make_start_check(self, job: JobState, step: StepState) -> Callable[[int], bool] | None:
+        """Return a check by index whether a task may start; None if all of the step may.
+
+        A task may not start if an unobservable run may be executing it now or later, or while
+        crashes under it forbid another start.
+        """
+        pins, may_run = self._pins, self._may_run
+        if not pins and may_run is None and not step.has_suspects:
+            return None
+
+        def may_start(index: int) -> bool:
+            key = key_of(job.spec.id, step, index)
+            if pins and pins.get(key) == NOWHERE:
+                return False
+            if may_run is not None and may_run(key):
+                return False
+            return not step.has_suspects or job.may_start(step.tasks.peek(index))
+
+        return may_start
 
     def _awaits_failure(self, step: StepState, queue: Queue) -> bool:
         """Whether failures that executors may yet list would use up a gang's attempts."""
@@ -218,20 +294,10 @@
             return False
         return len(step.list_possible_failures(self.now)) >= queue.max_attempts
 
-    def _replan_when_due(self, step: StepState) -> None:
-        """Request another plan for the time at which a step becomes due."""
-        if step.due_at is not None and step.due_at > self.wall_now:
-            self._request_replan(step.due_at - self.wall_now)
-
-    def _exclude_possibly_running(
-        self, job: JobState, step: StepState, tasks: list[TaskState]
-    ) -> list[TaskState]:
-        """Return the tasks without those that an unobservable run may be executing now or later."""
-        if self._pins:
-            tasks = [t for t in tasks if self._pins.get(job.key_of(step, t)) != NOWHERE]
-        if self._may_run is None:
-            return tasks
-        return [t for t in tasks if not self._may_run(job.key_of(step, t))]
+    def _replan_when_due(self, due_at: float | None) -> None:
+        """Request another plan for the time at which a step becomes due (Unix time in s)."""
+        if due_at is not None and due_at > self.wall_now:
+            self._request_replan(due_at - self.wall_now)
 
     def _split_by_allowed_executors(
         self, job: JobState, step: StepState, tasks: list[TaskState]
@@ -308,6 +374,8 @@
             self.plan.groups.append(group)
             self._colocation.record_placed(candidate.step.spec, (offer for _, offer in placed))
             self._note_loan(candidate, placed)
+            if candidate.job.spec.id in self._cut_short:
+                self._request_replan(0.0)
         missing = len(candidate.tasks) - len(placed)
         if candidate.key in self.steps_to_explain:
             cause = WaitCause.DUE if placed else self._find_cause(candidate, avoids_headroom)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/prefix_watcher.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/prefix_watcher.py
@@ -107,11 +107,15 @@
 
     def begin(self, listing: Listing, sent_at: float) -> None:
         """Start from an existing listing of the prefix, which was requested at `sent_at`."""
+        self.resume(listing, sent_at)
+        self.on_listing(listing)
+
+    def resume(self, listing: Listing, sent_at: float) -> None:
+        """Start after a listing that the caller has applied, which was requested at `sent_at`."""
         self.at = listing.at
         if self.max_staleness_s is not None:
             self._revisions = {item.key: item.revision for item in listing.items}
         self._note_confirmed(sent_at)
-        self.on_listing(listing)
 
     def _note_confirmed(self, sent_at: float) -> None:
         self.confirmed_at = max(sent_at, self.confirmed_at)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/progress.py
@@ -1,293 +1,38 @@
-"""In-memory state of jobs, steps, tasks and attempts."""
+"""In-memory state of jobs."""
 
 from __future__ import annotations
 
 from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass, field
-from enum import Enum
 
-from .gang_ends import GangEnds
-from .model import ExecutorInstance, JobSpec, Queue, Resources, StepSpec, TaskKey, UnresolvedStart
+from .model import JobSpec, Queue, TaskKey, UnresolvedStart
+from .occurrences import Occurrences
 from .placements import JobPlacements
-from .record import Blame, JobStatus, ProgressRecord, StepProgress
+from .record import JobStatus, ProgressRecord
+from .step_state import Attempt, Phase, StepState, TaskState, key_of
 from .task_masks import ANY, TaskMasks, distribute, subtract, unite
 
-UNSETTLED = float("inf")
 LATE_FACTOR = 3.0
-MAX_BLAMED_CRASHES = 2
-"""A task is given up once it alone can have crashed so many executors, as documented for callers.
-"""
-MAX_CRASHES = 4
-"""A task is given up after so many crashes, whoever is to blame: one below the documented limit."""
 MAX_NAMED_AHEAD = 256
 """Tasks of a job with executors recorded in advance: more than start in a store outage."""
-
-
-class Phase(Enum):
-    """The phase of an attempt."""
-
-    STARTING = "starting"
-    RUNNING = "running"
-    STOPPING = "stopping"
-
-
-@dataclass(slots=True, eq=False)
-class Attempt:
-    """One run of a task that is, or may be, at one instance of an executor.
-
-    Times are on trio's clock. `settled_at` is when an answer to a start or stop proved that any
-    report requested later is conclusive about this run. `sends` counts the start orders sent,
-    `unanswered` those without an answer, which may still be carried out late, and `refused_sends`
-    those without effect. `sent_at` is the time of the last send, and `is_in_flight` is set while it
-    is in flight. `seen` is set once a report has listed the run. `progressed_at` is when `percent`
-    last rose. `rate` is the last measured speed (percent/s) and `best_rate` the highest one;
-    `ratio` is the measured over the estimated duration. `is_long` marks an attempt that is slow
-    because of its task, as its executor runs others at normal speed. `is_resumed` is set if the run
-    began from a checkpoint.
-    """
-
-    task: TaskKey
-    run: int
-    instance: ExecutorInstance
-    need: Resources
-    ordered_at: float
-    phase: Phase = Phase.STARTING
-    settled_at: float = UNSETTLED
-    sends: int = 0
-    unanswered: int = 0
-    refused_sends: int = 0
-    sent_at: float = 0.0
-    is_in_flight: bool = False
-    seen: bool = False
-    percent: float = 0.0
-    progressed_at: float = 0.0
-    began_at: float | None = None
-    began_percent: float = 0.0
-    stop_reason: str = ""
-    measured_at: float | None = None
-    measured_percent: float = 0.0
-    ratio: float | None = None
-    rate: float = 0.0
-    best_rate: float = 0.0
-    is_long: bool = False
-    is_resumed: bool = False
-
-    @property
-    def executor(self) -> str:
-        """The executor's id."""
-        return self.instance.id
-
-    @property
-    def has_begun(self) -> bool:
-        """Whether a report has listed the run, or a start was acknowledged."""
-        open_sends = self.unanswered + self.refused_sends + self.is_in_flight
-        return self.seen or self.sends > open_sends
-
-    @property
-    def may_have_begun(self) -> bool:
-        """Whether any send may have had an effect; an adopted run was never sent by this owner."""
-        return self.seen or self.sends > self.refused_sends
-
-    @property
-    def has_single_unresolved_send(self) -> bool:
-        """Whether exactly one send may have started the run."""
-        open_sends = self.unanswered + self.is_in_flight
-        return open_sends == 1 and self.sends <= open_sends + self.refused_sends
-
-
-class TaskState:
-    """One task, with at most one current attempt.
-
-    `moves` counts the attempts stopped because others of the step were faster. `crashes` holds the
-    executor instances that crashed under the task, and `works` is set once a run has survived its
-    start. Changes update the step's counters, so that a plan need not iterate over all tasks.
-    """
-
-    __slots__ = (
-        "_attempt",
-        "_done",
-        "_step",
-        "avoid",
-        "checkpoint",
-        "checkpoint_run",
-        "crashes",
-        "failed_runs",
-        "index",
-        "last_run",
-        "moves",
-        "works",
-    )
-
-    def __init__(self, index: int) -> None:
-        self.index = index
-        self.failed_runs: set[int] = set()
-        self.crashes: dict[ExecutorInstance, Blame] = {}
-        self.checkpoint = ""
-        self.checkpoint_run = 0
-        self.last_run = 0
-        self.avoid: dict[str, float] = {}
-        self.moves = 0
-        self.works = False
-        self._done = False
-        self._attempt: Attempt | None = None
-        self._step: StepState | None = None
-
-    def avoids(self, executor: str, now: float) -> bool:
-        """Return whether the task is not to be started at an executor id for now."""
-        until = self.avoid.get(executor)
-        return until is not None and until > now
-
-    def set_blame(self, instance: ExecutorInstance, blame: Blame | None) -> None:
-        """Set the blame for the crash of an executor instance; None removes it."""
-        if blame is None:
-            self.crashes.pop(instance, None)
-        else:
-            self.crashes[instance] = blame
-        if self._step is not None:
-            self._step.has_suspects = any(task.crashes for task in self._step.tasks)
-
-    @property
-    def is_given_up(self) -> bool:
-        """Whether so many executors have crashed under the task that it is not started again."""
-        blames = [blame for blame in self.crashes.values() if blame is not Blame.ON_TRIAL]
-        return blames.count(Blame.BLAMED) >= MAX_BLAMED_CRASHES or len(blames) >= MAX_CRASHES
-
-    def join(self, step: StepState) -> None:
-        """Attach the task to its step."""
-        self._step = step
-
-    @property
-    def done(self) -> bool:
-        """Whether a run of the task ended successfully."""
-        return self._done
-
-    @done.setter
-    def done(self, done: bool) -> None:
-        if done != self._done and self._step is not None:
-            self._step.done_count += 1 if done else -1
-            if self._attempt is None:
-                self._step.waiting_count -= 1 if done else -1
-        self._done = done
-
-    @property
-    def attempt(self) -> Attempt | None:
-        """The current attempt, None if there is none."""
-        return self._attempt
-
-    @attempt.setter
-    def attempt(self, attempt: Attempt | None) -> None:
-        change = (attempt is not None) - (self._attempt is not None)
-        if change and self._step is not None:
-            self._step.attempt_count += change
-            if not self._done:
-                self._step.waiting_count -= change
-        self._attempt = attempt
-
-    @property
-    def is_open(self) -> bool:
-        """Whether the task waits to be started."""
-        return self._attempt is None and not self._done
-
-
-@dataclass(slots=True, eq=False)
-class StepState:
-    """One step of one occurrence of a job.
-
-    `ready_at` is when the step became startable (trio's clock), `due_at` the earliest start of its
-    occurrence (Unix time in s), None for at once. `ratios` holds the last ratio of measured to
-    estimated duration of each task. `first` is the number of its first task within the job.
-    `done_count`, `attempt_count` and `waiting_count` are the numbers of tasks that are done, have
-    an attempt, and wait for one. `tenant` and `queue` name the job's customer and queue. `ends` are
-    those that were listed of a gang's newest run.
-    """
-
-    spec: StepSpec
-    tasks: list[TaskState]
-    number: int = 0
-    occurrence: int = 0
-    due_at: float | None = None
-    first: int = 0
-    ready_at: float | None = None
-    chosen_rack: str | None = None
-    ratios: dict[int, float] = field(default_factory=dict)
-    rescues: int = 0
-    has_suspects: bool = False
-    partial_since: float | None = None
-    done_count: int = 0
-    attempt_count: int = 0
-    waiting_count: int = 0
-    tenant: str = ""
-    queue: str = ""
-    ends: GangEnds = field(default_factory=GangEnds)
-
-    def __post_init__(self) -> None:
-        for task in self.tasks:
-            task.join(self)
-        self.waiting_count = len(self.tasks)
-
-    @property
-    def is_done(self) -> bool:
-        """Whether every task is done."""
-        return self.done_count == len(self.tasks)
-
-    @property
-    def mask(self) -> int:
-        """The bit mask of the step's tasks within the job."""
-        return ((1 << len(self.tasks)) - 1) << self.first
-
-    def mask_of(self, member: int) -> int:
-        """Return the bit of one task, or the whole step's mask for a gang, which starts as one."""
-        return self.mask if self.spec.gang else 1 << (self.first + member)
-
-    def list_open_masks(self, most: int) -> list[int]:
-        """Return the masks of at most `most` waiting tasks; a gang has one mask."""
-        if self.spec.gang:
-            return [self.mask]
-        return [self.mask_of(task.index) for task in self.open_tasks()[:most]]
-
-    @property
-    def is_begun(self) -> bool:
-        """Whether any task was started by this owner, or has ended."""
-        return any(task.last_run for task in self.tasks)
-
-    def count_failures(self, task: TaskState) -> int:
-        """Return the number of failed runs of a task, or of its whole gang."""
-        if not self.spec.gang:
-            return len(task.failed_runs)
-        return len(set().union(*(t.failed_runs for t in self.tasks)))
-
-    def list_possible_failures(self, now: float) -> set[int]:
-        """Return the failed runs of a gang, and those of which a failure may yet be listed."""
-        listed = set[int]().union(*(task.failed_runs for task in self.tasks))
-        return listed.union(unlisted.run for unlisted in self.ends.list_unlisted(now))
-
-    def attempts(self) -> list[Attempt]:
-        """Return the current attempts, in task order."""
-        if not self.attempt_count:
-            return []
-        return [task.attempt for task in self.tasks if task.attempt is not None]
-
-    def open_tasks(self) -> list[TaskState]:
-        """Return the tasks that wait to be started; the caller must not modify the list."""
-        if self.waiting_count == len(self.tasks):
-            return self.tasks
-        return [task for task in self.tasks if task.is_open]
+MAX_WHOLE_RECORD_OCCURRENCES = 16
+"""A job with no more occurrences is recorded in the form that every version reads."""
 
 
 @dataclass(slots=True, eq=False)
 class JobState:
     """The state of one job.
 
-    `recorded` is the status in the store. `steps` holds the steps of the first occurrence, then
-    those of the next one, and so on. `created` is the store revision at which the job was accepted,
-    0 if unknown. `chain_s` is the critical path of estimated step durations. `crash_notes` counts
-    the changes to the crashes of its tasks, and `crash_notes_recorded` those that are in the store.
-    `places` tracks where runs may be. `preemptions` counts how often runs of it were stopped for
-    urgent work, and `open_preemptions` how often for work outside guarantees, both in this term.
+    `recorded` is the status in the store. `created` is the store revision at which the job was
+    accepted, 0 if unknown. `chain_s` is the critical path of estimated step durations.
+    `crash_notes` counts the changes to the crashes of its tasks, and `crash_notes_recorded` those
+    that are in the store. `places` tracks where runs may be. `preemptions` counts how often runs of
+    it were stopped for urgent work, and `open_preemptions` how often for work outside guarantees,
+    both in this term.
     """
 
     spec: JobSpec
-    steps: list[StepState]
+    occurrences: Occurrences
     cancelled: bool = False
     failed: bool = False
     begun: bool = False
@@ -303,10 +48,15 @@
     preemptions: int = 0
     open_preemptions: int = 0
 
+    @property
+    def steps(self) -> list[StepState]:
+        """The steps of the occurrences that are under way, in order; not to be modified."""
+        return self.occurrences.steps
+
     @property
     def is_done(self) -> bool:
         """Whether every task of every step is done."""
-        return all(step.is_done for step in self.steps)
+        return self.occurrences.is_done
 
     @property
     def status(self) -> JobStatus:
@@ -335,7 +85,7 @@
 
     def count_tasks(self) -> int:
         """Return the number of tasks."""
-        return self.steps[-1].first + len(self.steps[-1].tasks)
+        return self.occurrences.count_tasks()
 
     def task(self, key: TaskKey) -> TaskState | None:
         """Return a task by its key, None if the job has no such task."""
@@ -348,11 +98,11 @@
 
     def step_of(self, key: TaskKey) -> StepState:
         """Return the step of a task."""
-        return self.steps[key.occurrence * len(self.spec.steps) + key.step]
+        return self.occurrences.find(key.occurrence)[key.step]
 
     def key_of(self, step: StepState, task: TaskState) -> TaskKey:
         """Return the key of a task."""
-        return TaskKey(self.spec.id, step.number, task.index, step.occurrence)
+        return key_of(self.spec.id, step, task.index)
 
     def mask_of(self, task: UnresolvedStart | TaskKey) -> int:
         """Return the mask of a task, of all members for a gang; 0 if there is no such task."""
@@ -387,13 +137,15 @@
 
     def _has_become_due(self, step: StepState) -> bool:
         """Return whether a step has no due time, or was found to be past it."""
-        first = self.steps[step.occurrence * len(self.spec.steps)]
+        first = self.occurrences.find(step.occurrence)[0]
         return step.due_at is None or first.ready_at is not None or first.done_count > 0
 
     def _is_unblocked(self, step: StepState) -> bool:
         """Return whether all steps that this one depends on are done."""
-        first = step.occurrence * len(self.spec.steps)
-        return all(self.steps[first + number].is_done for number in step.spec.after)
+        if not step.spec.after:
+            return True
+        steps = self.occurrences.find(step.occurrence)
+        return all(steps[number].is_done for number in step.spec.after)
 
     def attempts(self) -> list[Attempt]:
         """Return all current attempts."""
@@ -428,17 +180,18 @@
         """Return whether the first occurrence is due."""
         return self.spec.schedule is None or wall_now >= self.spec.schedule.first_at
 
-    def to_record(self) -> ProgressRecord:
-        """Return the progress that must outlast the owner."""
-        steps = [
-            StepProgress(
-                sum(1 << t.index for t in s.tasks if t.done),
-                {t.index: sorted(t.failed_runs) for t in s.tasks if t.failed_runs},
-                {t.index: t.checkpoint for t in s.tasks if t.checkpoint and not t.done},
-                {t.index: dict(t.crashes) for t in s.tasks if t.crashes},
-            )
-            for s in self.steps
-        ]
+    def to_record(self, *, is_sparse: bool = True) -> ProgressRecord:
+        """Return the progress that must outlast the owner.
+
+        Unless `is_sparse`, it lists all occurrences, as hosts of earlier versions need.
+        """
+        numbers: tuple[int, ...] | None = None
+        done_occurrences = 0
+        if is_sparse and self.spec.occurrences > MAX_WHOLE_RECORD_OCCURRENCES:
+            numbers, steps = self.occurrences.list_progress()
+            done_occurrences = self.occurrences.done_mask
+        else:
+            steps = self.occurrences.list_all_progress()
         now_at, places = self.locate_attempts(self.attempts()), self.places
         ahead = self._preassign_waiting({*now_at, *places.left})
         used = places.list_to_record(now_at)
@@ -454,16 +207,27 @@
             places.runs_left_s,
             preassigned,
             places.epoch if preassigned else None,
+            numbers,
+            done_occurrences,
         )
 
     def fits(self, record: ProgressRecord) -> bool:
         """Return whether a record matches the job's steps and tasks."""
-        if len(record.steps) != len(self.steps):
+        spec, numbers = self.spec, record.occurrences
+        if numbers is None:
+            numbers = tuple(range(spec.occurrences))
+        elif spec.schedule is None:
+            return False
+        if len(record.steps) != len(numbers) * len(spec.steps):
+            return False
+        if record.done_occurrences >> spec.occurrences or len(set(numbers)) < len(numbers):
+            return False
+        if not all(0 <= number < spec.occurrences for number in numbers):
             return False
         masks = [*(record.places or {}).values(), *record.preassigned.values()]
+        counts = [step.count for step in spec.steps] * len(numbers)
         return all(
-            saved.done >> len(step.tasks) == 0
-            for step, saved in zip(self.steps, record.steps, strict=True)
+            saved.done >> count == 0 for count, saved in zip(counts, record.steps, strict=True)
         ) and all(mask == ANY or mask >> self.count_tasks() == 0 for mask in masks)
 
     def restore(self, record: ProgressRecord, revision: int) -> None:
@@ -473,14 +237,11 @@
         self.failed = record.status is JobStatus.FAILED
         self.begun = record.status is not JobStatus.PENDING
         self.places.restore(record.places, record.starts, record.preassigned, record.epoch)
-        for step, saved in zip(self.steps, record.steps, strict=True):
-            for task in step.tasks:
-                task.done = bool(saved.done >> task.index & 1)
-                task.failed_runs = set(saved.failures.get(task.index, ()))
-                task.checkpoint = saved.checkpoints.get(task.index, "")
-                for instance, blame in saved.crashes.get(task.index, {}).items():
-                    is_open = blame is Blame.ON_TRIAL
-                    task.set_blame(instance, Blame.SUSPECTED if is_open else blame)
+        if record.occurrences is None:
+            self.occurrences.restore_all(record.steps)
+        else:
+            self.occurrences.restore_some(record.occurrences, record.steps)
+            self.occurrences.restore_done(record.done_occurrences)
 
 
 def list_pending_starts(job: JobState) -> frozenset[UnresolvedStart]:
@@ -507,23 +268,7 @@
 
 def make_job(spec: JobSpec, now: float) -> JobState:
     """Return the state of a job that has not run."""
-    steps: list[StepState] = []
-    first = 0
-    for occurrence in range(spec.occurrences):
-        for number in range(len(spec.steps)):
-            step = _make_step(spec, occurrence, number, first)
-            steps.append(step)
-            first += len(step.tasks)
-    return JobState(spec, steps, arrived_at=now, chain_s=critical_path_s(spec))
-
-
-def _make_step(spec: JobSpec, occurrence: int, number: int, first: int) -> StepState:
-    step = spec.steps[number]
-    due_at = spec.schedule.due_at(occurrence) if spec.schedule else None
-    tasks = [TaskState(i) for i in range(step.count)]
-    state = StepState(step, tasks, number, occurrence, due_at, first)
-    state.tenant, state.queue = spec.tenant, spec.queue.name
-    return state
+    return JobState(spec, Occurrences(spec), arrived_at=now, chain_s=critical_path_s(spec))
 
 
 def critical_path_s(spec: JobSpec, lengths_s: Sequence[float] | None = None) -> float:
@@ -555,7 +300,7 @@
     objective = queue.stretch * chain_s + queue.target_s
     asked_at = job.spec.accepted_at if step.due_at is None else step.due_at
     begun = asked_at - wall_now + now
-    rest = [s for s in job.steps if s.occurrence == step.occurrence and not s.is_done]
+    rest = [other for other in job.occurrences.peek(step.occurrence) if not other.is_done]
     if lengths_s is None:
         left = max((s.spec.estimate_s for s in rest), default=0.0)
     else:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
@@ -17,6 +17,7 @@
     Resources,
     Schedule,
     StepSpec,
+    TaskKey,
     UnresolvedStart,
 )
 from .task_masks import TaskMasks, decode_masks, encode_masks
@@ -252,6 +253,10 @@
     write, and their runs may go on for at most `runs_left_s`; None if one may still be sent.
     Earlier versions stored no `runs_left_s`. `preassigned` is the part of `places` at which nothing
     was started by the time of the write, nor later unless its use was announced for `epoch`.
+
+    `steps` lists those of each of `occurrences`, one occurrence after another, or of all of them if
+    that is None, as in records of earlier versions. `done_occurrences` has a bit for each other
+    occurrence that is done.
     """
 
     status: JobStatus
@@ -262,11 +267,16 @@
     runs_left_s: float | None = None
     preassigned: TaskMasks = field(default_factory=dict)
     epoch: PreassignmentEpoch | None = None
+    occurrences: tuple[int, ...] | None = None
+    done_occurrences: int = 0
 
     def encode(self) -> bytes:
         """Return the stored form."""
         steps = [[f"{s.done:x}", s.failures, s.checkpoints] for s in self.steps]
         value: dict[str, Any] = {"status": self.status.value, "steps": steps}
+        if self.occurrences is not None:
+            value["occurrences"] = self.occurrences
+            value["done_occurrences"] = f"{self.done_occurrences:x}"
         if any(s.crashes for s in self.steps):
             value["crashes"] = [_encode_crashes(s.crashes) for s in self.steps]
         if self.places is not None:
@@ -286,6 +296,17 @@
             value["preassigned"] = [self.epoch, encode_masks(self.preassigned)]
         return json.dumps(value, separators=(",", ":")).encode()
 
+    def is_done(self, task: TaskKey, steps_each: int) -> bool:
+        """Return whether a task is recorded as done; an occurrence has `steps_each` steps."""
+        if self.done_occurrences >> task.occurrence & 1:
+            return True
+        place = task.occurrence
+        if self.occurrences is not None:
+            if task.occurrence not in self.occurrences:
+                return False
+            place = self.occurrences.index(task.occurrence)
+        return bool(self.steps[place * steps_each + task.step].done >> task.member & 1)
+
     @classmethod
     def decode(cls, data: bytes) -> ProgressRecord:
         """Read the stored form."""
@@ -308,6 +329,7 @@
         left_s = read_remaining_s(value.get("starts_left_s"))
         runs_left_s = read_remaining_s(value.get("runs_left_s"))
         epoch, preassigned = _read_preassigned(value.get("preassigned"))
+        numbers = value.get("occurrences")
         return cls(
             JobStatus(value["status"]),
             steps,
@@ -317,6 +339,8 @@
             runs_left_s,
             preassigned,
             epoch,
+            None if numbers is None else tuple(map(int, numbers)),
+            int(value.get("done_occurrences", "0"), 16),
         )
 
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/recorder.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/recorder.py
@@ -52,6 +52,7 @@
     `guard` is the owner's key and its revision, which fences off delayed writes of past owners.
     Each job's own revision keeps a delayed write from undoing a newer one. `update_places` updates
     the executors that jobs name before they are written. `relay` reaches the store through a peer.
+    `can_write_sparse` returns whether all hosts read records that do not list all occurrences.
     `_unwritten` holds, for each job, the number of its first mark that is not yet stored.
     """
 
@@ -59,6 +60,7 @@
     guard: tuple[str, int]
     update_places: Callable[[Collection[JobState]], None] = _do_nothing
     relay: StoreRelay | None = None
+    can_write_sparse: Callable[[], bool] = lambda: True
     dirty: dict[str, JobState] = field(default_factory=dict)
     marked: int = 0
     _unwritten: dict[str, int] = field(default_factory=dict)
@@ -132,7 +134,8 @@
         self.update_places(jobs)
         for job in jobs:
             self.dirty.pop(job.spec.id, None)
-        records = [job.to_record() for job in jobs]
+        is_sparse = self.can_write_sparse()
+        records = [job.to_record(is_sparse=is_sparse) for job in jobs]
         crash_notes = [job.crash_notes for job in jobs]
         conditions = [(progress_key(job.spec.id), job.revision) for job in jobs]
         puts = [
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/run_monitor.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/run_monitor.py
@@ -8,7 +8,7 @@
 from .fleet import ExecutorState
 from .offers import count_fits
 from .owned_cell import OwnedCell
-from .progress import Attempt, JobState, Phase, StepState
+from .progress import JobState
 from .speed import (
     SLOW_FOR_S,
     compute_typical_ratio,
@@ -17,6 +17,7 @@
     is_whole,
     should_move,
 )
+from .step_state import Attempt, Phase, StepState
 
 HOUSEKEEPING_S = 0.4
 STALL_S = 3.2
@@ -141,6 +142,4 @@
 
 def _is_furthest_behind(step: StepState, attempt: Attempt) -> bool:
     """Whether no member of a gang has made less progress; the others may be waiting for it."""
-    return all(
-        task.attempt is None or task.attempt.percent >= attempt.percent for task in step.tasks
-    )
+    return all(other.percent >= attempt.percent for other in step.attempts())
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/share_accounting.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/share_accounting.py
@@ -9,7 +9,8 @@
 from .fair_shares import Demand, FairShares, ShareStanding
 from .fleet import ExecutorState
 from .model import NO_RESOURCES, DesiredState, Resources
-from .progress import JobState, StepState
+from .progress import JobState
+from .step_state import StepState
 
 CHARGE_INTERVAL_S = 0.25
 """Charging 790 customers takes 3 ms, and plans may follow each other within 0.03 s."""
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/spares.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/spares.py
@@ -17,7 +17,8 @@
 from .model import Resources
 from .offers import count_fits
 from .owned_cell import OwnedCell
-from .progress import JobState, StepState
+from .progress import JobState
+from .step_state import StepState
 
 SCAN_INTERVAL_S = 0.25
 MIN_WAIT_S = 0.15
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/speed.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/speed.py
@@ -12,7 +12,8 @@
 
 from .fleet import ExecutorState
 from .policy import DEFAULT_POLICY, Policy
-from .progress import Attempt, JobState, Phase, StepState, TaskState
+from .progress import JobState
+from .step_state import Attempt, Phase, StepState, TaskState
 
 MIN_MEASURE_S = 0.6
 MAX_MEASURE_S = 3.0
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/stall_monitor.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/stall_monitor.py
@@ -16,9 +16,10 @@
 from .model import TaskKey
 from .offers import count_fits
 from .owned_cell import OwnedCell
-from .progress import Attempt, JobState, Phase, StepState
+from .progress import JobState
 from .stall_report import StallReport
 from .stalls import REPORT_INTERVAL_S, JobStall
+from .step_state import Attempt, Phase, StepState
 from .wait_causes import WaitCause
 
 CHECK_INTERVAL_S = 0.5
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/step_lengths.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/step_lengths.py
@@ -11,8 +11,9 @@
 from statistics import NormalDist, median
 
 from .learned import LearnedState
-from .progress import Attempt, JobState, Phase, StepState
+from .progress import JobState
 from .run_lengths import Evidence, LengthPrediction
+from .step_state import Attempt, Phase, StepState
 
 TASK_SPREAD = 0.2
 """The spread of the lengths of one step's tasks (log): callers' tasks vary by 0.15 to 0.3."""
@@ -43,8 +44,7 @@
     """
     if not learned.lengths.has_evidence(job.spec.queue.name, now):
         return None
-    first = occurrence * len(job.spec.steps)
-    steps = job.steps[first : first + len(job.spec.steps)]
+    steps = job.occurrences.peek(occurrence)
     return [_expect_longest_s(step, now, learned) for step in steps]
 
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/step_rank.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/step_rank.py
@@ -11,8 +11,9 @@
 from .learned import LearnedState
 from .model import URGENT, Queue
 from .policy import Policy
-from .progress import JobState, StepState, latest_starts
+from .progress import JobState, latest_starts
 from .step_lengths import predict_steps
+from .step_state import StepState
 
 URGENT_GROUP, ORDINARY_GROUP, FILLING_GROUP = range(3)
 """The first element of sort keys."""
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/task_masks.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/task_masks.py
@@ -81,6 +81,16 @@
     return {name: parts[rank % count] for rank, name in enumerate(sorted(executors))}
 
 
+def list_bits(mask: int, most: int | None = None) -> list[int]:
+    """Return the numbers of the lowest `most` bits that are set, all by default."""
+    found: list[int] = []
+    while mask and (most is None or len(found) < most):
+        lowest = mask & -mask
+        found.append(lowest.bit_length() - 1)
+        mask ^= lowest
+    return found
+
+
 def encode_masks(names: TaskMasks) -> dict[str, tuple[int, str]]:
     """Return the stored form of the masks: the lowest task number, and the bits above it in hex."""
     return {
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/urgent_room.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/urgent_room.py
@@ -14,7 +14,8 @@
 from .headroom import HEADROOM_SHARE
 from .model import URGENT, DesiredState
 from .offers import Offer, group_by_rack
-from .progress import JobState, Phase
+from .progress import JobState
+from .step_state import Phase
 from .urgent_forecast import UrgentDemand
 
 LONGEST_STAND_S = 2.5
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/victim_search.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/victim_search.py
@@ -8,7 +8,7 @@
 from .losses import Loss, Losses
 from .model import Resources
 from .offers import Offer, Scope, count_fits
-from .progress import Attempt
+from .step_state import Attempt
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/victim_selection.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/victim_selection.py
@@ -7,7 +7,7 @@
 from .losses import Losses
 from .offers import Offer, Scope
 from .plan import Candidate
-from .progress import Attempt
+from .step_state import Attempt
 from .victim_search import SearchCriteria, find_search
 
 END_WAIT_S = 0.8
--- a/packages/heronthread-dispatch/tests/test_broken_gangs.py
+++ b/packages/heronthread-dispatch/tests/test_broken_gangs.py
@@ -13,7 +13,7 @@
 from heronthread_dispatch.fleet import ExecutorState
 from heronthread_dispatch.late_starts import LateStarts
 from heronthread_dispatch.model import Executor, Resources, StepSpec, TaskKey
-from heronthread_dispatch.progress import Attempt, Phase, StepState, TaskState
+from heronthread_dispatch.step_state import Attempt, Phase, StepState
 from heronthread_emulator import EmulatedSite, check_promises
 
 Clock = trio.testing.MockClock
@@ -253,7 +253,7 @@
     """A run of three members: the first two at `e0`, which is silent, the last at `e1`."""
 
     def __init__(self, born: int = 0) -> None:
-        self.step = StepState(StepSpec(3, NEED, 1.0, gang=True), [TaskState(i) for i in range(3)])
+        self.step = StepState(StepSpec(3, NEED, 1.0, gang=True))
         self.late_starts = LateStarts()
         self.executors = {}
         for number in range(3):
--- a/packages/heronthread-dispatch/tests/test_crash_attribution.py
+++ b/packages/heronthread-dispatch/tests/test_crash_attribution.py
@@ -2,8 +2,8 @@
 
 from heronthread_dispatch.crashes import ActiveRun, attribute_crash
 from heronthread_dispatch.model import ExecutorInstance, TaskKey
-from heronthread_dispatch.progress import MAX_CRASHES, TaskState
 from heronthread_dispatch.record import Blame, JobStatus, ProgressRecord, StepProgress
+from heronthread_dispatch.step_state import MAX_CRASHES, TaskState
 
 BAD, GOOD, OTHER = TaskKey("bad", 0, 0), TaskKey("good", 0, 0), TaskKey("other", 0, 0)
 
--- a/packages/heronthread-dispatch/tests/test_fair_shares.py
+++ b/packages/heronthread-dispatch/tests/test_fair_shares.py
@@ -25,8 +25,9 @@
     TaskKey,
     Tenant,
 )
-from heronthread_dispatch.progress import Attempt, JobState, Phase, make_job
+from heronthread_dispatch.progress import JobState, make_job
 from heronthread_dispatch.share_accounting import MAX_CHARGED_S, ShareAccounting
+from heronthread_dispatch.step_state import Attempt, Phase
 
 CAPACITY = Resources(100_000, 100_000, 100)
 HALF = Resources(0, 0, 50)
--- a/packages/heronthread-dispatch/tests/test_late_starts.py
+++ b/packages/heronthread-dispatch/tests/test_late_starts.py
@@ -12,7 +12,7 @@
     LateStarts,
 )
 from heronthread_dispatch.model import NO_RESOURCES, Executor, ExecutorInstance, Resources, TaskKey
-from heronthread_dispatch.progress import Attempt
+from heronthread_dispatch.step_state import Attempt
 
 Clock = trio.testing.MockClock
 
--- a/packages/heronthread-dispatch/tests/test_placements.py
+++ b/packages/heronthread-dispatch/tests/test_placements.py
@@ -251,6 +251,8 @@
 def test_occurrences_that_are_not_due_are_not_recorded() -> None:
     """Otherwise an unresponsive executor of the first occurrence withholds all later ones."""
     job = make_job(replace(JOB, schedule=Schedule(2, 100.0, 1.0)), 0.0)
+    for number in range(2):
+        job.occurrences.find(number)
     job.steps[0].ready_at = 0.0
     assert _list_names(job, spare=frozenset("a"), left={"b": 0b1}) == {"a": 0b1, "b": 0b1}
 
--- a/packages/heronthread-dispatch/tests/test_planner.py
+++ b/packages/heronthread-dispatch/tests/test_planner.py
@@ -9,7 +9,8 @@
 from heronthread_dispatch.model import JobSpec, Resources, StepSpec, TaskKey
 from heronthread_dispatch.plan import Plan
 from heronthread_dispatch.planner import Planner
-from heronthread_dispatch.progress import Attempt, JobState, Phase, make_job
+from heronthread_dispatch.progress import JobState, make_job
+from heronthread_dispatch.step_state import Attempt, Phase
 
 from benchmarks.planning import (
     DESIRED,
--- a/packages/heronthread-dispatch/tests/test_run_lengths.py
+++ b/packages/heronthread-dispatch/tests/test_run_lengths.py
@@ -25,7 +25,7 @@
     TaskKey,
 )
 from heronthread_dispatch.policy import DEFAULT_POLICY
-from heronthread_dispatch.progress import Attempt, JobState, Phase, make_job
+from heronthread_dispatch.progress import JobState, make_job
 from heronthread_dispatch.run_lengths import (
     HALF_LIFE_S,
     MAX_CUSTOMERS,
@@ -37,6 +37,7 @@
 )
 from heronthread_dispatch.step_lengths import find_remaining_s, predict_step
 from heronthread_dispatch.step_rank import rank_step
+from heronthread_dispatch.step_state import Attempt, Phase
 from heronthread_emulator import EmulatedSite
 from heronthread_emulator.executors import WorkSpec
 
--- a/packages/heronthread-dispatch/tests/test_speed_placement.py
+++ b/packages/heronthread-dispatch/tests/test_speed_placement.py
@@ -26,8 +26,9 @@
 from heronthread_dispatch.plan import Plan
 from heronthread_dispatch.planner import Planner
 from heronthread_dispatch.policy import DEFAULT_POLICY, Policy
-from heronthread_dispatch.progress import Attempt, JobState, Phase, make_job
+from heronthread_dispatch.progress import JobState, make_job
 from heronthread_dispatch.speed_placement import SpeedPlacement, SpeedWish
+from heronthread_dispatch.step_state import Attempt, Phase
 from heronthread_emulator.load import LoadPattern, draw_jobs
 from heronthread_emulator.pool_model import PoolModel
 
--- a/packages/heronthread-dispatch/tests/test_stalls.py
+++ b/packages/heronthread-dispatch/tests/test_stalls.py
@@ -12,10 +12,11 @@
 from heronthread_dispatch.owner import Owner
 from heronthread_dispatch.peer_messages import Operation, PeerReply
 from heronthread_dispatch.planner import Planner
-from heronthread_dispatch.progress import Attempt, JobState, Phase, make_job
+from heronthread_dispatch.progress import JobState, make_job
 from heronthread_dispatch.record import MALFORMED
 from heronthread_dispatch.recorder import PROGRESS_PREFIX
 from heronthread_dispatch.stalls import JobStall
+from heronthread_dispatch.step_state import Attempt, Phase
 from heronthread_dispatch.wait_causes import WaitCause
 from heronthread_emulator import EmulatedSite, captured_events
 from heronthread_emulator.store import StoreView
--- a/packages/heronthread-dispatch/tests/test_urgent_room.py
+++ b/packages/heronthread-dispatch/tests/test_urgent_room.py
@@ -26,7 +26,8 @@
 from heronthread_dispatch.plan import Plan
 from heronthread_dispatch.planner import Planner
 from heronthread_dispatch.policy import Policy
-from heronthread_dispatch.progress import Attempt, JobState, Phase, make_job
+from heronthread_dispatch.progress import JobState, make_job
+from heronthread_dispatch.step_state import Attempt, Phase
 from heronthread_dispatch.urgent_forecast import GangShape, UrgentDemand
 from heronthread_dispatch.urgent_room import (
     LONGEST_STAND_S,
--- a/packages/heronthread-dispatch/tests/test_victim_selection.py
+++ b/packages/heronthread-dispatch/tests/test_victim_selection.py
@@ -16,8 +16,9 @@
 )
 from heronthread_dispatch.offers import Offer, Scope
 from heronthread_dispatch.plan import Candidate
-from heronthread_dispatch.progress import Attempt, JobState, Phase, make_job
+from heronthread_dispatch.progress import JobState, make_job
 from heronthread_dispatch.step_rank import StepRank
+from heronthread_dispatch.step_state import Attempt, Phase
 from heronthread_dispatch.victim_selection import VictimSelector
 
 NOW = 100.0
--- a/packages/heronthread-emulator/src/heronthread_emulator/plants.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/plants.py
@@ -26,9 +26,10 @@
 from heronthread_dispatch.owner import ENTRY_RETURN_TIMEOUT_S, Owner
 from heronthread_dispatch.placements import JobPlacements
 from heronthread_dispatch.plan import Start
-from heronthread_dispatch.progress import Attempt, JobState
+from heronthread_dispatch.progress import JobState
 from heronthread_dispatch.record import MALFORMED, ProgressRecord
 from heronthread_dispatch.requests import Requests
+from heronthread_dispatch.step_state import Attempt
 from heronthread_dispatch.task_masks import TaskMasks, map_to_any_task, unite
 
 from .executors import EmulatedExecutor, EmulatedExecutors
--- a/packages/heronthread-emulator/src/heronthread_emulator/pool_model.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/pool_model.py
@@ -30,9 +30,10 @@
 from heronthread_dispatch.plan import Plan, Start
 from heronthread_dispatch.planner import Planner
 from heronthread_dispatch.policy import Policy
-from heronthread_dispatch.progress import Attempt, JobState, Phase, StepState, make_job
+from heronthread_dispatch.progress import JobState, make_job
 from heronthread_dispatch.recent_peaks import RecentPeaks
 from heronthread_dispatch.share_accounting import ShareAccounting
+from heronthread_dispatch.step_state import Attempt, Phase, StepState
 from heronthread_dispatch.urgent_forecast import GangShape
 
 from .load import DrawnJob, LoadPattern
--- a/packages/heronthread-emulator/src/heronthread_emulator/standing_site.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/standing_site.py
@@ -72,8 +72,7 @@
         record = None if item is None else decode_progress(item.value)
         if not isinstance(record, ProgressRecord):
             return False
-        place = task.occurrence * len(self.told[task.job].record.spec.steps) + task.step
-        return bool(record.steps[place].done >> task.member & 1)
+        return record.is_done(task, len(self.told[task.job].record.spec.steps))
 
     def _is_decided(self) -> bool:
         """Whether an owner decides, and the store answers it."""
--- a/tests/reference_planner/gangs.py
+++ b/tests/reference_planner/gangs.py
@@ -7,7 +7,7 @@
 from heronthread_dispatch.model import URGENT
 from heronthread_dispatch.plan import Candidate
 from heronthread_dispatch.policy import Policy
-from heronthread_dispatch.progress import StepState, TaskState
+from heronthread_dispatch.step_state import StepState, TaskState
 
 from .offers import Offer, count_free_now, fits_when_empty, group_by_rack
 
--- a/tests/reference_planner/planner.py
+++ b/tests/reference_planner/planner.py
@@ -15,15 +15,9 @@
 from heronthread_dispatch.model import URGENT, DesiredState, Queue, TaskKey
 from heronthread_dispatch.plan import Candidate, Plan, Start
 from heronthread_dispatch.policy import DEFAULT_POLICY, Policy
-from heronthread_dispatch.progress import (
-    Attempt,
-    JobState,
-    Phase,
-    StepState,
-    TaskState,
-    latest_starts,
-)
+from heronthread_dispatch.progress import JobState, latest_starts
 from heronthread_dispatch.step_rank import StepRank
+from heronthread_dispatch.step_state import Attempt, Phase, StepState, TaskState
 from heronthread_dispatch.task_masks import find_executors
 from heronthread_dispatch.victim_selection import ENDS_SOON_S
 
--- a/tests/reference_planner/victim_selection.py
+++ b/tests/reference_planner/victim_selection.py
@@ -8,7 +8,8 @@
 from heronthread_dispatch.colocation import is_within_disruption_budget
 from heronthread_dispatch.model import URGENT, DesiredState, Resources
 from heronthread_dispatch.plan import Candidate
-from heronthread_dispatch.progress import Attempt, JobState, Phase
+from heronthread_dispatch.progress import JobState
+from heronthread_dispatch.step_state import Attempt, Phase
 
 from .offers import Offer, count_fits
 
--- a/tests/test_planner_equivalence.py
+++ b/tests/test_planner_equivalence.py
@@ -29,8 +29,9 @@
 from heronthread_dispatch.plan import Plan
 from heronthread_dispatch.planner import Planner
 from heronthread_dispatch.policy import Policy
-from heronthread_dispatch.progress import Attempt, JobState, Phase, StepState, make_job
+from heronthread_dispatch.progress import JobState, make_job
 from heronthread_dispatch.run_lengths import MIN_COMPLETIONS
+from heronthread_dispatch.step_state import Attempt, Phase, StepState
 from heronthread_dispatch.urgent_forecast import GangShape
 from heronthread_emulator import EmulatedSite
 
@@ -106,6 +107,8 @@
         accepted = NOW - self.source.uniform(0.0, 12.0)
         tenant = self.source.choice(TENANTS).name
         job = make_job(JobSpec(name, queue, tenant, "", steps, accepted, schedule), NOW)
+        for number in range(job.spec.occurrences):
+            job.occurrences.find(number)
         for step in job.steps:
             if self._chance(0.6):
                 step.ready_at = NOW - self.source.uniform(0.0, 4.0)
