Bound what all jobs together may have open for a plan

Cause: each job could have 256 tasks open for a plan, so that hundreds of jobs with a backlog would again cost memory by their number (some 1.8 kB a task of its own occurrence). Also, the monitor of turns took the turn in which it was entered for one that had lasted since the start of the machine, and the check for starving customers asked scheduled jobs for steps that are not open any more.

Change: the tasks that a plan tries to start are shared by all jobs, 16,384 in all, and 16 to 256 for each.

Measured: 512 jobs of 10,080 occurrences, all due, have at most 16,384 tasks open after one plan (test_many_backlogs_share_what_a_plan_starts; 131,072 before by 256 each).

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -50,6 +50,9 @@
 HEADROOM_WAIT_S = 1.5
 DUE_MARGIN_S = 1.0
 DEFAULT_STOP_S = 0.5
+MIN_TASKS_PLANNED = 16
+MAX_TASKS_PER_PLAN = 16_384
+"""Tasks of all jobs that one plan tries to start, unless each has few; bounds its memory."""
 JOBS_PER_CHECK = 32
 """Jobs that are looked at before the budget of a call is checked."""
 MAX_WAITING_STEPS = 1_024
@@ -126,6 +129,9 @@
         self._losses = self._make_losses(wait_s)
         self._victims = VictimSelector(self._losses, now, self._make_losses)
         self._approvals = approvals
+        self._most_tasks = max(
+            MIN_TASKS_PLANNED, min(MAX_TASKS_PLANNED, MAX_TASKS_PER_PLAN // max(1, len(self.jobs)))
+        )
         self._collected = 0
         self._found: list[Candidate] = []
         self._waiting: deque[Candidate] | None = None
@@ -224,7 +230,7 @@
             return []
         found: list[Candidate] = []
         queue, steps = self.desired.current_queue(job.spec), job.steps
-        left = [MAX_TASKS_PLANNED] * len(job.spec.steps)
+        left = [self._most_tasks] * len(job.spec.steps)
         waiting_steps = 0
         while True:
             for step in steps:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/turn_monitor.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/turn_monitor.py
@@ -25,7 +25,7 @@
         self._events = RepeatedEvents()
 
     def __enter__(self) -> TurnMonitor:
-        self._window_began = trio.current_time()
+        self._began = self._window_began = trio.current_time()
         trio.lowlevel.add_instrument(self)
         return self
 
--- a/packages/heronthread-dispatch/tests/test_occurrences.py
+++ b/packages/heronthread-dispatch/tests/test_occurrences.py
@@ -11,7 +11,7 @@
 from heronthread_dispatch.model import JobSpec, Resources, Schedule, StepSpec, TaskKey
 from heronthread_dispatch.occurrences import Occurrences
 from heronthread_dispatch.overview import MAX_TASK_ROWS, describe_job
-from heronthread_dispatch.planner import JOBS_PER_CHECK, Planner
+from heronthread_dispatch.planner import JOBS_PER_CHECK, MAX_TASKS_PER_PLAN, Planner
 from heronthread_dispatch.progress import MAX_WHOLE_RECORD_OCCURRENCES, JobState, make_job
 from heronthread_dispatch.record import JobStatus, ProgressRecord, decode_progress
 from heronthread_dispatch.recorder import progress_key
@@ -108,6 +108,15 @@
     assert {key.occurrence for key in started} == set(range(len({k.occurrence for k in started})))
 
 
+def test_many_backlogs_share_what_a_plan_starts() -> None:
+    """Guards against memory that grows by a whole part of each of many large jobs."""
+    jobs = [make_job(_make_spec(BACKLOG, name=f"{n:016x}"), NOW) for n in range(512)]
+    planner = Planner(jobs, make_executors(4), DESIRED, NOW, NOW)
+    planner.make()
+    assert sum(step.spec.count for job in jobs for step in job.steps) <= MAX_TASKS_PER_PLAN
+    assert all(job.steps for job in jobs)
+
+
 def test_withheld_tasks_do_not_keep_later_ones_from_starting() -> None:
     """Guards against a job standing because its first tasks may run at a lost executor."""
     job = make_job(_make_spec(None, replace(STEP, count=10_000)), NOW)
--- a/packages/heronthread-emulator/src/heronthread_emulator/soak_starving.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak_starving.py
@@ -38,7 +38,7 @@
 
     def find_lateness(self, at: float) -> int:
         """Return the lateness class at a time: 0 on time, 1 late, 2 too late to be of use."""
-        step, queue = self.state.steps[0], self.state.spec.queue
+        step, queue = self.state.occurrences.peek(0)[0], self.state.spec.queue
         latest, last_useful = latest_starts(self.state, step, queue, at, at)
         return (latest < at) + (last_useful < at)
 
