Limit the starts that are under way at once

Cause: a plan started all that had room, a task of the event loop for each start and for each of its calls, and each write of placements wakes all of the starts that wait for it. With 5,760 of them a pass of the loop took 0.5 s to 1 s, and the renewal of the lease, which needs several, came too late. Ruled out: a single long turn; the longest that loop.held named was 0.32 s.

Change: a plan makes as many starts as keep those under way at 256, but at least 64, the highest ranks first; the next one follows in 0.05 s.

A plan also keeps the list of a step's tasks while none has begun.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
@@ -42,6 +42,10 @@
 NAMING_POLL_S = 0.1
 """How often to check that the store accepts writes; if not, only recorded executors can be used."""
 
+MAX_STARTS_UNDER_WAY = 256
+MIN_STARTS_PER_PLAN = 64
+"""Made even while many starts are under way, as some of these may wait for lost executors."""
+
 STARTS_PER_LOG_LINE = 64
 """Keeps a line with ids of 36 characters below the size that a pipe writes atomically."""
 
@@ -53,6 +57,16 @@
         self.cell = cell
         self._nursery = nursery
         self._depose = depose
+        self._starts_under_way = 0
+
+    @property
+    def start_capacity(self) -> int:
+        """How many more starts a plan may make now.
+
+        Each start under way is a task of the event loop, and so is each of its calls; too many of
+        them at once would delay the renewal of the lease.
+        """
+        return max(MIN_STARTS_PER_PLAN, MAX_STARTS_UNDER_WAY - self._starts_under_way)
 
     def start_group(self, group: list[Start]) -> None:
         """Start a group of tasks; the members of a gang share one run number."""
@@ -82,7 +96,8 @@
                 start.executor.exclusive_until = now + RECENT_START_S
             self.cell.place(start.task, attempt, start.executor)
             orders.append((start, attempt))
-        self._nursery.start_soon(self._send_when_named, orders, checkpoint)
+        self._starts_under_way += len(orders)
+        self._nursery.start_soon(self._carry_out, orders, checkpoint)
         job = group[0].job
         if not job.begun:
             waited = now - (group[0].step.ready_at or now)
@@ -127,26 +142,40 @@
         pool = self.cell.parts.desired().current_queue(job.spec).pool
         return self.cell.learned.shares.rank(pool, job.spec.tenant, now)
 
-    async def _send_when_named(self, orders: list[tuple[Start, Attempt]], checkpoint: str) -> None:
-        """Send the starts of a group once their executors answer and the store lists them."""
+    async def _carry_out(self, orders: list[tuple[Start, Attempt]], checkpoint: str) -> None:
+        """Send the starts of a group once they may be sent, or give the group up."""
+        obstacle = await self._wait_until_sendable(orders, checkpoint)
+        if obstacle:
+            self._abandon_unsent(orders, obstacle)
+            self._starts_under_way -= len(orders)
+            return
+        for start, attempt in orders:
+            self._nursery.start_soon(self._send_start, start, attempt, checkpoint)
+
+    async def _send_start(self, start: Start, attempt: Attempt, checkpoint: str) -> None:
+        await self._start(start, attempt, checkpoint)
+        self._starts_under_way -= 1
+
+    async def _wait_until_sendable(
+        self, orders: list[tuple[Start, Attempt]], checkpoint: str
+    ) -> str:
+        """Wait until the executors of a group answer and the store lists them.
+
+        Return why the group can't be sent, empty if it can.
+        """
         executors = [start.executor for start, _ in orders]
         # Probe first: the next owner would withhold the job from an unresponsive executor on
         # record.
         if not await wait_for_reports(executors, self.cell.executors.values()):
-            self._abandon_unsent(orders, "its executor has not answered a look")
-            return
+            return "its executor has not answered a look"
         if not await self._record_placements(orders):
-            self._abandon_unsent(orders, "the store does not name its executor")
-            return
+            return "the store does not name its executor"
         if not await self._confirm_refusals(orders, checkpoint):
-            self._abandon_unsent(orders, "its executor may still take an earlier start")
-            return
+            return "its executor may still take an earlier start"
         # The store may have taken seconds.
         if not await wait_for_reports(executors, self.cell.executors.values()):
-            self._abandon_unsent(orders, "its executor has not answered a second probe")
-            return
-        for start, attempt in orders:
-            self._nursery.start_soon(self._start, start, attempt, checkpoint)
+            return "its executor has not answered a second probe"
+        return ""
 
     async def _confirm_refusals(self, orders: list[tuple[Start, Attempt]], checkpoint: str) -> bool:
         """Return whether the executors have just refused the earlier runs with unresolved starts.
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -56,6 +56,8 @@
 COALESCE_S = 0.012
 PLAN_EVERY_S = 0.5
 ROOM_NOTE_INTERVAL_S = 1.0
+STARTS_PAUSE_S = 0.05
+"""Until the next plan if one had to leave starts to it; starts are answered meanwhile."""
 FIRST_REPORTS_S = 0.04
 LONG_BARRIER_S = 1.0
 TOLD_EVERY_S = 2.0
@@ -564,15 +566,19 @@
         planner.steps_to_explain = self.stall_monitor.take_explanation_requests()
         recheck = PLAN_EVERY_S
         while True:
-            plan = planner.make(TURN_S)
+            assert self._orders is not None
+            capacity = self._orders.start_capacity
+            plan = planner.make(TURN_S, capacity)
             self._urgent_demand.note(trio.current_time(), planner.urgent_demand())
             self._carry_out(plan)
             if plan.replan_in_s is not None:
                 recheck = min(recheck, max(0.02, plan.replan_in_s))
+            is_full = sum(map(len, plan.groups)) >= capacity
             if planner.is_complete:
                 self._note_room(planner, now)
                 self.stall_monitor.record_plan(planner.causes, trio.current_time())
-                return recheck
+            if planner.is_complete or is_full:
+                return min(recheck, STARTS_PAUSE_S) if is_full else recheck
             await trio.sleep(0)
             if not self.parts.may_send_orders():
                 return recheck
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -163,11 +163,12 @@
         """Whether the plan has reached every waiting step."""
         return self._waiting is not None and not self._waiting
 
-    def make(self, budget_s: float = float("inf")) -> Plan:
+    def make(self, budget_s: float = float("inf"), most_starts: float = float("inf")) -> Plan:
         """Return the tasks to start and the attempts to stop now.
 
-        Once `budget_s` has passed, the remaining steps are left to the next call, which resumes
-        after the last step planned. The caller must have carried out the returned plan by then.
+        Once `budget_s` has passed, or `most_starts` tasks or more are to be started, the remaining
+        steps are left to the next call, which resumes after the last step planned. The caller must
+        have carried out the returned plan by then.
         """
         deadline = trio.current_time() + budget_s if budget_s < float("inf") else budget_s
         self.plan = Plan()
@@ -176,6 +177,8 @@
         self._orphaned_runs = _count_orphaned_runs(self._offer_by_executor.values())
         while self._waiting:
             self._plan_step(self._waiting.popleft())
+            if sum(map(len, self.plan.groups)) >= most_starts:
+                break
             if self._waiting and deadline < float("inf") and trio.current_time() >= deadline:
                 break
         return self.plan
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/step_state.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/step_state.py
@@ -191,11 +191,12 @@
     The states of done tasks are dropped again, unless executors have crashed under them.
     """
 
-    __slots__ = ("_known", "_step")
+    __slots__ = ("_all", "_known", "_step")
 
     def __init__(self, step: StepState) -> None:
         self._step = step
         self._known: dict[int, TaskState] = {}
+        self._all: list[TaskState] | None = None
 
     def __len__(self) -> int:
         return self._step.spec.count
@@ -223,6 +224,12 @@
     def __iter__(self) -> Iterator[TaskState]:
         return map(self.__getitem__, range(len(self)))
 
+    def list_all(self) -> list[TaskState]:
+        """Return all tasks, of which none is done; the caller must not modify the list."""
+        if self._all is None:
+            self._all = list(self)
+        return self._all
+
     def list_known(self) -> list[TaskState]:
         """Return the tasks that have a state, in order."""
         return [self._known[index] for index in sorted(self._known)]
@@ -241,11 +248,14 @@
 
     def keep(self, task: TaskState) -> None:
         """Keep the state of a task that has changed."""
-        self._known[task.index] = task
+        if self._known.get(task.index) is not task:
+            self._known[task.index] = task
+            self._all = None
 
     def drop(self, task: TaskState) -> None:
         """Drop the state of a task."""
         self._known.pop(task.index, None)
+        self._all = None
 
 
 @dataclass(slots=True, eq=False)
@@ -406,8 +416,11 @@
         """Return the first tasks that wait to be started, all of a gang's.
 
         `is_startable` is asked for each task's index, and leaves out those for which it is false.
+        The caller must not modify the list.
         """
         limit = self.spec.count if self.spec.gang else most
+        if is_startable is None and self.waiting_count == self.spec.count <= limit:
+            return self.tasks.list_all()
         if is_startable is None:
             return [self.tasks[index] for index in list_bits(self._open_mask, limit)]
         found = filter(is_startable, list_bits(self._open_mask))
