--- a/benchmarks/planning.py
+++ b/benchmarks/planning.py
@@ -26,8 +26,9 @@
     Tenant,
 )
 from heronthread_dispatch.planner import Planner
-from heronthread_dispatch.progress import Attempt, JobState, Phase, make_job
+from heronthread_dispatch.progress import JobState, make_job
 from heronthread_dispatch.share_accounting import ShareAccounting
+from heronthread_dispatch.step_state import Attempt, Phase
 
 from tests.reference_planner.planner import Planner as ReferencePlanner
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/occurrences.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/occurrences.py
@@ -40,7 +40,7 @@
         """Whether every task of every occurrence is done."""
         if self._opened_count < self._spec.occurrences:
             return False
-        return all(step.is_done for steps in self._open.values() for step in steps)
+        return all(step.is_done for step in self.steps)
 
     @property
     def done_mask(self) -> int:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -53,8 +53,8 @@
 MIN_TASKS_PLANNED = 16
 MAX_TASKS_PER_PLAN = 16_384
 """Tasks of all jobs that one plan tries to start, unless each has few; bounds its memory."""
-JOBS_PER_CHECK = 32
-"""Jobs that are looked at before the budget of a call is checked."""
+WORK_PER_CHECK = 64
+"""Jobs looked at, and candidates found, before the budget of a call is checked."""
 MAX_WAITING_STEPS = 1_024
 """The waiting steps of a job beyond which no further occurrences of it are opened."""
 NO_CAPACITY = Resources(-1, -1, -1)
@@ -208,15 +208,16 @@
         if self._waiting is not None:
             self._refresh()
             return True
-        is_first_call, is_first_batch = not self._collected, True
+        is_first_call, unchecked = not self._collected, 0
         while self._collected < len(self.jobs):
-            is_late = deadline < float("inf") and trio.current_time() >= deadline
-            if is_late and not is_first_batch:
-                return False
-            is_first_batch = False
-            for job in self.jobs[self._collected : self._collected + JOBS_PER_CHECK]:
-                self._found += self._list_candidates(job)
-            self._collected += JOBS_PER_CHECK
+            if unchecked >= WORK_PER_CHECK:
+                if deadline < float("inf") and trio.current_time() >= deadline:
+                    return False
+                unchecked = 0
+            candidates = self._list_candidates(self.jobs[self._collected])
+            self._found += candidates
+            self._collected += 1
+            unchecked += 1 + len(candidates)
         self._waiting = deque(sorted(self._found, key=lambda c: c.rank.sort_key))
         self._found = []
         if not is_first_call:
@@ -232,38 +233,54 @@
         if not job.is_active:
             return []
         found: list[Candidate] = []
-        queue, steps = self.desired.current_queue(job.spec), job.steps
-        left = [self._most_tasks] * len(job.spec.steps)
-        waiting_steps = 0
-        while True:
-            for step in steps:
-                waiting_steps += bool(step.waiting_count)
-                tasks = self._find_startable(job, step, queue, left[step.number])
-                left[step.number] -= len(tasks)
-                if tasks:
-                    for allowed, part in self._split_by_allowed_executors(job, step, tasks):
-                        found.append(self._rank(job, step, queue, part, allowed))
-            is_enough = all(
-                count <= 0
-                for count, step in zip(left, job.spec.steps, strict=True)
-                if not step.after
-            )
-            if is_enough or waiting_steps >= MAX_WAITING_STEPS:
-                break
+        queue, left = self.desired.current_queue(job.spec), [self._most_tasks] * len(job.spec.steps)
+        self._add_candidates(found, job, job.steps, queue, left)
+        if job.spec.schedule is not None:
+            self._open_due(found, job, queue, left)
+        if min(left) <= 0:
+            self._cut_short.add(job.spec.id)
+        return found
+
+    def _add_candidates(
+        self,
+        found: list[Candidate],
+        job: JobState,
+        steps: list[StepState],
+        queue: Queue,
+        left: list[int],
+    ) -> None:
+        """Add the steps with tasks to start; `left` are the tasks that may be added, by step."""
+        for step in steps:
+            if step.is_done or (step.ready_at is not None and not step.waiting_count):
+                continue
+            tasks = self._find_startable(job, step, queue, left[step.number])
+            if not tasks:
+                continue
+            left[step.number] -= len(tasks)
+            for allowed, part in self._split_by_allowed_executors(job, step, tasks):
+                found.append(self._rank(job, step, queue, part, allowed))
+
+    def _open_due(
+        self, found: list[Candidate], job: JobState, queue: Queue, left: list[int]
+    ) -> None:
+        """Open occurrences that are due, until a plan has as many of their tasks as it may."""
+        first_steps = [number for number, step in enumerate(job.spec.steps) if not step.after]
+        waiting = sum(1 for step in job.steps if step.waiting_count)
+        while any(left[number] > 0 for number in first_steps):
+            if waiting >= MAX_WAITING_STEPS:
+                self._cut_short.add(job.spec.id)
+                return
             steps = job.occurrences.open_next_due(self.wall_now)
             if not steps:
                 self._replan_when_due(job.occurrences.find_next_due_at())
-                break
-        if any(count <= 0 for count in left) or waiting_steps >= MAX_WAITING_STEPS:
-            self._cut_short.add(job.spec.id)
-        return found
+                return
+            waiting += len(steps)
+            self._add_candidates(found, job, steps, queue, left)
 
     def _find_startable(
         self, job: JobState, step: StepState, queue: Queue, most: int
     ) -> list[TaskState]:
         """Return at most `most` tasks of a step that may start now; all of a gang's, or none."""
-        if step.is_done or (step.ready_at is not None and not step.waiting_count):
-            return []
         if not job.is_ready(step, self.wall_now):
             self._replan_when_due(step.due_at)
             return []
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/turn_monitor.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/turn_monitor.py
@@ -56,6 +56,4 @@
         if took_s > self._longest_s:
             self._longest_s = took_s
         if took_s >= HELD_S:
-            self._events.log(
-                "loop.held", (task.name,), f"{took_s:.3f}", task=task.name, took_s=round(took_s, 3)
-            )
+            self._events.log("loop.held", (task.name,), task=task.name, took_s=round(took_s, 3))
--- a/packages/heronthread-dispatch/tests/test_occurrences.py
+++ b/packages/heronthread-dispatch/tests/test_occurrences.py
@@ -11,7 +11,7 @@
 from heronthread_dispatch.model import JobSpec, Resources, Schedule, StepSpec, TaskKey
 from heronthread_dispatch.occurrences import Occurrences
 from heronthread_dispatch.overview import MAX_TASK_ROWS, describe_job
-from heronthread_dispatch.planner import JOBS_PER_CHECK, MAX_TASKS_PER_PLAN, Planner
+from heronthread_dispatch.planner import MAX_TASKS_PER_PLAN, WORK_PER_CHECK, Planner
 from heronthread_dispatch.progress import MAX_WHOLE_RECORD_OCCURRENCES, JobState, make_job
 from heronthread_dispatch.record import JobStatus, ProgressRecord, decode_progress
 from heronthread_dispatch.recorder import progress_key
@@ -153,7 +153,7 @@
         visited.append(0)
         plan = planner.make(TURN_S)
         started += [start.job.spec.id for group in plan.groups for start in group]
-    assert max(visited) <= JOBS_PER_CHECK and sum(visited) == len(jobs)
+    assert max(visited) <= WORK_PER_CHECK and sum(visited) == len(jobs)
     assert started
 
 
--- a/tests/test_planner_equivalence.py
+++ b/tests/test_planner_equivalence.py
@@ -388,7 +388,7 @@
         given[6] = given[6] or (lambda task: False)
         self._plain = ReferencePlanner(*given)  # type: ignore[arg-type]
 
-    def make(self, budget_s: float = float("inf")) -> Plan:
+    def make(self, budget_s: float = float("inf"), most_starts: float = float("inf")) -> Plan:
         expected = _describe(self._plain.make())
         plan = super().make()
         assert _describe(plan) == expected
