Stop a late run of a closed occurrence instead of adopting it

Cause: an executor may report a run of a task whose occurrence is done and held no more, as after a start that was carried out late. It was adopted with a state that is dropped at once, so each report adopted it again, took its resources from the executor once more, and asked for another stop. Found on reading.

Change: such a run is an orphan, which is stopped once and holds its resources until its end is reported. A plan also bears a stored job with no steps.

Measured: test_a_late_run_of_a_closed_occurrence_is_stopped_once fails without the change (no orphan after three reports) and passes with it; test_occurrences.py passes whole (28 tests).

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/executor_watch.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/executor_watch.py
@@ -414,7 +414,7 @@
             return
         attempt = task.attempt
         if attempt is None or attempt.executor != self.state.id or attempt.run != run.run:
-            if attempt is None:
+            if attempt is None and not job.occurrences.is_closed(run.task.occurrence):
                 self._adopt(run, received)
             else:
                 self.cell.stop_orphan(self.state, run.task, run.run)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/occurrences.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/occurrences.py
@@ -55,6 +55,10 @@
         """The number of closed occurrences."""
         return self._opened_count - len(self._open)
 
+    def is_closed(self, number: int) -> bool:
+        """Return whether an occurrence is done, so that its steps are not held any more."""
+        return self._is_opened(number) and number not in self._open
+
     def count_tasks(self) -> int:
         """Return the number of tasks of all occurrences."""
         return self._tasks_each * self._spec.occurrences
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -237,7 +237,7 @@
         self._add_candidates(found, job, job.steps, queue, left)
         if job.spec.schedule is not None:
             self._open_due(found, job, queue, left)
-        if min(left) <= 0:
+        if min(left, default=1) <= 0:
             self._cut_short.add(job.spec.id)
         return found
 
--- a/packages/heronthread-dispatch/tests/test_occurrences.py
+++ b/packages/heronthread-dispatch/tests/test_occurrences.py
@@ -7,7 +7,8 @@
 import pytest
 import trio
 from heronthread_dispatch import planner as planner_module
-from heronthread_dispatch.executor_link import EndedRun, EndKind
+from heronthread_dispatch.executor_link import EndedRun, EndKind, RunningRun
+from heronthread_dispatch.executor_watch import ExecutorWatch
 from heronthread_dispatch.model import JobSpec, Resources, Schedule, StepSpec, TaskKey
 from heronthread_dispatch.occurrences import Occurrences
 from heronthread_dispatch.overview import MAX_TASK_ROWS, describe_job
@@ -349,3 +350,24 @@
     assert task is not None
     task.failed_runs.add(end.run)
     assert job.to_record().steps == []
+
+
+async def test_a_late_run_of_a_closed_occurrence_is_stopped_once(autojump_clock: Clock) -> None:
+    """Guards against adopting such a run again with each report, as no state is held for it."""
+    async with EmulatedSite.open() as site:
+        owner = site.hosts[await site.wait_for_owner()].owner
+        assert owner is not None
+        schedule = Schedule(20, trio.current_time(), 60.0)
+        await site.hosts["h0"].requests.accept(site.make_job("a", schedule=schedule), 2.0)
+        await trio.sleep(8.0)
+        cell = owner.cell
+        assert cell.jobs["a"].occurrences.is_closed(0)
+        state = next(iter(cell.executors.values()))
+        free = state.free
+        key = TaskKey("a", 0, 0, 0)
+        watch = ExecutorWatch(cell, state, owner.depose)
+        for _ in range(3):
+            watch._update_running(RunningRun(key, 9_999, "", 10.0), trio.current_time())
+        assert list(state.orphans) == [(key, 9_999)] and key not in state.attempts
+        assert state.free == free.minus(cell.jobs["a"].spec.steps[0].need)
+        assert not cell.jobs["a"].attempts()
