--- a/packages/heronthread-dispatch/src/heronthread_dispatch/occurrences.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/occurrences.py
@@ -68,7 +68,7 @@
         return {number: self._open[number] for number in sorted(self._open)}
 
     def find(self, number: int) -> list[StepState]:
-        """Return the steps of an occurrence, which is opened if it was not; a closed one stays."""
+        """Return the steps of an occurrence, opening it unless it is closed."""
         steps = self._open.get(number)
         if steps is not None:
             return steps
