Log what a plan counted towards a spread limit beside what the executor holds

Change: for steps with a spread limit, start.decided has the limit, the plan's number, both counts, how many executors were allowed and whether the store could be written.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Any
 
 import trio
 from heronthread_coordination import Measure
@@ -27,6 +28,7 @@
 from .plan import Start
 from .probing import wait_for_reports
 from .progress import JobState, list_pending_starts, to_open_start
+from .spread import count_runs
 from .step_state import Attempt, Phase
 from .task_masks import TaskMasks
 
@@ -128,8 +130,25 @@
             share_rank=self._find_share_rank(group[0].job, now),
             term=self.cell.term.number,
             **({"speeds": speeds} if speeds else {}),
+            **self._describe_spread(part),
         )
 
+    def _describe_spread(self, starts: list[Start]) -> dict[str, Any]:
+        """Return what the plan counted towards a spread limit, and what the executors hold now."""
+        counts = [start.spread for start in starts if start.spread is not None]
+        if not counts:
+            return {}
+        job, step = starts[0].job.spec.id, starts[0].step
+        spread = {
+            "limit": step.spec.spread_limit,
+            "plan": counts[0].plan,
+            "counted": [count.counted for count in counts],
+            "held": [count_runs(job, step, start.executor) for start in starts],
+            "allowed": counts[0].allowed,
+            "store_writable": self.cell.parts.can_write_store(),
+        }
+        return {"spread": spread}
+
     def _count_speeds(self, starts: list[Start]) -> dict[str, int]:
         """Return how many executors of some starts are in each speed group."""
         if not self.cell.parts.policy.executor_speeds:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Callable
 from dataclasses import asdict, dataclass
 from typing import Any
@@ -97,6 +98,7 @@
         self._scope = trio.CancelScope()
         self._nursery: trio.Nursery | None = None
         self._orders: Orders | None = None
+        self._plan_numbers = itertools.count(1)
         self._urgent_demand = RecentPeaks(URGENT_WINDOW_S)
         self._room_events = RepeatedEvents()
         self._room_noted_at = float("-inf")
@@ -563,6 +565,7 @@
             self.cell.find_required_executors(),
             learned=self.cell.learned,
         )
+        planner.number = next(self._plan_numbers)
         planner.steps_to_explain = self.stall_monitor.take_explanation_requests()
         recheck = PLAN_EVERY_S
         while True:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/plan.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/plan.py
@@ -13,14 +13,29 @@
 from .urgent_room import LendReason
 
 
+@dataclass(frozen=True, slots=True)
+class SpreadCount:
+    """What a plan counted towards a step's spread limit when it placed a task.
+
+    `counted` is how many of the step's tasks the executor holds or may hold, this one included.
+    `allowed` is the number of executors that the task may use, None for any. `plan` numbers the
+    plans of an owner.
+    """
+
+    plan: int
+    counted: int
+    allowed: int | None
+
+
 @dataclass(frozen=True, slots=True)
 class Start:
-    """A run of a task to start on an executor."""
+    """A run of a task to start on an executor; `spread` is set for steps with a spread limit."""
 
     job: JobState
     step: StepState
     task: TaskState
     executor: ExecutorState
+    spread: SpreadCount | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -25,10 +25,11 @@
 from .losses import MIN_UNSAVED_LOSS_S, Losses
 from .model import URGENT, DesiredState, Queue, Resources, TaskKey
 from .offers import Offer, Scope, count_free, count_with_reserved, make_offers
-from .plan import Candidate, Plan, Preemption, Start
+from .plan import Candidate, Plan, Preemption, SpreadCount, Start
 from .policy import DEFAULT_POLICY, Policy
 from .progress import JobState, latest_starts
 from .speed_placement import SpeedPlacement
+from .spread import StepKey, step_key
 from .step_rank import rank_step
 from .step_state import MAX_TASKS_PLANNED, Attempt, Phase, StepState, TaskState, key_of
 from .task_masks import find_executors
@@ -69,7 +70,8 @@
     a job starts only on executors already recorded for it. `pins` maps a task to the only executor
     that may run it. `steps_to_explain` lists steps by the keys of their first tasks; `causes`
     receives the reason why each of them waits, once the plan has reached it. `learned` is what the
-    owner knows of speeds, lengths, urgent demand and customers.
+    owner knows of speeds, lengths, urgent demand and customers. `number` identifies the plan in
+    the log.
     """
 
     def __init__(
@@ -106,6 +108,7 @@
         self._offer_by_executor = {
             offer.state.id: offer for offers in self.offers.values() for offer in offers
         }
+        self.number = 0
         self.plan = Plan()
         self.guaranteed = find_guaranteed(self.jobs, desired, wall_now)
         self._exhausted: set[tuple[object, ...]] = set()
@@ -136,7 +139,7 @@
         self._found: list[Candidate] = []
         self._waiting: deque[Candidate] | None = None
         self._cut_short: set[str] = set()
-        self._orphaned_runs: dict[tuple[str, int, int], Counter[str]] = {}
+        self._orphaned_runs: dict[StepKey, Counter[str]] = {}
 
     def _make_room(self) -> UrgentRoom:
         """Return the capacity for urgent work in the pools where a forecast expects any."""
@@ -394,10 +397,7 @@
         else:
             placed = self._place_single(candidate, avoids_headroom)
         if placed:
-            group = [
-                Start(candidate.job, candidate.step, task, offer.state) for task, offer in placed
-            ]
-            self.plan.groups.append(group)
+            self.plan.groups.append(self._make_starts(candidate, placed))
             self._colocation.record_placed(candidate.step.spec, (offer for _, offer in placed))
             self._note_loan(candidate, placed)
             if candidate.job.spec.id in self._cut_short:
@@ -425,6 +425,22 @@
             eligible = eligible or self._find_eligible(candidate, avoids_headroom)
             self._gangs.reserve(candidate, eligible)
 
+    def _make_starts(
+        self, candidate: Candidate, placed: list[tuple[TaskState, Offer]]
+    ) -> list[Start]:
+        job, step = candidate.job, candidate.step
+        if not step.spec.spread_limit:
+            return [Start(job, step, task, offer.state) for task, offer in placed]
+        counts, starts = self._count_by_executor(candidate), list[Start]()
+        allowed = candidate.allowed_executors
+        for task, offer in placed:
+            counts[offer.state.id] += 1
+            spread = SpreadCount(
+                self.number, counts[offer.state.id], None if allowed is None else len(allowed)
+            )
+            starts.append(Start(job, step, task, offer.state, spread))
+        return starts
+
     def _would_block_others(self, pool: str) -> bool:
         """Whether reserving capacity of a pool for gangs would block other steps from starting.
 
@@ -805,7 +821,7 @@
         if not step.spec.spread_limit:
             return Counter()
         attempts = Counter(attempt.executor for attempt in step.attempts())
-        return attempts + self._orphaned_runs.get(_step_key(candidate.key), Counter())
+        return attempts + self._orphaned_runs.get(step_key(candidate.key), Counter())
 
     def _may_ignore_data_rack(self, candidate: Candidate, eligible: Scope) -> bool:
         if eligible.find_rack(candidate.step.spec.data_rack) is None:
@@ -916,15 +932,10 @@
         offer.release(candidate.step.spec.need)
 
 
-def _step_key(task: TaskKey) -> tuple[str, int, int]:
-    """Return the part of a task's key that identifies its step and occurrence."""
-    return task.job, task.step, task.occurrence
-
-
-def _count_orphaned_runs(offers: Iterable[Offer]) -> dict[tuple[str, int, int], Counter[str]]:
+def _count_orphaned_runs(offers: Iterable[Offer]) -> dict[StepKey, Counter[str]]:
     """Return, by step, how many runs other than current attempts each executor holds."""
-    counts: dict[tuple[str, int, int], Counter[str]] = {}
+    counts: dict[StepKey, Counter[str]] = {}
     for offer in offers:
         for task, _ in offer.state.orphans:
-            counts.setdefault(_step_key(task), Counter())[offer.state.id] += 1
+            counts.setdefault(step_key(task), Counter())[offer.state.id] += 1
     return counts
--- /dev/null
+++ b/packages/heronthread-dispatch/tests/test_spread.py
@@ -0,0 +1,87 @@
+"""Steps with a spread limit: what each executor holds of them, and what is logged of it."""
+
+import trio
+from heronthread_dispatch.fleet import ExecutorState
+from heronthread_dispatch.model import (
+    URGENT,
+    DesiredState,
+    Executor,
+    JobSpec,
+    Queue,
+    Resources,
+    StepSpec,
+    TaskKey,
+    Tenant,
+)
+from heronthread_dispatch.progress import JobState, make_job
+from heronthread_dispatch.spread import count_runs
+from heronthread_dispatch.step_state import Attempt, Phase
+from heronthread_emulator import EmulatedSite, captured_events
+
+Clock = trio.testing.MockClock
+
+NOW = 1_000.0
+CAPACITY = Resources(64_000, 262_144, 8)
+NEED = Resources(1_000, 1_000, 1)
+URGENT_QUEUE = Queue("urgent", "h", "/u/", "pool", URGENT, 2, 1.5, 0.25)
+BATCH_QUEUE = Queue("batch", "h", "/b/", "pool", 2, 3, 3.0, 3.0)
+DESIRED = DesiredState.build(1, [URGENT_QUEUE, BATCH_QUEUE], [Tenant("t", (), 0)], 1)
+
+
+def _make_executors(count: int) -> list[ExecutorState]:
+    states = []
+    for number in range(count):
+        name = f"e{number}"
+        executor = Executor(name, name, "pool", "z", "r0", (), CAPACITY)
+        state = ExecutorState(executor, free=CAPACITY)
+        state.has_reported = state.recorded = True
+        states.append(state)
+    return states
+
+
+def _make_job(
+    name: str, count: int, spread_limit: int, queue: Queue = BATCH_QUEUE, need: Resources = NEED
+) -> JobState:
+    step = StepSpec(count, need, 5.0, spread_limit=spread_limit)
+    job = make_job(JobSpec(name, queue, "t", "", (step,), NOW - 5.0), NOW)
+    job.steps[0].ready_at = NOW - 5.0
+    return job
+
+
+def _occupy(job: JobState, index: int, state: ExecutorState) -> None:
+    step = job.steps[0]
+    key = TaskKey(job.spec.id, 0, index)
+    attempt = Attempt(key, 1, state.instance, step.spec.need, NOW - 2.0, Phase.RUNNING)
+    attempt.began_at = attempt.progressed_at = NOW - 2.0
+    attempt.percent = 10.0
+    step.tasks[index].attempt = attempt
+    state.occupy(attempt)
+
+
+def test_orphaned_runs_of_the_step_count_but_not_those_of_another_occurrence() -> None:
+    (state,) = _make_executors(1)
+    job = _make_job("a", 4, 2)
+    _occupy(job, 0, state)
+    for occurrence in (0, 1):
+        orphan = TaskKey("a", 0, 1, occurrence)
+        state.occupy_orphan(Attempt(orphan, 7, state.instance, NEED, NOW, Phase.STOPPING))
+    assert count_runs("a", job.steps[0], state) == 2
+
+
+async def test_starts_of_limited_steps_are_logged_with_what_was_counted(
+    autojump_clock: Clock,
+) -> None:
+    async with EmulatedSite.open(hosts=1, executors=3) as site:
+        await site.wait_for_owner()
+        with captured_events() as events:
+            host = site.hosts["h0"]
+            await host.requests.accept(site.make_job("a", count=4, spread_limit=2), 2.0)
+            await host.requests.accept(site.make_job("b", count=4), 2.0)
+            await trio.sleep(1.0)
+    starts = [event for event in events if event["message_type"] == "start.decided"]
+    spreads = [event["spread"] for event in starts if event["job"] == "a"]
+    assert sorted(spread["counted"][0] for spread in spreads) == [1, 1, 2, 2]
+    assert all(spread["counted"] == spread["held"] for spread in spreads)
+    assert len({spread["plan"] for spread in spreads}) == 1
+    assert all(spread["limit"] == 2 and spread["allowed"] is None for spread in spreads)
+    assert not any("spread" in event for event in starts if event["job"] == "b")
