Show in tests that a step split by a store outage exceeds its spread limit

Cause: while the store can't be written, a step is planned in one part for each set of executors recorded for its tasks, and each part counts only what ran before the plan.

--- a/packages/heronthread-dispatch/tests/test_spread.py
+++ b/packages/heronthread-dispatch/tests/test_spread.py
@@ -1,5 +1,7 @@
 """Steps with a spread limit: what each executor holds of them, and what is logged of it."""
 
+from collections import Counter
+
 import trio
 from heronthread_dispatch.fleet import ExecutorState
 from heronthread_dispatch.model import (
@@ -13,6 +15,7 @@
     TaskKey,
     Tenant,
 )
+from heronthread_dispatch.planner import Planner
 from heronthread_dispatch.progress import JobState, make_job
 from heronthread_dispatch.spread import count_runs
 from heronthread_dispatch.step_state import Attempt, Phase
@@ -85,3 +88,14 @@
     assert len({spread["plan"] for spread in spreads}) == 1
     assert all(spread["limit"] == 2 and spread["allowed"] is None for spread in spreads)
     assert not any("spread" in event for event in starts if event["job"] == "b")
+
+
+def test_step_that_a_store_outage_splits_stays_within_its_spread_limit() -> None:
+    """Each task may use only the executors recorded for it, but the step's limit is one."""
+    for limit in (1, 2):
+        states = _make_executors(2)
+        job = _make_job("a", 4, limit)
+        job.places.named = {"e0": 0b1111, "e1": 0b1100}
+        plan = Planner([job], states, DESIRED, NOW, NOW, can_write_store=False).make()
+        placed = Counter(start.executor.id for group in plan.groups for start in group)
+        assert placed == {"e0": limit, "e1": limit}
--- a/tests/test_planner_equivalence.py
+++ b/tests/test_planner_equivalence.py
@@ -339,30 +339,64 @@
     assert promised >= 20, "few offers promise resources of attempts that end soon"
 
 
+def _count_starts_beyond_limit(
+    plan: Plan, executors: list[ExecutorState]
+) -> tuple[list[tuple[str, int, int, str]], int, int]:
+    """Return where starts exceed a spread limit, and how many are limited, and beside orphans."""
+    held: Counter[tuple[str, int, int, str]] = Counter()
+    for state in executors:
+        for task in [*state.attempts, *(task for task, _ in state.orphans)]:
+            held[task.job, task.step, task.occurrence, state.id] += 1
+    beyond, limited, beside_orphaned_runs = [], 0, 0
+    for start in (start for group in plan.groups for start in group):
+        limit = start.step.spec.spread_limit
+        if limit:
+            key = start.job.key_of(start.step, start.task)
+            place = (key.job, key.step, key.occurrence, start.executor.id)
+            limited += 1
+            beside_orphaned_runs += held[place] > 0
+            held[place] += 1
+            if held[place] > limit:
+                beyond.append(place)
+    return beyond, limited, beside_orphaned_runs
+
+
 @pytest.mark.parametrize("make", [ReferencePlanner, Planner])
 def test_starts_obey_the_spread_limit(make: type[Planner]) -> None:
     """Orphaned runs count against the spread limit until they are stopped."""
     limited = beside_orphaned_runs = 0
     for seed in range(400):
         jobs, executors = _make_state(seed)
-        held: Counter[tuple[str, int, int, str]] = Counter()
-        for state in executors:
-            for task in [*state.attempts, *(task for task, _ in state.orphans)]:
-                held[task.job, task.step, task.occurrence, state.id] += 1
         plan = make(jobs, executors, DESIRED, NOW, NOW).make()
-        for start in (start for group in plan.groups for start in group):
-            limit = start.step.spec.spread_limit
-            if limit:
-                key = start.job.key_of(start.step, start.task)
-                place = (key.job, key.step, key.occurrence, start.executor.id)
-                limited += 1
-                beside_orphaned_runs += held[place] > 0
-                held[place] += 1
-                assert held[place] <= limit, f"seed {seed}, {place}"
+        beyond, of_limited, beside = _count_starts_beyond_limit(plan, executors)
+        assert beyond == [], f"seed {seed}"
+        limited += of_limited
+        beside_orphaned_runs += beside
     assert limited >= 300
     assert beside_orphaned_runs >= 20
 
 
+def _record_executors(jobs: list[JobState], executors: list[ExecutorState], seed: int) -> None:
+    """Record for each task some executors, as in the store, so that steps are split."""
+    source = random.Random(seed)
+    for job in jobs:
+        job.places.named = {state.id: source.getrandbits(64) for state in executors}
+
+
+def test_parts_of_a_step_split_by_a_store_outage_share_its_spread_limit() -> None:
+    beyond, limited = {}, 0
+    for seed in range(400):
+        jobs, executors = _make_state(seed)
+        _record_executors(jobs, executors, seed)
+        plan = Planner(jobs, executors, DESIRED, NOW, NOW, can_write_store=False).make()
+        found, of_limited, _ = _count_starts_beyond_limit(plan, executors)
+        limited += of_limited
+        if found:
+            beyond[seed] = found
+    assert beyond == {}, f"{len(beyond)} of 400 plans"
+    assert limited >= 300
+
+
 def test_generated_states_cover_every_kind_of_decision() -> None:
     """The generated states cover starts, stops, gangs, reservations and waits."""
     starts = stops = gangs = reservations = waits = 0
