Count a step's tasks once for all parts of a plan, so that none exceeds its spread limit

Cause: while the store can't be written, a step is planned in one part for each set of executors recorded for its tasks. Each part counted attempts and orphaned runs, but not what the same plan had given to another part. The counts were also made anew by pinned, first-fit, gang and suspect placement, and left out runs at executors without an offer. Change: one SpreadAccount of how many of a step's tasks each executor holds or may hold. Every placement asks it and adds to it. It counts by id, as another instance may carry out an order. Pinned and other tasks of a limited step are now placed in one plan. Why it works: there is no second count that could miss a placement.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/gangs.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/gangs.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Callable
 
 from .crashes import has_recent_start
@@ -11,6 +10,7 @@
 from .plan import Candidate
 from .policy import Policy
 from .speed_placement import SpeedPlacement
+from .spread import SpreadAccount
 from .step_state import StepState, TaskState
 
 SPREAD_WAIT_S = 1.5
@@ -32,6 +32,7 @@
 class GangPlacer:
     """Places the gangs of one plan.
 
+    `spread` counts the tasks of each step at each executor, and is told of the gangs placed here.
     `is_mostly_idle` returns whether less than a share of a pool is in use.
     """
 
@@ -39,11 +40,13 @@
         self,
         now: float,
         policy: Policy,
+        spread: SpreadAccount,
         speeds: SpeedPlacement | None = None,
         is_mostly_idle: Callable[[str, float], bool] = lambda pool, share: False,
     ) -> None:
         self._now = now
         self._policy = policy
+        self._spread = spread
         self._is_mostly_idle = is_mostly_idle
         self._speeds = speeds or SpeedPlacement(None, now)
         self._min_unplaceable: dict[tuple[object, ...], int] = {}
@@ -64,12 +67,11 @@
         return self._speeds.order_tasks(wish, offers, self.packing_order)
 
     def place(
-        self, candidate: Candidate, eligible: Scope, avoids_headroom: bool, held: Counter[str]
+        self, candidate: Candidate, eligible: Scope, avoids_headroom: bool
     ) -> list[tuple[TaskState, Offer]]:
         """Allocate capacity for all members at once, or for none if they do not all fit.
 
-        With `avoids_headroom`, `eligible` excludes the headroom for urgent work; `held`
-        counts the step's runs that each executor still holds.
+        With `avoids_headroom`, `eligible` excludes the headroom for urgent work.
         """
         scopes = self.list_scopes(candidate, eligible)
         key = self._key(candidate, eligible, scopes, avoids_headroom)
@@ -84,14 +86,15 @@
                 for offer in eligible.offers
                 if has_recent_start(offer.state, self._now)
             }
-            best = self._best_fit(candidate, scopes, avoided | recently_started, held)
-        best = best or self._best_fit(candidate, scopes, avoided, held)
+            best = self._best_fit(candidate, scopes, avoided | recently_started)
+        best = best or self._best_fit(candidate, scopes, avoided)
         if best is None:
-            if not avoided and not held:
+            if not avoided and not self._spread.held(candidate):
                 self._min_unplaceable[key] = count
             return []
         for offer in best:
             offer.allocate(candidate.step.spec.need)
+            self._spread.add(candidate, offer.state.id)
         return list(zip(candidate.tasks, best, strict=True))
 
     def _key(
@@ -157,13 +160,13 @@
         )
 
     def _best_fit(
-        self, candidate: Candidate, scopes: list[Scope], avoided: set[str], held: Counter[str]
+        self, candidate: Candidate, scopes: list[Scope], avoided: set[str]
     ) -> list[Offer] | None:
         """Return offers from the first scope that fits, or from the tightest for `same_rack`."""
         spec, wanted = candidate.step.spec, len(candidate.tasks)
         fitting = [s for s in scopes if s.count(spec.need) >= wanted]
         if not spec.same_rack:
-            found = (self._fit_in_scope(candidate, scope, avoided, held) for scope in fitting)
+            found = (self._fit_in_scope(candidate, scope, avoided) for scope in fitting)
             return next((chosen for chosen in found if chosen is not None), None)
         wish = self._speeds.find_wish(candidate)
         left = [(float(s.free_accelerators()), index, s) for index, s in enumerate(fitting)]
@@ -171,7 +174,7 @@
         for least, index, scope in sorted(left, key=lambda entry: entry[:2]):
             if best is not None and (least, index) >= best[:2]:
                 break
-            chosen = self._fit_in_scope(candidate, scope, avoided, held)
+            chosen = self._fit_in_scope(candidate, scope, avoided)
             if chosen is None:
                 continue
             cost = least + SLOW_COST * sum(offer.state.slow_until > self._now for offer in chosen)
@@ -183,7 +186,7 @@
         return best[2] if best else None
 
     def _fit_in_scope(
-        self, candidate: Candidate, scope: Scope, avoided: set[str], held: Counter[str]
+        self, candidate: Candidate, scope: Scope, avoided: set[str]
     ) -> list[Offer] | None:
         """Return an offer for each member, tightest first, or None; allocates nothing."""
         spec = candidate.step.spec
@@ -194,9 +197,7 @@
 
         def count(offer: Offer) -> int:
             fits = _count_fits_at(offer, spec.need)
-            if spec.spread_limit:
-                fits = min(fits, max(0, spec.spread_limit - held[offer.state.id]))
-            return fits
+            return min(fits, self._spread.room(candidate, offer.state.id))
 
         wish = self._speeds.find_wish(candidate)
         ordered = self._speeds.order_members(wish, fitting, wanted, self.packing_order, count)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -29,7 +29,7 @@
 from .policy import DEFAULT_POLICY, Policy
 from .progress import JobState, latest_starts
 from .speed_placement import SpeedPlacement
-from .spread import StepKey, step_key
+from .spread import SpreadAccount
 from .step_rank import rank_step
 from .step_state import MAX_TASKS_PLANNED, Attempt, Phase, StepState, TaskState, key_of
 from .task_masks import find_executors
@@ -128,7 +128,10 @@
         peaks = {p: n for p, n in (urgent_peaks or {}).items() if p not in self.room.demands}
         self._headroom = Headroom(self.offers, peaks, self._states.values())
         speed_placement = SpeedPlacement(speeds, now)
-        self._gangs = GangPlacer(now, policy, speed_placement, self._headroom.is_mostly_idle)
+        self._spread = SpreadAccount(self._states.values())
+        self._gangs = GangPlacer(
+            now, policy, self._spread, speed_placement, self._headroom.is_mostly_idle
+        )
         self._losses = self._make_losses(wait_s)
         self._victims = VictimSelector(self._losses, now, self._make_losses)
         self._approvals = approvals
@@ -139,7 +142,6 @@
         self._found: list[Candidate] = []
         self._waiting: deque[Candidate] | None = None
         self._cut_short: set[str] = set()
-        self._orphaned_runs: dict[StepKey, Counter[str]] = {}
 
     def _make_room(self) -> UrgentRoom:
         """Return the capacity for urgent work in the pools where a forecast expects any."""
@@ -177,7 +179,7 @@
         self.plan = Plan()
         if not self._collect(deadline):
             return self.plan
-        self._orphaned_runs = _count_orphaned_runs(self._offer_by_executor.values())
+        self._spread.reset()
         while self._waiting:
             self._plan_step(self._waiting.popleft())
             if sum(map(len, self.plan.groups)) >= most_starts:
@@ -391,7 +393,7 @@
             eligible = self._find_eligible(candidate, avoids_headroom)
             pinned = self._place_pinned(candidate)
             if len(pinned) < len(candidate.pins):
-                _release_all(candidate, pinned)
+                self._release_all(candidate, pinned)
                 return
             placed = self._place_gang(candidate, pinned, eligible, avoids_headroom)
         else:
@@ -428,16 +430,16 @@
     def _make_starts(
         self, candidate: Candidate, placed: list[tuple[TaskState, Offer]]
     ) -> list[Start]:
-        job, step = candidate.job, candidate.step
+        job, step, allowed = candidate.job, candidate.step, candidate.allowed_executors
         if not step.spec.spread_limit:
             return [Start(job, step, task, offer.state) for task, offer in placed]
-        counts, starts = self._count_by_executor(candidate), list[Start]()
-        allowed = candidate.allowed_executors
+        allowed_count = None if allowed is None else len(allowed)
+        counts = Counter(self._spread.held(candidate))
+        counts.subtract(offer.state.id for _, offer in placed)
+        starts = []
         for task, offer in placed:
             counts[offer.state.id] += 1
-            spread = SpreadCount(
-                self.number, counts[offer.state.id], None if allowed is None else len(allowed)
-            )
+            spread = SpreadCount(self.number, counts[offer.state.id], allowed_count)
             starts.append(Start(job, step, task, offer.state, spread))
         return starts
 
@@ -624,12 +626,9 @@
         unpinned = _without_pinned(candidate)
         if not unpinned.tasks:
             return pinned
-        held = self._count_by_executor(candidate)
-        if candidate.step.spec.spread_limit:
-            held += Counter(offer.state.id for _, offer in pinned)
-        placed = self._gangs.place(unpinned, eligible, avoids_headroom, held)
+        placed = self._gangs.place(unpinned, eligible, avoids_headroom)
         if not placed:
-            _release_all(candidate, pinned)
+            self._release_all(candidate, pinned)
             return []
         return pinned + placed
 
@@ -686,19 +685,32 @@
         placed: list[tuple[TaskState, Offer]] = []
         if not candidate.pins:
             return placed
-        spec, counts = candidate.step.spec, self._count_by_executor(candidate)
         for task in candidate.tasks:
             name = candidate.pins.get(task.index, NOWHERE)
             offer = self._find_pinned_offer(candidate, name)
-            if offer is None or not offer.fits(spec.need):
-                continue
-            if spec.spread_limit and counts[name] >= spec.spread_limit:
+            if offer is None or not self._has_room(candidate, offer):
                 continue
-            offer.allocate(spec.need)
-            counts[name] += 1
+            self._allocate(candidate, offer)
             placed.append((task, offer))
         return placed
 
+    def _has_room(self, candidate: Candidate, offer: Offer) -> bool:
+        """Whether one more task of a step fits and its spread limit allows it."""
+        return offer.fits(candidate.step.spec.need) and bool(
+            self._spread.room(candidate, offer.state.id)
+        )
+
+    def _allocate(self, candidate: Candidate, offer: Offer) -> None:
+        """Allocate capacity for one task of a step."""
+        offer.allocate(candidate.step.spec.need)
+        self._spread.add(candidate, offer.state.id)
+
+    def _release_all(self, candidate: Candidate, placed: list[tuple[TaskState, Offer]]) -> None:
+        """Release the capacity allocated for some tasks of a step."""
+        for _, offer in placed:
+            offer.release(candidate.step.spec.need)
+            self._spread.remove(candidate, offer.state.id)
+
     def _find_pinned_offer(self, candidate: Candidate, name: str) -> Offer | None:
         """Return the offer of the executor a task is pinned to, None if it cannot accept it."""
         state, label = self._states.get(name), candidate.step.spec.label
@@ -727,9 +739,7 @@
         unpinned = _without_pinned(candidate)
         if self._loans.get(candidate.key) is LendReason.STOOD:
             unpinned = replace(unpinned, tasks=unpinned.tasks[:STOOD_TASKS])
-        if not unpinned.tasks or (pinned and candidate.step.spec.spread_limit):
-            # The next plan, which follows at once, counts the pinned tasks towards the spread
-            # limit.
+        if not unpinned.tasks:
             return pinned
         return pinned + self._place_unpinned(unpinned, avoids_headroom)
 
@@ -790,39 +800,19 @@
         self, candidate: Candidate, offers: list[Offer], tasks: list[TaskState]
     ) -> list[tuple[TaskState, Offer]]:
         """Allocate for each task the first offer that fits it."""
-        spec = candidate.step.spec
-        counts = self._count_by_executor(candidate)
-
-        def is_exhausted(offer: Offer) -> bool:
-            if spec.spread_limit and counts.get(offer.state.id, 0) >= spec.spread_limit:
-                return True
-            return not offer.fits(spec.need)
-
         placed = []
         first = 0
         for task in tasks:
-            while first < len(offers) and is_exhausted(offers[first]):
+            while first < len(offers) and not self._has_room(candidate, offers[first]):
                 first += 1
             for offer in offers[first:]:
-                if is_exhausted(offer) or task.avoids(offer.state.id, self.now):
+                if task.avoids(offer.state.id, self.now) or not self._has_room(candidate, offer):
                     continue
-                offer.allocate(spec.need)
-                counts[offer.state.id] = counts.get(offer.state.id, 0) + 1
+                self._allocate(candidate, offer)
                 placed.append((task, offer))
                 break
         return placed
 
-    def _count_by_executor(self, candidate: Candidate) -> Counter[str]:
-        """Return how many runs of a step with a spread limit each executor may hold.
-
-        Includes orphaned runs, which count against the limit of their executor until they end.
-        """
-        step = candidate.step
-        if not step.spec.spread_limit:
-            return Counter()
-        attempts = Counter(attempt.executor for attempt in step.attempts())
-        return attempts + self._orphaned_runs.get(step_key(candidate.key), Counter())
-
     def _may_ignore_data_rack(self, candidate: Candidate, eligible: Scope) -> bool:
         if eligible.find_rack(candidate.step.spec.data_rack) is None:
             return True
@@ -862,7 +852,7 @@
             for member in self._losses.whole_gang(attempt):
                 self._stop(member)
         for offer in chosen:
-            offer.allocate(spec.need)
+            self._allocate(candidate, offer)
 
     def _is_past_use(self, candidate: Candidate) -> bool:
         """Whether urgent work outside a guarantee can no longer end while it is useful."""
@@ -924,18 +914,3 @@
         return candidate
     tasks = [task for task in candidate.tasks if task.index not in candidate.pins]
     return replace(candidate, tasks=tasks, pins={})
-
-
-def _release_all(candidate: Candidate, placed: list[tuple[TaskState, Offer]]) -> None:
-    """Release the capacity allocated for some tasks of a step."""
-    for _, offer in placed:
-        offer.release(candidate.step.spec.need)
-
-
-def _count_orphaned_runs(offers: Iterable[Offer]) -> dict[StepKey, Counter[str]]:
-    """Return, by step, how many runs other than current attempts each executor holds."""
-    counts: dict[StepKey, Counter[str]] = {}
-    for offer in offers:
-        for task, _ in offer.state.orphans:
-            counts.setdefault(step_key(task), Counter())[offer.state.id] += 1
-    return counts
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/spread.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/spread.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+
 from .fleet import ExecutorState
 from .model import TaskKey
+from .offers import UNLIMITED_FITS
+from .plan import Candidate
 from .step_state import StepState
 
 StepKey = tuple[str, int, int]
@@ -20,3 +25,60 @@
     key = (job, step.number, step.occurrence)
     orphans = sum(1 for task, _ in state.orphans if step_key(task) == key)
     return orphans + sum(1 for attempt in step.attempts() if attempt.executor == state.id)
+
+
+class SpreadAccount:
+    """The runs of steps with a spread limit by executor, including those that a plan adds.
+
+    A step may be planned in several parts, so each placement is added at once. Runs count by the
+    executor's id: an order may still be carried out by another instance than it was sent to.
+    Orphaned runs count until they are stopped.
+    """
+
+    def __init__(self, executors: Iterable[ExecutorState]) -> None:
+        self._executors = executors
+        self._orphans: dict[StepKey, Counter[str]] | None = None
+        self._counts: dict[StepKey, Counter[str]] = {}
+
+    def reset(self) -> None:
+        """Count anew from the current attempts, after a plan was carried out."""
+        self._orphans = None
+        self._counts.clear()
+
+    def held(self, candidate: Candidate) -> Counter[str]:
+        """Return how many tasks of a step each executor holds, or may; empty without a limit.
+
+        The caller must not modify the result.
+        """
+        if not candidate.step.spec.spread_limit:
+            return Counter()
+        key = step_key(candidate.key)
+        if key not in self._counts:
+            attempts = Counter(attempt.executor for attempt in candidate.step.attempts())
+            self._counts[key] = attempts + self._find_orphans(key)
+        return self._counts[key]
+
+    def room(self, candidate: Candidate, executor: str) -> int:
+        """Return how many more tasks of a step its spread limit allows at an executor."""
+        limit = candidate.step.spec.spread_limit
+        if not limit:
+            return UNLIMITED_FITS
+        return max(0, limit - self.held(candidate)[executor])
+
+    def add(self, candidate: Candidate, executor: str) -> None:
+        """Count a task of a step that the plan places at an executor, now or after stops."""
+        if candidate.step.spec.spread_limit:
+            self.held(candidate)[executor] += 1
+
+    def remove(self, candidate: Candidate, executor: str) -> None:
+        """Take back one `add`."""
+        if candidate.step.spec.spread_limit:
+            self.held(candidate)[executor] -= 1
+
+    def _find_orphans(self, key: StepKey) -> Counter[str]:
+        if self._orphans is None:
+            self._orphans = defaultdict(Counter)
+            for state in self._executors:
+                for task, _ in state.orphans:
+                    self._orphans[step_key(task)][state.id] += 1
+        return self._orphans.get(key, Counter())
--- a/packages/heronthread-dispatch/tests/test_speed_placement.py
+++ b/packages/heronthread-dispatch/tests/test_speed_placement.py
@@ -28,6 +28,7 @@
 from heronthread_dispatch.policy import DEFAULT_POLICY, Policy
 from heronthread_dispatch.progress import JobState, make_job
 from heronthread_dispatch.speed_placement import SpeedPlacement, SpeedWish
+from heronthread_dispatch.spread import SpreadAccount
 from heronthread_dispatch.step_state import Attempt, Phase
 from heronthread_emulator.load import LoadPattern, draw_jobs
 from heronthread_emulator.pool_model import PoolModel
@@ -227,7 +228,7 @@
     speeds = learn(dict(zip((s.instance for s in pool.states), later, strict=True)))
     pool.learned.speeds._pools, pool.learned.speeds._speeds = speeds._pools, speeds._speeds
     offers = make_offers(pool.states, NOW)["pool"]
-    gangs = GangPlacer(NOW, DEFAULT_POLICY, placement)
+    gangs = GangPlacer(NOW, DEFAULT_POLICY, SpreadAccount([]), placement)
     for wish in (SpeedWish.FASTEST, SpeedWish.SLOWEST):
         ordered = placement.order_tasks(wish, offers, gangs.packing_order)
         assert sorted(offer.number for offer in ordered) == list(range(12))
--- a/packages/heronthread-dispatch/tests/test_spread.py
+++ b/packages/heronthread-dispatch/tests/test_spread.py
@@ -99,3 +99,15 @@
         plan = Planner([job], states, DESIRED, NOW, NOW, can_write_store=False).make()
         placed = Counter(start.executor.id for group in plan.groups for start in group)
         assert placed == {"e0": limit, "e1": limit}
+
+
+def test_pinned_task_counts_runs_left_at_an_executor_in_backoff() -> None:
+    """No offer is made for the executor, but the task may run nowhere else."""
+    (state,) = _make_executors(1)
+    state.backoff_until = NOW + 1.0
+    job = _make_job("a", 2, 1)
+    orphan = TaskKey("a", 0, 1)
+    state.occupy_orphan(Attempt(orphan, 7, state.instance, NEED, NOW, Phase.STOPPING))
+    pins = {TaskKey("a", 0, 0): "e0"}
+    plan = Planner([job], [state], DESIRED, NOW, NOW, pins=pins).make()
+    assert plan.groups == []
