Stop work for urgent steps only where their spread limit leaves room

Cause: the search for attempts to stop applied the limit to what it chose itself, and did not count what the executors held of the step already. The capacity freed at such an executor then counted as room for the step, so nothing was stopped elsewhere. Change: the search takes what each executor holds from the plan's SpreadAccount, as part of its criteria, so that cached results stay right; what it chooses is added to the account, so that the parts of a split step share one limit. The reference planner does the same.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -837,9 +837,10 @@
                 return
             wait_s = self._find_end_wait_s(candidate)
         best: tuple[float, list[Attempt], list[Offer]] | None = None
+        held = self._spread.held(candidate)
         for scope in scopes:
             max_cost = float("inf") if best is None else best[0]
-            found = self._victims.find_victims(candidate, missing, scope, max_cost, wait_s)
+            found = self._victims.find_victims(candidate, missing, scope, max_cost, wait_s, held)
             best = found or best
         if best is None:
             if spec.gang:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/victim_search.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/victim_search.py
@@ -7,7 +7,7 @@
 
 from .losses import Loss, Losses
 from .model import Resources
-from .offers import Offer, Scope, count_fits
+from .offers import UNLIMITED_FITS, Offer, Scope, count_fits
 from .step_state import Attempt
 
 
@@ -17,6 +17,7 @@
 
     `guaranteed` marks a job within its customer's guarantee. With `waits_for_ends`, resources of
     attempts that end by themselves within `wait_s` count as free; 0 stands for the plan's default.
+    `held` is how many of the step's tasks each executor holds already, if it has a spread limit.
     """
 
     need: Resources
@@ -24,6 +25,13 @@
     waits_for_ends: bool
     spread_limit: int
     wait_s: float = 0.0
+    held: tuple[tuple[str, int], ...] = ()
+
+    def find_room(self, executor: str) -> int:
+        """Return how many more tasks the spread limit allows at an executor."""
+        if not self.spread_limit:
+            return UNLIMITED_FITS
+        return self.spread_limit - sum(count for name, count in self.held if name == executor)
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,8 +59,7 @@
 
     def option_at(self, index: int) -> EvictionOption | None:
         """Return the option for the task at an index, None if there is none."""
-        limit = self._criteria.spread_limit
-        if limit and index >= limit:
+        if index >= self._criteria.find_room(self.offer.state.id):
             return None
         while len(self._options) <= index:
             last = self._options[-1]
@@ -135,13 +142,17 @@
         entries: list[Entry] = []
         interdependent, upper_bound = [], 0
         for offer in offers:
+            room = criteria.find_room(offer.state.id)
+            if room <= 0:
+                continue
             cumulative = losses.find_cumulative(criteria.guaranteed, criteria.waits_for_ends, offer)
             projected = (
                 losses.add_ending_soon(offer, offer.projected)
                 if criteria.waits_for_ends
                 else offer.projected
             )
-            upper_bound += max(0, count_fits(criteria.need, projected.plus(cumulative.total)))
+            fits = count_fits(criteria.need, projected.plus(cumulative.total))
+            upper_bound += max(0, min(fits, room))
             if cumulative.has_lasting:
                 interdependent.append(offer)
                 continue
@@ -263,9 +274,9 @@
 
     def _evaluate_changed(self) -> None:
         """Recompute the options of the executors affected by the last selection."""
-        limit = self.criteria.spread_limit
         for offer in self.stale_offers:
-            is_exhausted = limit and self.placed_counts.get(offer.state.id, 0) >= limit
+            room = self.criteria.find_room(offer.state.id)
+            is_exhausted = self.placed_counts.get(offer.state.id, 0) >= room
             self.queue.replace(offer, None if is_exhausted else self._find_option(offer))
         self.stale_offers = []
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/victim_selection.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/victim_selection.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
 
 from .losses import Losses
 from .offers import Offer, Scope
@@ -20,6 +21,8 @@
 core-seconds.
 """
 
+NOTHING_HELD: Mapping[str, int] = MappingProxyType({})
+
 
 class VictimSelector:
     """Selects attempts to stop for urgent steps by the work that each stop loses."""
@@ -48,16 +51,23 @@
         scope: Scope,
         max_cost: float = float("inf"),
         wait_s: float | None = None,
+        held: Mapping[str, int] = NOTHING_HELD,
     ) -> tuple[float, list[Attempt], list[Offer]] | None:
         """Return the cheapest victims that make `count` tasks fit, as (cost, victims, offers).
 
         For tasks outside a gang, the result may cover fewer than `count`. Returns None if the cost
         would reach `max_cost`. With `wait_s`, runs that end within so many seconds are waited for.
+        `held` is how many of a limited step's tasks each executor holds already.
         """
         spec = candidate.step.spec
         waits_for_ends = wait_s is not None or candidate.waited_s(self._now) < END_WAIT_S
         criteria = SearchCriteria(
-            spec.need, candidate.guaranteed, waits_for_ends, spec.spread_limit, wait_s or 0.0
+            spec.need,
+            candidate.guaranteed,
+            waits_for_ends,
+            spec.spread_limit,
+            wait_s or 0.0,
+            tuple(sorted((name, count) for name, count in held.items() if count)),
         )
         search = find_search(scope, criteria, self._find_losses(criteria.wait_s))
         if spec.gang and search.upper_bound < count:
--- a/packages/heronthread-dispatch/tests/test_spread.py
+++ b/packages/heronthread-dispatch/tests/test_spread.py
@@ -1,5 +1,6 @@
 """Steps with a spread limit: what each executor holds of them, and what is logged of it."""
 
+import random
 from collections import Counter
 
 import trio
@@ -15,6 +16,7 @@
     TaskKey,
     Tenant,
 )
+from heronthread_dispatch.plan import Plan
 from heronthread_dispatch.planner import Planner
 from heronthread_dispatch.progress import JobState, make_job
 from heronthread_dispatch.spread import count_runs
@@ -111,3 +113,65 @@
     pins = {TaskKey("a", 0, 0): "e0"}
     plan = Planner([job], [state], DESIRED, NOW, NOW, pins=pins).make()
     assert plan.groups == []
+
+
+def test_work_is_stopped_only_where_the_spread_limit_leaves_room() -> None:
+    """Room at an executor that holds as many tasks as it may would never be used."""
+    states = _make_executors(2)
+    whole = Resources(64_000, 262_144, 8)
+    half = Resources(32_000, 100_000, 4)
+    urgent = _make_job("urgent", 2, 1, URGENT_QUEUE, half)
+    _occupy(urgent, 0, states[0])
+    fillers = [_make_job("b0", 1, 0, need=half), _make_job("b1", 1, 0, need=whole)]
+    for filler, state in zip(fillers, states, strict=True):
+        _occupy(filler, 0, state)
+    plan = Planner([urgent, *fillers], states, DESIRED, NOW, NOW).make()
+    assert [attempt.executor for attempt in plan.stops] == ["e1"]
+
+
+def test_preempting_parts_of_a_split_step_share_one_spread_limit() -> None:
+    """Otherwise work is stopped for more tasks than may start at an executor."""
+    states = _make_executors(2)
+    half = Resources(32_000, 100_000, 4)
+    urgent = _make_job("urgent", 4, 1, URGENT_QUEUE, half)
+    urgent.places.named = {"e0": 0b1111, "e1": 0b1100}
+    fillers = [_make_job(f"b{number}", 1, 0, need=half) for number in range(4)]
+    for number, filler in enumerate(fillers):
+        _occupy(filler, 0, states[number // 2])
+    jobs = [urgent, *fillers]
+    plan = Planner(jobs, states, DESIRED, NOW, NOW, can_write_store=False).make()
+    assert Counter(attempt.executor for attempt in plan.stops) == {"e0": 1, "e1": 1}
+
+
+def test_urgent_step_with_a_spread_limit_starts_after_the_stops_made_for_it() -> None:
+    """Plans and stops in turn, in seeded sites with one place for each of the step's tasks."""
+    for seed in range(120):
+        source = random.Random(seed)
+        states = _make_executors(source.randint(2, 5))
+        need = Resources(16_000, 60_000, 2)
+        urgent = _make_job("urgent", len(states), 1, URGENT_QUEUE, need)
+        begun = source.sample(range(len(states)), source.randint(1, len(states) - 1))
+        fillers = []
+        for index, number in enumerate(begun):
+            _occupy(urgent, index, states[number])
+        for number, state in enumerate(states):
+            for part in range(4 - (number in begun)):
+                filler = _make_job(f"b{number}-{part}", 1, 0, need=need)
+                _occupy(filler, 0, state)
+                fillers.append(filler)
+        stopped = []
+        for _ in range(4):
+            plan = Planner([urgent, *fillers], states, DESIRED, NOW, NOW).make()
+            _carry_out(plan, states)
+            stopped += plan.stops
+        assert urgent.steps[0].attempt_count == len(states), f"seed {seed}"
+        assert len(stopped) == len(states) - len(begun), f"seed {seed}"
+
+
+def _carry_out(plan: Plan, states: list[ExecutorState]) -> None:
+    """Start the plan's tasks, and end the runs that it stops."""
+    by_id = {state.id: state for state in states}
+    for start in (start for group in plan.groups for start in group):
+        _occupy(start.job, start.task.index, start.executor)
+    for attempt in plan.stops:
+        by_id[attempt.executor].release(attempt)
--- a/tests/reference_planner/planner.py
+++ b/tests/reference_planner/planner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 
 from heronthread_dispatch.approval import (
@@ -174,7 +175,10 @@
             needed = missing * candidate.step.spec.need.accelerators
             self._urgent_missing[pool] = self._urgent_missing.get(pool, 0) + needed
             if candidate.rank.may_preempt:
-                self._preempt(candidate, candidate.tasks[-missing:], offers)
+                held = Counter(self._count_by_executor(candidate))
+                if candidate.step.spec.spread_limit:
+                    held += Counter(offer.state.id for _, offer in placed)
+                self._preempt(candidate, candidate.tasks[-missing:], offers, held)
         elif (
             missing
             and candidate.step.spec.gang
@@ -378,13 +382,19 @@
 
     # Preemption
 
-    def _preempt(self, candidate: Candidate, tasks: list[TaskState], offers: list[Offer]) -> None:
+    def _preempt(
+        self,
+        candidate: Candidate,
+        tasks: list[TaskState],
+        offers: list[Offer],
+        held: dict[str, int],
+    ) -> None:
         """Place tasks on capacity that stops will free, stopping more attempts if needed."""
         spec = candidate.step.spec
         scopes = self._gangs.list_scopes(candidate, offers) if spec.gang else [offers]
         best: tuple[float, list[Attempt], list[Offer]] | None = None
         for scope in scopes:
-            found = self._victims.find_victims(candidate, len(tasks), scope)
+            found = self._victims.find_victims(candidate, len(tasks), scope, held)
             if found is not None and (best is None or found[0] < best[0]):
                 best = found
         if best is None:
--- a/tests/reference_planner/victim_selection.py
+++ b/tests/reference_planner/victim_selection.py
@@ -79,13 +79,14 @@
         self._stopped_ids: set[int] = set()
 
     def find_victims(
-        self, candidate: Candidate, count: int, scope: list[Offer]
+        self, candidate: Candidate, count: int, scope: list[Offer], held: dict[str, int]
     ) -> tuple[float, list[Attempt], list[Offer]] | None:
         """Return the cheapest victims that make `count` tasks fit, as (cost, victims, offers).
 
         For tasks outside a gang, the result may cover fewer than `count`.
         """
-        search = _VictimSearch(candidate, {offer.state.id: offer.projected for offer in scope})
+        projected = {offer.state.id: offer.projected for offer in scope}
+        search = _VictimSearch(candidate, projected, dict(held))
         if not self._can_fit(search, count, scope):
             return None
         options = {offer.state.id: self._cheapest_option_at(search, offer) for offer in scope}
