Reserve for a gang no more places at an executor than its spread limit allows

What callers saw: nothing is known to have been seen. Capacity was kept from others for a gang that could not use it there. Cause: the reservation counted what fits by resources only. Change: it asks the plan's SpreadAccount; the reference planner counts alike. Measured: a new test failed before (8 accelerators reserved at one executor for a gang with one task of 4 to an executor) and passes now; the planners' decisions are equal.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/gangs.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/gangs.py
@@ -220,11 +220,13 @@
         scope = self._select_scope(candidate.step, scopes)
         left = len(candidate.tasks)
         for offer in sorted(scope.offers, key=self._spreading_order):
-            while left and spec.need.fits_in(offer.state.executor.capacity):
+            room = self._spread.room(candidate, offer.state.id)
+            while left and room and spec.need.fits_in(offer.state.executor.capacity):
                 if not offer.fits(spec.need):
                     break
                 offer.reserve(spec.need)
                 left -= 1
+                room -= 1
 
     def _spreading_order(self, offer: Offer) -> tuple[bool, int, int, int]:
         """Return a sort key that reverses `packing_order`, but leaves ties in the plan's order."""
--- a/packages/heronthread-dispatch/tests/test_spread.py
+++ b/packages/heronthread-dispatch/tests/test_spread.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import Counter
+from dataclasses import replace
 
 import trio
 from heronthread_dispatch.fleet import ExecutorState
@@ -175,3 +176,18 @@
         _occupy(start.job, start.task.index, start.executor)
     for attempt in plan.stops:
         by_id[attempt.executor].release(attempt)
+
+
+def test_reservation_for_a_gang_keeps_to_its_spread_limit() -> None:
+    """A gang of two, one to an executor, needs nothing of a second place on the same one."""
+    states = _make_executors(3)
+    half = Resources(32_000, 100_000, 4)
+    gang = _make_job("gang", 3, 1, need=half)
+    gang.steps[0].spec = replace(gang.steps[0].spec, gang=True)
+    filler = _make_job("filler", 2, 0, need=CAPACITY)
+    _occupy(filler, 0, states[1])
+    _occupy(filler, 1, states[2])
+    planner = Planner([gang, filler], states, DESIRED, NOW, NOW)
+    planner.make()
+    (offer, *_) = planner.offers["pool"]
+    assert offer.reserved == half
--- a/tests/reference_planner/gangs.py
+++ b/tests/reference_planner/gangs.py
@@ -150,7 +150,7 @@
                 now, projected = now.minus(spec.need), projected.minus(spec.need)
         return chosen if len(chosen) == wanted else None
 
-    def reserve(self, candidate: Candidate, offers: list[Offer]) -> None:
+    def reserve(self, candidate: Candidate, offers: list[Offer], held: dict[str, int]) -> None:
         """Reserve free capacity in one rack for a gang that cannot start yet."""
         if self._reserved >= MAX_RESERVATIONS or not self._policy.reserve:
             return
@@ -163,11 +163,13 @@
         scope = self._select_scope(step, scopes)
         left = len(candidate.tasks)
         for offer in sorted(scope, key=self.packing_order, reverse=True):
-            while left and spec.need.fits_in(offer.state.executor.capacity):
+            room = spec.spread_limit - held.get(offer.state.id, 0) if spec.spread_limit else left
+            while left and room > 0 and spec.need.fits_in(offer.state.executor.capacity):
                 if not offer.fits(spec.need):
                     break
                 offer.allocate(spec.need)
                 left -= 1
+                room -= 1
 
     def _select_scope(self, step: StepState, scopes: list[list[Offer]]) -> list[Offer]:
         """Return the scope chosen by an earlier plan, or the one with most free capacity."""
--- a/tests/reference_planner/planner.py
+++ b/tests/reference_planner/planner.py
@@ -184,7 +184,7 @@
             and candidate.step.spec.gang
             and not self._would_block_others(candidate.queue.pool)
         ):
-            self._gangs.reserve(candidate, offers)
+            self._gangs.reserve(candidate, offers, self._count_by_executor(candidate))
 
     def _would_block_others(self, pool: str) -> bool:
         """Whether reserving capacity of a pool for gangs would block other steps from starting."""
