Let a gang that no rack may hold within its spread limit start without a wait for one

What callers saw: nothing is known to have been seen; such a gang waited 1.5 s if urgent, else until the pool was mostly idle, for a rack that could never hold it. Cause: whether a gang fits in an empty rack was judged by resources only. Change: the spread limit bounds what fits at each executor, in both planners. Measured: a new test and a longer one of test_offers.py failed before and pass now.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/offers.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/offers.py
@@ -100,7 +100,7 @@
         self.offers = offers
         self._changes = changes
         self._cache: dict[object, tuple[int, object]] = {}
-        self._fits_when_empty: dict[Resources, int] = {}
+        self._fits_when_empty: dict[tuple[Resources, int], int] = {}
         self._racks: list[Scope] | None = None
         self._by_id: dict[str, Offer] = {}
 
@@ -169,10 +169,14 @@
 
     def fits_when_empty(self, spec: StepSpec, count: int) -> bool:
         """Whether `count` tasks would fit if nothing else ran on the executors."""
-        if spec.need not in self._fits_when_empty:
+        key = (spec.need, spec.spread_limit)
+        if key not in self._fits_when_empty:
             capacities = (offer.state.executor.capacity for offer in self.offers)
-            self._fits_when_empty[spec.need] = sum(count_fits(spec.need, c) for c in capacities)
-        return self._fits_when_empty[spec.need] >= count
+            limit = spec.spread_limit or UNLIMITED_FITS
+            self._fits_when_empty[key] = sum(
+                min(count_fits(spec.need, c), limit) for c in capacities
+            )
+        return self._fits_when_empty[key] >= count
 
 
 def make_offers(states: Iterable[ExecutorState], now: float) -> dict[str, list[Offer]]:
--- a/packages/heronthread-dispatch/tests/test_offers.py
+++ b/packages/heronthread-dispatch/tests/test_offers.py
@@ -1,5 +1,7 @@
 """Offers and scopes: cached results are recomputed exactly when an offer of the rack changes."""
 
+from dataclasses import replace
+
 import pytest
 from heronthread_dispatch.fleet import ExecutorState
 from heronthread_dispatch.headroom import Headroom
@@ -102,6 +104,9 @@
         offer.allocate(CAPACITY)
     assert scope.fits_when_empty(step, 16)
     assert not scope.fits_when_empty(step, 17)
+    limited = replace(step, spread_limit=3)
+    assert scope.fits_when_empty(limited, 6)
+    assert not scope.fits_when_empty(limited, 7)
 
 
 def test_limit_never_increases_an_offer() -> None:
--- a/packages/heronthread-dispatch/tests/test_spread.py
+++ b/packages/heronthread-dispatch/tests/test_spread.py
@@ -191,3 +191,15 @@
     planner.make()
     (offer, *_) = planner.offers["pool"]
     assert offer.reserved == half
+
+
+def test_gang_that_no_rack_may_hold_does_not_wait_for_a_rack() -> None:
+    """Two of three members may share no executor, and each rack has two executors."""
+    states = _make_executors(6)
+    for number, state in enumerate(states):
+        state.executor = replace(state.executor, rack=f"r{number // 2}")
+    gang = _make_job("gang", 3, 1)
+    gang.steps[0].spec = replace(gang.steps[0].spec, gang=True, same_rack=True)
+    gang.steps[0].ready_at = NOW
+    plan = Planner([gang], states, DESIRED, NOW, NOW).make()
+    assert [len(group) for group in plan.groups] == [3]
--- a/tests/reference_planner/offers.py
+++ b/tests/reference_planner/offers.py
@@ -19,7 +19,8 @@
     need = spec.need
     total = 0
     for offer in offers:
-        total += count_fits(need, offer.state.executor.capacity)
+        fits = count_fits(need, offer.state.executor.capacity)
+        total += min(fits, spec.spread_limit) if spec.spread_limit else fits
     return total >= count
 
 
