Refuse ids, addresses and answers that can't leave us again, and end no owner over them

What callers saw: other operators' machines that read the executors' list ended again and again over one odd entry. Cause: an entry's id was checked for a slash only. It becomes a header of each call, and HttpClient built the request outside its handling of errors. An executor's answer had no bounds either: a clock of 2**64 - 1 went into the next deadline, which can't be encoded. A header or address that HTTP can't express is a call unsent, an answer of over 16 MiB is given up. The executors' storm of the process soak puts good entries under odd ids as well.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/http_client.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/http_client.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import ipaddress
+import re
 from dataclasses import dataclass, field
 
 import h11
@@ -14,6 +16,9 @@
 
 RECEIVE_BYTES = 65536
 MAX_IDLE_AGE_S = 10.0
+MAX_BODY_BYTES = 16 * 2**20
+"""A longer answer is given up; the largest expected ones are pages of about 1 MB."""
+HOST_NAME = re.compile(r"[A-Za-z0-9-]{1,63}(\.[A-Za-z0-9-]{1,63}){0,7}")
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,8 +74,11 @@
         """Make one call; a pooled connection that turns out closed is replaced.
 
         The server may have read the call before it closed the connection, so the call is resent
-        only if it `may_repeat`.
+        only if it `may_repeat`. An address or header that HTTP can't express is a call unsent.
         """
+        request, place = _make_request(address, method, target, headers, body), _parse(address)
+        if isinstance(request, NoReply) or place is None:
+            return request if isinstance(request, NoReply) else _reject(address, "no address")
         sent, began = False, trio.current_time()
         with trio.move_on_after(timeout_s):
             connection, fresh = None, False
@@ -79,9 +87,9 @@
                     connection = self._take_idle(address)
                     fresh = connection is None
                     if connection is None:
-                        connection = await self._connect(address)
+                        connection = await self._connect(*place)
                     sent = True
-                    reply = await self._exchange(connection, address, method, target, headers, body)
+                    reply = await self._exchange(connection, address, request, body)
                     if isinstance(reply, Reply):
                         self._give_back(address, connection)
                         connection = None
@@ -132,26 +140,15 @@
         connection.idle_since = trio.current_time()
         self.idle.setdefault(address, []).append(connection)
 
-    async def _connect(self, address: str) -> _Connection:
-        host, _, port = address.rpartition(":")
-        stream = await trio.open_tcp_stream(host, int(port))
+    async def _connect(self, host: str, port: int) -> _Connection:
+        stream = await trio.open_tcp_stream(host, port)
         return _Connection(stream, h11.Connection(h11.CLIENT))
 
     async def _exchange(
-        self,
-        connection: _Connection,
-        address: str,
-        method: str,
-        target: str,
-        headers: tuple[tuple[str, str], ...],
-        body: bytes,
+        self, connection: _Connection, address: str, request: h11.Request, body: bytes
     ) -> Reply | NoReply:
-        fields = [("Host", address), *headers]
-        if body or method == "POST":
-            fields += [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
         protocol = connection.protocol
         connection.is_answering = False
-        request = h11.Request(method=method, target=target, headers=fields)
         try:
             data = protocol.send(request) or b""
             if body:
@@ -165,7 +162,7 @@
             return NoReply(f"{address}: {error}", unsent=False)
 
     async def _receive(self, connection: _Connection, address: str) -> Reply | NoReply:
-        status = 0
+        status, length = 0, 0
         parts: list[bytes] = []
         while True:
             event = connection.protocol.next_event()
@@ -177,6 +174,9 @@
                 status = event.status_code
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
+                length += len(event.data)
+                if length > MAX_BODY_BYTES:
+                    return NoReply(f"{address}: more than {MAX_BODY_BYTES} bytes", unsent=False)
             elif isinstance(event, h11.EndOfMessage):
                 return Reply(status, b"".join(parts))
             elif isinstance(event, h11.ConnectionClosed):
@@ -186,3 +186,36 @@
 def _has_ended(connection: _Connection) -> bool:
     """Whether the server has closed or reset an idle connection, or sent unexpected data."""
     return connection.stream.socket.is_readable()
+
+
+def _make_request(
+    address: str, method: str, target: str, headers: tuple[tuple[str, str], ...], body: bytes
+) -> h11.Request | NoReply:
+    """Return a request, or why HTTP can't express it; ids in it may come from other writers."""
+    fields = [("Host", address), *headers]
+    if body or method == "POST":
+        fields += [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
+    try:
+        return h11.Request(method=method, target=target, headers=fields)
+    except (h11.LocalProtocolError, UnicodeEncodeError) as error:
+        return _reject(address, f"no request: {error}")
+
+
+def _parse(address: str) -> tuple[str, int] | None:
+    """Return the host and port of an address, None if it has none that can be connected to."""
+    host, _, port = address.rpartition(":")
+    if not (port.isascii() and port.isdigit() and len(port) <= 5 and 0 < int(port) < 65_536):
+        return None
+    return (host, int(port)) if HOST_NAME.fullmatch(host) or _is_ip(host) else None
+
+
+def _is_ip(host: str) -> bool:
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return True
+
+
+def _reject(address: str, reason: str) -> NoReply:
+    return NoReply(f"{address!r:.80}: {reason:.80}", unsent=True)
--- a/packages/heronthread-dispatch/tests/test_http_client.py
+++ b/packages/heronthread-dispatch/tests/test_http_client.py
@@ -7,6 +7,7 @@
 
 import pytest
 import trio
+from heronthread_dispatch import http_client
 from heronthread_dispatch.http_client import HttpClient, NoReply, Reply
 
 ANSWERS, CLOSES, RESETS, ANSWERS_AND_CLOSES = "answers", "closes", "resets", "answers and closes"
@@ -62,6 +63,40 @@
         nursery.cancel_scope.cancel()
 
 
+@pytest.mark.parametrize("value", ["caf\u00e9", "a\nb", "a\x00b", " a", "a\ud800"])
+async def test_header_that_http_cannot_express_is_a_call_unsent(value: str) -> None:
+    with HttpClient() as client:
+        headers = (("Expected-Instance", value),)
+        outcome = await client.call("127.0.0.1:9", "POST", "/", headers=headers, timeout_s=1.0)
+    assert isinstance(outcome, NoReply) and outcome.unsent
+
+
+@pytest.mark.parametrize(
+    "address",
+    ["", "nowhere", "127.0.0.1", "127.0.0.1:", "127.0.0.1:0", "127.0.0.1:99999", "127.0.0.1:-9"]
+    + [
+        "127.0.0.1:\u0663",
+        "a\x00b:80",
+        "caf\u00e9:80",
+        f"{'a' * 64}:80",
+        "a..b:80",
+        f"a:{'9' * 5000}",
+    ],
+)
+async def test_address_that_no_host_can_have_is_a_call_unsent(address: str) -> None:
+    with HttpClient() as client:
+        outcome = await client.call(address, "GET", "/", timeout_s=1.0)
+    assert isinstance(outcome, NoReply) and outcome.unsent
+    assert len(outcome.reason) < 200
+
+
+async def test_endless_answer_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(http_client, "MAX_BODY_BYTES", 1)
+    async with _served({}) as (_, call):
+        outcome = await call()
+    assert isinstance(outcome, NoReply) and not outcome.unsent
+
+
 @pytest.mark.parametrize("behaviour", [CLOSES, RESETS])
 async def test_call_that_may_not_be_repeated_is_sent_once(behaviour: str) -> None:
     """The connection ends after the call was read, so its outcome is unknown."""
--- a/packages/heronthread-emulator/src/heronthread_emulator/executor_server.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/executor_server.py
@@ -468,17 +468,26 @@
         place.is_changed = True
 
     async def storm(self, values: dict[str, Any]) -> None:
-        """Put entries of ids that no executor has; they go as leases do."""
+        """Put entries of ids that no executor has; they go as leases do.
+
+        Good entries stand under ids that no call can name.
+        """
         answer = await self.call_store(spelling.GRANT_PATH, spelling.write_lease(0, ENTRY_LEASE_S))
         if answer is None:
             return
-        forms = list(spelling.write_foreign_entries(self.places[0].instance.executor, 0).values())
+        executor = self.places[0].instance.executor
+        forms = list(spelling.write_foreign_entries(executor, 0).values())
         keys = [f"{spelling.EXECUTOR_PREFIX}x{number}" for number in range(values["count"])]
         for first in range(0, len(keys), STORM_PART):
             part = keys[first : first + STORM_PART]
             puts = tuple(Put(key, self.random.choice(forms), answer["lease"]) for key in part)
             body = spelling.write_transaction(Transaction((), puts))
             await self.call_store(spelling.COMMIT_PATH, body)
+        good = spelling.write_entry(executor, 0)
+        odd_keys = [f"{spelling.EXECUTOR_PREFIX}{name}" for name in spelling.ODD_IDS]
+        puts = tuple(Put(key, good, answer["lease"]) for key in odd_keys)
+        body = spelling.write_transaction(Transaction((), puts))
+        await self.call_store(spelling.COMMIT_PATH, body)
 
     async def crash(self, values: dict[str, Any]) -> None:
         """End an instance without a word; a new one is at the same address `after_s` later.
--- a/packages/heronthread-emulator/src/heronthread_emulator/spelling.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/spelling.py
@@ -158,6 +158,8 @@
     return found
 
 
+ODD_IDS = ("x-caf\u00e9", "x\n", "x\u0000", "x y", "x\t", " ", "x" * 201)
+"""Last parts of keys that no call can name, whatever stands under them."""
 _OTHER_VALUES: dict[str, Any] = {"a text": "ready", "a list": [], "nothing": None, "a number": 7}
 _WRONG_FIELDS: dict[str, list[Any]] = {
     "service": ["", 7, None, ["pool"], "nobody"],
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 from typing import Any
 
+import h11
 import pytest
 from heronthread_dispatch.entries import EntryFault, InvalidEntry
 from heronthread_dispatch.model import Executor, Resources
@@ -77,12 +78,26 @@
     assert _parse(FOREIGN[name]) == expected
 
 
-@pytest.mark.parametrize("executor_id", ["", "i-1/more"])
+@pytest.mark.parametrize("executor_id", ["", "i-1/more", *spelling.ODD_IDS])
 def test_invalid_executor_id_is_rejected(executor_id: str) -> None:
     found = EntryParser(DOMAINS).parse(executor_id, GOOD)
     assert found == InvalidEntry(EntryFault.WRONG_VALUE, "id")
 
 
+@DETERMINISTIC
+@given(st.text(max_size=12))
+def test_accepted_executor_id_fits_in_a_header(executor_id: str) -> None:
+    if isinstance(EntryParser(DOMAINS).parse(executor_id, GOOD), Executor):
+        headers = [("Host", "a"), ("Expected-Instance", executor_id)]
+        h11.Request(method="POST", target="/", headers=headers)
+
+
+def test_long_names_are_rejected() -> None:
+    for field, value in {"zone": "z" * 201, "service": "s" * 201, "labels": ["r"] * 101}.items():
+        found = EntryParser().parse("i-1", json.dumps(json.loads(GOOD) | {field: value}).encode())
+        assert found == InvalidEntry(EntryFault.WRONG_VALUE, field)
+
+
 def test_unknown_fields_are_ignored() -> None:
     value = json.loads(GOOD) | {"machine": "m-1", "newer": {"more": [1]}}
     assert _parse(json.dumps(value).encode()) == EXECUTOR
--- a/tests/platform/test_executors.py
+++ b/tests/platform/test_executors.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 import pytest
 from heronthread_dispatch.executor_link import (
     Acknowledged,
@@ -116,6 +118,53 @@
     assert report.ended[0].task == TaskKey("5c0e7a21d94b36f8", 1, 9)
 
 
+NAME = "5c0e7a21d94b36f8.0.1.17"
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        {"clock-ms": -1},
+        {"clock-ms": 2**64 - 1},
+        {"clock-ms": None},
+        {"running": [[NAME, 2, "", 10**300]]},
+        {"running": [[NAME, 2, "", -1]]},
+        {"running": [[NAME, 2**64 - 1, "", 1]]},
+        {"running": [[NAME, -1, "", 1]]},
+        {"running": [[NAME, 2, "c" * 65_537, 1]]},
+        {"running": [[NAME, 2, None, 1]]},
+        {"running": [["5c0e7a21d94b36f8.0.1.-1", 2, "", 1]]},
+        {"running": [["5c0e7a21d94b36f8.0.1." + "9" * 300, 2, "", 1]]},
+        {"running": [["x" * 201 + ".0.1.17", 2, "", 1]]},
+        {"running": [["5c0e7a21d94b36f8.0.1", 2, "", 1]]},
+        {"running": [[NAME]]},
+        {"running": 7},
+        {"running": [[NAME, 2, "", 1]] * 10_001},
+        {"ended-at": [[2**64 - 1, NAME, 1, "done", ""]]},
+        {"ended-at": [[58, NAME, 1, "unheard of", ""]]},
+        {"born": 2**64 - 1},
+        [],
+    ],
+    ids=lambda body: str(body)[:50],
+)
+async def test_odd_report_is_no_answer(body: object) -> None:
+    """Its values go into later orders, records and logs."""
+    body = {"clock-ms": 5, **body} if isinstance(body, dict) else body
+    async with run_scripted_server(lambda request: (200, body)) as server:
+        with HttpClient() as client:
+            link = PlatformExecutorLink(client)
+            outcome = await link.hold(_executor(server.address), HoldOrder(7, 0, None, 0.0))
+    assert isinstance(outcome, NoAnswer)
+
+
+async def test_executor_with_an_odd_id_is_not_called() -> None:
+    executor = replace(_executor("127.0.0.1:9"), id="i-caf\u00e9")
+    with HttpClient() as client:
+        link = PlatformExecutorLink(client)
+        outcome = await link.hold(executor, HoldOrder(7, 0, None, 0.0))
+        assert isinstance(outcome, NoAnswer) and outcome.unsent
+
+
 async def test_report_has_the_executor_start_time() -> None:
     bodies: list[dict[str, object]] = [
         {"clock-ms": 5, "born": 1796236330914},
