Stop work for serving and pinned tasks only where these may run

What callers saw: nothing is known to have been seen. Best-effort work was stopped at executors that the serving step's label, approval or spread limit excludes, and others' work wherever it was cheapest for an urgent task that may run at one executor only. Change: both planners ask one list of permitted executors, and the SpreadAccount, before best-effort work is stopped; for a pinned task only its executor is searched.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -418,7 +418,7 @@
             self._urgent_missing[pool] = self._urgent_missing.get(pool, 0) + needed
             eligible = eligible or self._find_eligible(candidate, avoids_headroom)
             if candidate.rank.may_preempt:
-                self._preempt(candidate, missing, eligible)
+                self._preempt_for_missing(candidate, placed, eligible)
         elif (
             missing
             and candidate.step.spec.gang
@@ -504,8 +504,12 @@
             )
 
     def _evict_best_effort(self, candidate: Candidate, missing: int) -> None:
-        """Stop best-effort tasks on executors needed by serving tasks."""
-        offers = self.offers.get(candidate.queue.pool, [])
+        """Stop best-effort tasks on executors needed by serving tasks that may start there."""
+        offers = [
+            offer
+            for offer in self._list_permitted(candidate)
+            if self._spread.room(candidate, offer.state.id)
+        ]
         for attempt in self._colocation.find_blocking(candidate.step.spec, offers, missing):
             if self._losses.may_disrupt(attempt):
                 self._stop(attempt)
@@ -522,18 +526,23 @@
         return self._eligible_scopes[key]
 
     def _list_eligible(self, candidate: Candidate, avoids_headroom: bool) -> list[Offer]:
+        offers = self._list_permitted(candidate)
+        offers = self._colocation.filter_compatible(candidate.step.spec, offers)
+        if avoids_headroom:
+            headroom = self._find_headroom_executors()
+            offers = [offer for offer in offers if offer.state.id not in headroom]
+        return offers
+
+    def _list_permitted(self, candidate: Candidate) -> list[Offer]:
+        """Return the executors that a step may use, whatever runs there."""
         spec = candidate.step.spec
         offers = self.offers.get(candidate.queue.pool, [])
-        offers = self._colocation.filter_compatible(spec, offers)
         if candidate.allowed_executors is not None:
             offers = [offer for offer in offers if offer.state.id in candidate.allowed_executors]
         if candidate.queue.approval is not None:
             offers = self._filter_approved(candidate, offers)
         if spec.label:
             offers = [offer for offer in offers if spec.label in offer.state.executor.labels]
-        if avoids_headroom:
-            headroom = self._find_headroom_executors()
-            offers = [offer for offer in offers if offer.state.id not in headroom]
         return offers
 
     def _avoids_headroom(self, candidate: Candidate) -> bool:
@@ -827,6 +836,21 @@
 
     # Preemption
 
+    def _preempt_for_missing(
+        self, candidate: Candidate, placed: list[tuple[TaskState, Offer]], eligible: Scope
+    ) -> None:
+        """Stop work for the tasks that found no room; for a pinned one where it may run only."""
+        missing = len(candidate.tasks) - len(placed)
+        if not candidate.step.spec.gang:
+            found = {task.index for task, _ in placed}
+            for index in candidate.pins.keys() - found:
+                missing -= 1
+                offer = self._find_pinned_offer(candidate, candidate.pins[index])
+                if offer is not None:
+                    self._preempt(candidate, 1, Scope([offer]))
+        if missing:
+            self._preempt(candidate, missing, eligible)
+
     def _preempt(self, candidate: Candidate, missing: int, eligible: Scope) -> None:
         """Place tasks on capacity that stops will free, stopping more attempts if needed."""
         spec = candidate.step.spec
--- a/packages/heronthread-dispatch/tests/test_spread.py
+++ b/packages/heronthread-dispatch/tests/test_spread.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from dataclasses import replace
 
+import pytest
 import trio
 from heronthread_dispatch.fleet import ExecutorState
 from heronthread_dispatch.model import (
@@ -203,3 +204,36 @@
     gang.steps[0].ready_at = NOW
     plan = Planner([gang], states, DESIRED, NOW, NOW).make()
     assert [len(group) for group in plan.groups] == [3]
+
+
+def test_work_is_stopped_for_a_pinned_task_only_at_its_executor() -> None:
+    """Capacity freed elsewhere would be freed in vain."""
+    states = _make_executors(3)
+    urgent = _make_job("urgent", 1, 0, URGENT_QUEUE, CAPACITY)
+    fillers = [_make_job(f"b{number}", 1, 0, need=CAPACITY) for number in range(3)]
+    for filler, state in zip(fillers, states, strict=True):
+        _occupy(filler, 0, state)
+    pins = {TaskKey("urgent", 0, 0): "e2"}
+    plan = Planner([urgent, *fillers], states, DESIRED, NOW, NOW, pins=pins).make()
+    assert [attempt.executor for attempt in plan.stops] == ["e2"]
+
+
+@pytest.mark.parametrize("spread_limit", [0, 1])
+def test_best_effort_work_is_stopped_only_where_the_serving_step_may_run(
+    spread_limit: int,
+) -> None:
+    """The label excludes e0, and the spread limit e1, which holds a task of the step."""
+    states = _make_executors(3)
+    for state in states[1:]:
+        state.executor = replace(state.executor, labels=("k",))
+    serving = _make_job("serving", 2, spread_limit)
+    spec = replace(serving.steps[0].spec, lasting=True, target_s=0.1, label="k")
+    serving.steps[0].spec = spec
+    fillers = [_make_job(f"b{number}", 1, 0) for number in range(3)]
+    for filler, state in zip(fillers, states, strict=True):
+        filler.steps[0].spec = replace(filler.steps[0].spec, lasting=True, fills=True)
+        _occupy(filler, 0, state)
+    _occupy(serving, 0, states[1])
+    plan = Planner([serving, *fillers], states, DESIRED, NOW, NOW).make()
+    stopped = [attempt.executor for attempt in plan.stops]
+    assert stopped == (["e2"] if spread_limit else ["e1"])
--- a/tests/reference_planner/planner.py
+++ b/tests/reference_planner/planner.py
@@ -169,7 +169,7 @@
         if missing and candidate.queue.approval is not None:
             self._request_approvals(candidate)
         if missing and candidate.step.spec.serves:
-            self._evict_best_effort(candidate, missing)
+            self._evict_best_effort(candidate, missing, placed)
         if missing and candidate.queue.priority == URGENT:
             pool = candidate.queue.pool
             needed = missing * candidate.step.spec.need.accelerators
@@ -241,26 +241,40 @@
                 ApprovalRequest(step, chosen, candidate.queue.approval)
             )
 
-    def _evict_best_effort(self, candidate: Candidate, missing: int) -> None:
+    def _evict_best_effort(
+        self, candidate: Candidate, missing: int, placed: list[tuple[TaskState, Offer]]
+    ) -> None:
         """Stop best-effort tasks on executors needed by serving tasks."""
-        offers = self.offers.get(candidate.queue.pool, [])
-        for attempt in self._colocation.find_blocking(candidate.step.spec, offers, missing):
+        spec, held = candidate.step.spec, Counter(self._count_by_executor(candidate))
+        if spec.spread_limit:
+            held += Counter(offer.state.id for _, offer in placed)
+        offers = [
+            offer
+            for offer in self._list_permitted(candidate)
+            if not spec.spread_limit or held[offer.state.id] < spec.spread_limit
+        ]
+        for attempt in self._colocation.find_blocking(spec, offers, missing):
             if self._victims.may_disrupt(attempt):
                 self._stop(attempt)
 
     def _find_eligible(self, candidate: Candidate) -> list[Offer]:
+        offers = self._list_permitted(candidate)
+        offers = self._colocation.filter_compatible(candidate.step.spec, offers)
+        if self._avoids_headroom(candidate):
+            headroom = self._find_headroom_executors()
+            offers = [r for r in offers if r.state.id not in headroom]
+        return offers
+
+    def _list_permitted(self, candidate: Candidate) -> list[Offer]:
+        """Return the executors that a step may use, whatever runs there."""
         spec = candidate.step.spec
         offers = self.offers.get(candidate.queue.pool, [])
-        offers = self._colocation.filter_compatible(spec, offers)
         if candidate.allowed_executors is not None:
             offers = [offer for offer in offers if offer.state.id in candidate.allowed_executors]
         if candidate.queue.approval is not None:
             offers = self._filter_approved(candidate, offers)
         if spec.label:
             offers = [r for r in offers if spec.label in r.state.executor.labels]
-        if self._avoids_headroom(candidate):
-            headroom = self._find_headroom_executors()
-            offers = [r for r in offers if r.state.id not in headroom]
         return offers
 
     def _avoids_headroom(self, candidate: Candidate) -> bool:
