Record spare executors that can hold a gang within its spread limit

What callers saw: a gang with a spread limit could not start during an outage of the store, as too few executors were recorded for it in advance. Found on reading. Cause: spares were chosen by resources only. Change: what a step requires of an executor, with its spread limit, is one type. Measured: a new test failed before (one spare for a gang of two, one to an executor) and passes now.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/spares.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/spares.py
@@ -39,8 +39,20 @@
 MAX_JOBS_PER_SCAN = 50
 """Jobs that get spares in one scan: a choice among 176 executors takes 0.2 ms."""
 
-Requirement = tuple[str, Resources, str]
-"""What decides which executors can hold a task: pool, need and label."""
+
+@dataclass(frozen=True, slots=True)
+class Requirement:
+    """What decides which executors can hold a step's tasks, and how many each of them can."""
+
+    pool: str
+    need: Resources
+    label: str
+    spread_limit: int
+
+    def count_fits(self, capacity: Resources) -> int:
+        """Return how many tasks an executor of some capacity can hold."""
+        fits = count_fits(self.need, capacity)
+        return min(fits, self.spread_limit) if self.spread_limit else fits
 
 
 @dataclass(slots=True)
@@ -79,7 +91,8 @@
         spare of some job.
         """
         pool = self.cell.parts.desired().current_queue(job.spec).pool
-        asked = (pool, step.spec.need, step.spec.label)
+        spec = step.spec
+        asked = Requirement(pool, spec.need, spec.label, spec.spread_limit)
         if step.spec.gang and len(step.tasks) > 1:
             racks = candidates.list_racks(asked, len(step.tasks))
             return min(racks, key=lambda rack: _rank_for(job, min(rack)), default=frozenset())
@@ -114,14 +127,13 @@
         return self._racks[key]
 
     def _list(self, asked: Requirement) -> list[ExecutorState]:
-        pool, need, label = asked
         if asked not in self._fitting:
             self._fitting[asked] = [
                 state
                 for state in self._states
-                if state.executor.pool == pool
-                and (not label or label in state.executor.labels)
-                and need.fits_in(state.executor.capacity)
+                if state.executor.pool == asked.pool
+                and (not asked.label or asked.label in state.executor.labels)
+                and asked.need.fits_in(state.executor.capacity)
             ]
         return self._fitting[asked]
 
@@ -130,18 +142,18 @@
         most = len(states) // POOL_DIVISOR
         for state in states:
             racks.setdefault(state.executor.rack, []).append(state)
-        parts = (part for rack in racks.values() for part in _divide(rack, asked[1], count))
+        parts = (part for rack in racks.values() for part in _divide(rack, asked, count))
         return [frozenset(state.id for state in part) for part in parts if len(part) <= most]
 
 
 def _divide(
-    rack: list[ExecutorState], need: Resources, count: int
+    rack: list[ExecutorState], asked: Requirement, count: int
 ) -> Iterator[list[ExecutorState]]:
     """Yield disjoint parts of a rack, each just large enough for a number of tasks."""
     part, fits = list[ExecutorState](), 0
     for state in rack:
         part.append(state)
-        fits += count_fits(need, state.executor.capacity)
+        fits += asked.count_fits(state.executor.capacity)
         if fits >= count:
             yield part
             part, fits = [], 0
--- a/packages/heronthread-dispatch/tests/test_spares.py
+++ b/packages/heronthread-dispatch/tests/test_spares.py
@@ -47,6 +47,18 @@
         assert host.owner.cell.jobs["large"].places.spare == frozenset()
 
 
+async def test_spares_of_a_gang_hold_it_within_its_spread_limit(autojump_clock: Clock) -> None:
+    """One executor would have room for both members, but may hold one of them only."""
+    async with EmulatedSite.open(hosts=1, executors=24, racks=12) as site:
+        await _fill(site, 9.0)
+        host = site.hosts["h0"]
+        gang = site.make_job("gang", count=2, accelerators=4, gang=True, spread_limit=1)
+        await host.requests.accept(gang, 2.0)
+        await trio.sleep(2.0)
+        assert host.owner is not None
+        assert len(host.owner.cell.jobs["gang"].places.spare) == 2
+
+
 async def test_spares_that_take_no_work_are_replaced(autojump_clock: Clock) -> None:
     async with EmulatedSite.open(hosts=1, executors=30) as site:
         await _fill(site, 20.0)
