Name the queues' host in the soak's calls by a field of HttpClient

Cause: builds a request before a connection is taken, so that the soak's own client, which replaced a private method, named the address again. All its calls were answered 404. Change: HttpClient has a host_name, and the soak's client class is gone.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/http_client.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/http_client.py
@@ -47,8 +47,12 @@
 
 @dataclass(slots=True)
 class HttpClient:
-    """Client with a connection pool for any number of addresses; use it as a context manager."""
+    """Client with a connection pool for any number of addresses; use it as a context manager.
 
+    The Host header names `host_name`, the address called if that is empty.
+    """
+
+    host_name: str = ""
     idle: dict[str, list[_Connection]] = field(default_factory=dict)
 
     def __enter__(self) -> HttpClient:
@@ -76,9 +80,12 @@
         The server may have read the call before it closed the connection, so the call is resent
         only if it `may_repeat`. An address or header that HTTP can't express is a call unsent.
         """
-        request, place = _make_request(address, method, target, headers, body), _parse(address)
-        if isinstance(request, NoReply) or place is None:
-            return request if isinstance(request, NoReply) else _reject(address, "no address")
+        place = _parse(address)
+        if place is None:
+            return _reject(address, "no address")
+        request = _make_request(self.host_name or address, method, target, headers, body)
+        if isinstance(request, NoReply):
+            return request
         sent, began = False, trio.current_time()
         with trio.move_on_after(timeout_s):
             connection, fresh = None, False
@@ -189,16 +196,16 @@
 
 
 def _make_request(
-    address: str, method: str, target: str, headers: tuple[tuple[str, str], ...], body: bytes
+    host: str, method: str, target: str, headers: tuple[tuple[str, str], ...], body: bytes
 ) -> h11.Request | NoReply:
     """Return a request, or why HTTP can't express it; ids in it may come from other writers."""
-    fields = [("Host", address), *headers]
+    fields = [("Host", host), *headers]
     if body or method == "POST":
         fields += [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
     try:
         return h11.Request(method=method, target=target, headers=fields)
     except (h11.LocalProtocolError, UnicodeEncodeError) as error:
-        return _reject(address, f"no request: {error}")
+        return _reject(host, f"no request: {error}")
 
 
 def _parse(address: str) -> tuple[str, int] | None:
--- a/packages/heronthread-dispatch/tests/test_http_client.py
+++ b/packages/heronthread-dispatch/tests/test_http_client.py
@@ -63,6 +63,23 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_host_name_is_named_instead_of_the_address() -> None:
+    seen = bytearray()
+
+    async def serve(stream: trio.SocketStream) -> None:
+        seen.extend(await stream.receive_some())
+        await stream.send_all(ANSWER)
+
+    async with trio.open_nursery() as nursery:
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(trio.serve_listeners, serve, [listener])
+        with HttpClient("queues.example") as client:
+            address = f"127.0.0.1:{listener.socket.getsockname()[1]}"
+            assert isinstance(await client.call(address, "GET", "/", timeout_s=5.0), Reply)
+        nursery.cancel_scope.cancel()
+    assert b"Host: queues.example\r\n" in seen
+
+
 @pytest.mark.parametrize("value", ["caf\u00e9", "a\nb", "a\x00b", " a", "a\ud800"])
 async def test_header_that_http_cannot_express_is_a_call_unsent(value: str) -> None:
     with HttpClient() as client:
--- a/packages/heronthread-emulator/src/heronthread_emulator/soak_callers.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak_callers.py
@@ -9,7 +9,7 @@
 
 import orjson
 import trio
-from heronthread_dispatch.http_client import HttpClient, NoReply, Reply
+from heronthread_dispatch.http_client import HttpClient, Reply
 from heronthread_dispatch.record import JobStatus
 
 from . import spelling
@@ -33,22 +33,13 @@
 """A job that nobody submits."""
 
 
-class NamedClient(HttpClient):
-    """Calls that name the queues' host, whatever address they go to."""
-
-    async def _exchange(
-        self, connection: Any, address: str, *request: Any, **more: Any
-    ) -> Reply | NoReply:
-        return await super()._exchange(connection, HOST_NAME, *request, **more)
-
-
 @dataclass(slots=True)
 class _Connection:
     """A caller's way to one host: kept until the process there is gone, or a call was given up."""
 
     host: int
     since: float
-    client: HttpClient = field(default_factory=NamedClient)
+    client: HttpClient = field(default_factory=lambda: HttpClient(HOST_NAME))
 
 
 class Callers:
@@ -168,7 +159,7 @@
 
     async def _probe_routes(self) -> None:
         """Ask each host in turn for a route that came or went with the newest version."""
-        clients: dict[int, NamedClient] = {}
+        clients: dict[int, HttpClient] = {}
         number = 0
         while True:
             await trio.sleep(PROBE_S)
@@ -178,7 +169,7 @@
             number += 1
             host = hosts[number % len(hosts)]
             version = self.version - (number // len(hosts)) % 2
-            client = clients.setdefault(host, NamedClient())
+            client = clients.setdefault(host, HttpClient(HOST_NAME))
             await self._probe(client, host, version)
 
     async def _probe(self, client: HttpClient, host: int, version: int) -> None:
