Find the waiting steps of a plan in a module of their own

Change: CandidateFinder in candidates.py, moved as it was; the constraints that keep tasks from starting are one type.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -14,6 +14,7 @@
     ApprovalRequest,
     Approvals,
 )
+from .candidates import CandidateFinder, StartConstraints
 from .colocation import Colocation
 from .crashes import has_recent_start, sum_work_at_risk
 from .fleet import ExecutorState, WorkRefusal
@@ -23,16 +24,14 @@
 from .late_starts import NOWHERE
 from .learned import LearnedState
 from .losses import MIN_UNSAVED_LOSS_S, Losses
-from .model import URGENT, DesiredState, Queue, Resources, TaskKey
+from .model import URGENT, DesiredState, Resources, TaskKey
 from .offers import Offer, Scope, count_free, count_with_reserved, make_offers
 from .plan import Candidate, Plan, Preemption, SpreadCount, Start
 from .policy import DEFAULT_POLICY, Policy
 from .progress import JobState, latest_starts
 from .speed_placement import SpeedPlacement
 from .spread import SpreadAccount
-from .step_rank import rank_step
-from .step_state import MAX_TASKS_PLANNED, Attempt, Phase, StepState, TaskState, key_of
-from .task_masks import find_executors
+from .step_state import Attempt, Phase, TaskState
 from .urgent_room import (
     END_WAIT_SHARE,
     MAX_PREEMPTIONS,
@@ -51,13 +50,8 @@
 HEADROOM_WAIT_S = 1.5
 DUE_MARGIN_S = 1.0
 DEFAULT_STOP_S = 0.5
-MIN_TASKS_PLANNED = 16
-MAX_TASKS_PER_PLAN = 16_384
-"""Tasks of all jobs that one plan tries to start, unless each has few; bounds its memory."""
 WORK_PER_CHECK = 64
 """Jobs looked at, and candidates found, before the budget of a call is checked."""
-MAX_WAITING_STEPS = 1_024
-"""The waiting steps of a job beyond which no further occurrences of it are opened."""
 NO_CAPACITY = Resources(-1, -1, -1)
 """Less than any task needs, even one that asks for nothing."""
 
@@ -95,9 +89,6 @@
         self.jobs = list(jobs)
         self._jobs_by_id = {job.spec.id: job for job in self.jobs}
         self.desired = desired
-        self._may_run = may_run
-        self._can_write_store = can_write_store
-        self._pins = pins or {}
         self.steps_to_explain: Collection[TaskKey] = ()
         self.causes: dict[TaskKey, WaitCause] = {}
         self._pinned_offers: dict[str, Offer] = {}
@@ -136,13 +127,21 @@
         self._losses = self._make_losses(wait_s)
         self._victims = VictimSelector(self._losses, now, self._make_losses)
         self._approvals = approvals
-        self._most_tasks = max(
-            MIN_TASKS_PLANNED, min(MAX_TASKS_PLANNED, MAX_TASKS_PER_PLAN // max(1, len(self.jobs)))
+        constraints = StartConstraints(may_run, can_write_store, pins or {})
+        self._candidates = CandidateFinder(
+            desired,
+            self.guaranteed,
+            now,
+            wall_now,
+            policy,
+            self.learned,
+            constraints,
+            len(self.jobs),
+            self._request_replan,
         )
         self._collected = 0
         self._found: list[Candidate] = []
         self._waiting: deque[Candidate] | None = None
-        self._cut_short: set[str] = set()
 
     def _make_room(self) -> UrgentRoom:
         """Return the capacity for urgent work in the pools where a forecast expects any."""
@@ -220,7 +219,7 @@
                 if deadline < float("inf") and trio.current_time() >= deadline:
                     return False
                 unchecked = 0
-            candidates = self._list_candidates(self.jobs[self._collected])
+            candidates = self._candidates.list_candidates(self.jobs[self._collected])
             self._found += candidates
             self._collected += 1
             unchecked += 1 + len(candidates)
@@ -230,163 +229,6 @@
             self._refresh()
         return True
 
-    def _list_candidates(self, job: JobState) -> list[Candidate]:
-        """Return the steps of a job with tasks to start, and open occurrences that are due.
-
-        No more are opened, nor tasks of equal steps returned, than a plan is likely to start. The
-        rest is left to the next plan, so that its cost is bounded whatever is due at once.
-        """
-        if not job.is_active:
-            return []
-        found: list[Candidate] = []
-        queue, left = self.desired.current_queue(job.spec), [self._most_tasks] * len(job.spec.steps)
-        self._add_candidates(found, job, job.steps, queue, left)
-        if job.spec.schedule is not None:
-            self._open_due(found, job, queue, left)
-        if min(left, default=1) <= 0:
-            self._cut_short.add(job.spec.id)
-        return found
-
-    def _add_candidates(
-        self,
-        found: list[Candidate],
-        job: JobState,
-        steps: list[StepState],
-        queue: Queue,
-        left: list[int],
-    ) -> None:
-        """Add the steps with tasks to start; `left` are the tasks that may be added, by step."""
-        for step in steps:
-            if step.is_done or (step.ready_at is not None and not step.waiting_count):
-                continue
-            tasks = self._find_startable(job, step, queue, left[step.number])
-            if not tasks:
-                continue
-            left[step.number] -= len(tasks)
-            for allowed, part in self._split_by_allowed_executors(job, step, tasks):
-                found.append(self._rank(job, step, queue, part, allowed))
-
-    def _open_due(
-        self, found: list[Candidate], job: JobState, queue: Queue, left: list[int]
-    ) -> None:
-        """Open occurrences that are due, until a plan has as many of their tasks as it may."""
-        first_steps = [number for number, step in enumerate(job.spec.steps) if not step.after]
-        waiting = sum(1 for step in job.steps if step.waiting_count)
-        while any(left[number] > 0 for number in first_steps):
-            if waiting >= MAX_WAITING_STEPS:
-                self._cut_short.add(job.spec.id)
-                return
-            steps = job.occurrences.open_next_due(self.wall_now)
-            if not steps:
-                self._replan_when_due(job.occurrences.find_next_due_at())
-                return
-            waiting += len(steps)
-            self._add_candidates(found, job, steps, queue, left)
-
-    def _find_startable(
-        self, job: JobState, step: StepState, queue: Queue, most: int
-    ) -> list[TaskState]:
-        """Return at most `most` tasks of a step that may start now; all of a gang's, or none."""
-        if not job.is_ready(step, self.wall_now):
-            self._replan_when_due(step.due_at)
-            return []
-        if step.ready_at is None:
-            step.ready_at = self.now
-        is_under_way = step.spec.gang and step.attempt_count
-        if not step.waiting_count or is_under_way or self._awaits_failure(step, queue):
-            return []
-        if most <= 0:
-            return []
-        tasks = step.open_tasks(most, self._make_start_check(job, step))
-        return [] if step.spec.gang and len(tasks) < len(step.tasks) else tasks
-
-    def _make_start_check(self, job: JobState, step: StepState) -> Callable[[int], bool] | None:
-        """Return a check by index whether a task may start; None if all of the step may.
-
-        A task may not start if an unobservable run may be executing it now or later, or while
-        crashes under it forbid another start.
-        """
-        pins, may_run = self._pins, self._may_run
-        if not pins and may_run is None and not step.has_suspects:
-            return None
-
-        def may_start(index: int) -> bool:
-            key = key_of(job.spec.id, step, index)
-            if pins and pins.get(key) == NOWHERE:
-                return False
-            if may_run is not None and may_run(key):
-                return False
-            return not step.has_suspects or job.may_start(step.tasks.peek(index))
-
-        return may_start
-
-    def _awaits_failure(self, step: StepState, queue: Queue) -> bool:
-        """Whether failures that executors may yet list would use up a gang's attempts."""
-        if not step.ends.unlisted or step.spec.lasting:
-            return False
-        return len(step.list_possible_failures(self.now)) >= queue.max_attempts
-
-    def _replan_when_due(self, due_at: float | None) -> None:
-        """Request another plan for the time at which a step becomes due (Unix time in s)."""
-        if due_at is not None and due_at > self.wall_now:
-            self._request_replan(due_at - self.wall_now)
-
-    def _split_by_allowed_executors(
-        self, job: JobState, step: StepState, tasks: list[TaskState]
-    ) -> Iterable[tuple[frozenset[str] | None, list[TaskState]]]:
-        """Yield groups of tasks with the only executors they may use, None for any executor."""
-        if self._can_write_store:
-            return [(None, tasks)]
-        covered = job.places.list_covered()
-        parts: dict[frozenset[str], list[TaskState]] = {}
-        for task in tasks:
-            allowed_executors = find_executors(covered, step.mask_of(task.index))
-            parts.setdefault(allowed_executors, []).append(task)
-        return parts.items()
-
-    def _rank(
-        self,
-        job: JobState,
-        step: StepState,
-        queue: Queue,
-        tasks: list[TaskState],
-        allowed_executors: frozenset[str] | None,
-    ) -> Candidate:
-        guaranteed = job.spec.id in self.guaranteed
-        share_rank = (
-            self.learned.shares.rank(queue.pool, job.spec.tenant, self.now)
-            if self.policy.fair_shares
-            else 0
-        )
-        rank = rank_step(
-            job,
-            step,
-            queue,
-            guaranteed,
-            self.now,
-            self.wall_now,
-            self.policy,
-            self.learned,
-            share_rank,
-        )
-        return Candidate(
-            job,
-            step,
-            queue,
-            tasks,
-            guaranteed,
-            rank,
-            allowed_executors,
-            self._list_pins(job, step, tasks),
-        )
-
-    def _list_pins(self, job: JobState, step: StepState, tasks: list[TaskState]) -> dict[int, str]:
-        """Return the executors that tasks are pinned to, by task index."""
-        if not self._pins:
-            return {}
-        pins = ((task.index, self._pins.get(job.key_of(step, task))) for task in tasks)
-        return {index: name for index, name in pins if name is not None}
-
     def _plan_step(self, candidate: Candidate) -> None:
         avoids_headroom = self._avoids_headroom(candidate)
         eligible: Scope | None = None
@@ -403,7 +245,7 @@
             self.plan.groups.append(self._make_starts(candidate, placed))
             self._colocation.record_placed(candidate.step.spec, (offer for _, offer in placed))
             self._note_loan(candidate, placed)
-            if candidate.job.spec.id in self._cut_short:
+            if candidate.job.spec.id in self._candidates.cut_short:
                 self._request_replan(0.0)
         missing = len(candidate.tasks) - len(placed)
         if candidate.key in self.steps_to_explain:
--- a/packages/heronthread-dispatch/tests/test_occurrences.py
+++ b/packages/heronthread-dispatch/tests/test_occurrences.py
@@ -7,12 +7,13 @@
 import pytest
 import trio
 from heronthread_dispatch import planner as planner_module
+from heronthread_dispatch.candidates import MAX_TASKS_PER_PLAN, CandidateFinder
 from heronthread_dispatch.executor_link import EndedRun, EndKind, RunningRun
 from heronthread_dispatch.executor_watch import ExecutorWatch
 from heronthread_dispatch.model import JobSpec, Resources, Schedule, StepSpec, TaskKey
 from heronthread_dispatch.occurrences import Occurrences
 from heronthread_dispatch.overview import MAX_TASK_ROWS, describe_job
-from heronthread_dispatch.planner import MAX_TASKS_PER_PLAN, WORK_PER_CHECK, Planner
+from heronthread_dispatch.planner import WORK_PER_CHECK, Planner
 from heronthread_dispatch.progress import MAX_WHOLE_RECORD_OCCURRENCES, JobState, make_job
 from heronthread_dispatch.record import JobStatus, ProgressRecord, decode_progress
 from heronthread_dispatch.recorder import progress_key
@@ -140,13 +141,13 @@
     visited: list[int] = []
     clock = [0.0]
 
-    def visit(self: Planner, job: JobState) -> list[object]:
+    def visit(self: CandidateFinder, job: JobState) -> list[object]:
         clock[0] += TURN_S / 4
         visited[-1] += 1
         return original(self, job)
 
-    original = Planner._list_candidates
-    monkeypatch.setattr(Planner, "_list_candidates", visit)
+    original = CandidateFinder.list_candidates
+    monkeypatch.setattr(CandidateFinder, "list_candidates", visit)
     monkeypatch.setattr(planner_module.trio, "current_time", lambda: clock[0])
     planner = Planner(jobs, make_executors(4), DESIRED, NOW, NOW)
     started = []
