Name the parts of HttpClient that reject a call by what they do

Cause: read again, _parse, _reject and place said too little. Change: names and two texts; no behaviour.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/http_client.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/http_client.py
@@ -80,9 +80,9 @@
         The server may have read the call before it closed the connection, so the call is resent
         only if it `may_repeat`. An address or header that HTTP can't express is a call unsent.
         """
-        place = _parse(address)
-        if place is None:
-            return _reject(address, "no address")
+        endpoint = _parse_address(address)
+        if endpoint is None:
+            return _describe_unsent(address, "not an address")
         request = _make_request(self.host_name or address, method, target, headers, body)
         if isinstance(request, NoReply):
             return request
@@ -94,7 +94,7 @@
                     connection = self._take_idle(address)
                     fresh = connection is None
                     if connection is None:
-                        connection = await self._connect(*place)
+                        connection = await self._connect(*endpoint)
                     sent = True
                     reply = await self._exchange(connection, address, request, body)
                     if isinstance(reply, Reply):
@@ -205,10 +205,10 @@
     try:
         return h11.Request(method=method, target=target, headers=fields)
     except (h11.LocalProtocolError, UnicodeEncodeError) as error:
-        return _reject(host, f"no request: {error}")
+        return _describe_unsent(host, f"not a request: {error}")
 
 
-def _parse(address: str) -> tuple[str, int] | None:
+def _parse_address(address: str) -> tuple[str, int] | None:
     """Return the host and port of an address, None if it has none that can be connected to."""
     host, _, port = address.rpartition(":")
     if not (port.isascii() and port.isdigit() and len(port) <= 5 and 0 < int(port) < 65_536):
@@ -224,5 +224,5 @@
     return True
 
 
-def _reject(address: str, reason: str) -> NoReply:
+def _describe_unsent(address: str, reason: str) -> NoReply:
     return NoReply(f"{address!r:.80}: {reason:.80}", unsent=True)
