--- a/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/orders.py
@@ -28,7 +28,7 @@
 from .plan import Start
 from .probing import wait_for_reports
 from .progress import JobState, list_pending_starts, to_open_start
-from .spread import count_runs
+from .spread import count_runs, step_key
 from .step_state import Attempt, Phase
 from .task_masks import TaskMasks
 
@@ -138,12 +138,13 @@
         counts = [start.spread for start in starts if start.spread is not None]
         if not counts:
             return {}
-        job, step = starts[0].job.spec.id, starts[0].step
+        step = starts[0].step
+        key = step_key(starts[0].job.key_of(step, starts[0].task))
         spread = {
             "limit": step.spec.spread_limit,
             "plan": counts[0].plan,
             "counted": [count.counted for count in counts],
-            "held": [count_runs(job, step, start.executor) for start in starts],
+            "held": [count_runs(key, start.executor) for start in starts],
             "allowed": counts[0].allowed,
             "store_writable": self.cell.parts.can_write_store(),
         }
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -725,7 +725,8 @@
             for member in self._losses.whole_gang(attempt):
                 self._stop(member)
         for offer in chosen:
-            self._allocate(candidate, offer)
+            offer.allocate(spec.need)
+            self._spread.promise(candidate, offer.state.id)
 
     def _is_past_use(self, candidate: Candidate) -> bool:
         """Whether urgent work outside a guarantee can no longer end while it is useful."""
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/run_monitor.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/run_monitor.py
@@ -17,6 +17,7 @@
     is_whole,
     should_move,
 )
+from .spread import count_runs
 from .step_state import Attempt, Phase, StepState
 
 HOUSEKEEPING_S = 0.4
@@ -109,7 +110,7 @@
         if left < MIN_RESTART_GAIN * anew + 2 * self.cell.parts.timing.stop_s:
             return
         members = len(step.tasks) if step.spec.gang else 1
-        if not self._has_healthy_room(step, members):
+        if not self._has_healthy_room(job, step, members):
             return
         step.rescues += 1
         for member in step.tasks if step.spec.gang else [task]:
@@ -128,15 +129,23 @@
         self.cell.request_stop(attempt, "too slow here")
         self.cell.stop_gang(attempt, "a member is too slow")
 
-    def _has_healthy_room(self, step: StepState, members: int) -> bool:
-        now = trio.current_time()
+    def _has_healthy_room(self, job: JobState, step: StepState, members: int) -> bool:
+        """Whether executors that run at full speed can take some tasks of a step more."""
+        now, spec = trio.current_time(), step.spec
+        pool = self.cell.parts.desired().current_queue(job.spec).pool
+        key = (job.spec.id, step.number, step.occurrence)
         found = 0
         for state in self.cell.executors.values():
             if not state.accepts_work(now) or state.slow_until > now:
                 continue
-            if step.spec.label and step.spec.label not in state.executor.labels:
+            if state.executor.pool != pool:
                 continue
-            found += max(0, count_fits(step.spec.need, state.free))
+            if spec.label and spec.label not in state.executor.labels:
+                continue
+            fits = max(0, count_fits(spec.need, state.free))
+            if spec.spread_limit:
+                fits = min(fits, max(0, spec.spread_limit - count_runs(key, state)))
+            found += fits
         return found >= members
 
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/spread.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/spread.py
@@ -9,7 +9,6 @@
 from .model import TaskKey
 from .offers import UNLIMITED_FITS
 from .plan import Candidate
-from .step_state import StepState
 
 StepKey = tuple[str, int, int]
 """A job's id, the number of a step and that of an occurrence."""
@@ -20,11 +19,10 @@
     return task.job, task.step, task.occurrence
 
 
-def count_runs(job: str, step: StepState, state: ExecutorState) -> int:
+def count_runs(key: StepKey, state: ExecutorState) -> int:
     """Return how many runs of a step an executor holds or may hold, orphaned ones included."""
-    key = (job, step.number, step.occurrence)
-    orphans = sum(1 for task, _ in state.orphans if step_key(task) == key)
-    return orphans + sum(1 for attempt in step.attempts() if attempt.executor == state.id)
+    tasks = (*state.attempts, *(task for task, _ in state.orphans))
+    return sum(1 for task in tasks if step_key(task) == key)
 
 
 class SpreadAccount:
@@ -32,13 +30,15 @@
 
     A step may be planned in several parts, so each placement is added at once. Runs count by the
     executor's id: an order may still be carried out by another instance than it was sent to.
-    Orphaned runs count until they are stopped.
+    Orphaned runs count until they are stopped. A plan made in several calls promises capacity
+    that its stops will free; only these placements outlast a call.
     """
 
     def __init__(self, executors: Iterable[ExecutorState]) -> None:
         self._executors = executors
         self._orphans: dict[StepKey, Counter[str]] | None = None
         self._counts: dict[StepKey, Counter[str]] = {}
+        self._promised: dict[StepKey, Counter[str]] = defaultdict(Counter)
 
     def reset(self) -> None:
         """Count anew from the current attempts, after a plan was carried out."""
@@ -55,7 +55,7 @@
         key = step_key(candidate.key)
         if key not in self._counts:
             attempts = Counter(attempt.executor for attempt in candidate.step.attempts())
-            self._counts[key] = attempts + self._find_orphans(key)
+            self._counts[key] = attempts + self._find_orphans(key) + self._promised[key]
         return self._counts[key]
 
     def room(self, candidate: Candidate, executor: str) -> int:
@@ -66,10 +66,15 @@
         return max(0, limit - self.held(candidate)[executor])
 
     def add(self, candidate: Candidate, executor: str) -> None:
-        """Count a task of a step that the plan places at an executor, now or after stops."""
+        """Count a task of a step that the plan places at an executor."""
         if candidate.step.spec.spread_limit:
             self.held(candidate)[executor] += 1
 
+    def promise(self, candidate: Candidate, executor: str) -> None:
+        """Count a task of a step that will be placed at an executor after the plan's stops."""
+        self.add(candidate, executor)
+        self._promised[step_key(candidate.key)][executor] += 1
+
     def remove(self, candidate: Candidate, executor: str) -> None:
         """Take back one `add`."""
         if candidate.step.spec.spread_limit:
