Count a start that may be carried out late towards the spread limit of its step

What callers saw: nothing is known to have been seen. Cause: a start without an answer held its own task back, and did not count for the others of its step. A second one sent to the same id may be carried out beside it by the next life, before the owner reaches that. Change: SpreadAccount counts unresolved starts at their id for all tasks but their own. Measured: test_late_starts_of_two_tasks_exceed_no_spread_limit failed before (tasks 0 and 1 at one executor) and passes now, with two cases of a plan.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/gangs.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/gangs.py
@@ -89,13 +89,14 @@
             best = self._best_fit(candidate, scopes, avoided | recently_started)
         best = best or self._best_fit(candidate, scopes, avoided)
         if best is None:
-            if not avoided and not self._spread.held(candidate):
+            if not avoided and not self._spread.list_held(candidate):
                 self._min_unplaceable[key] = count
             return []
-        for offer in best:
+        placed = list(zip(candidate.tasks, best, strict=True))
+        for task, offer in placed:
             offer.allocate(candidate.step.spec.need)
-            self._spread.add(candidate, offer.state.id)
-        return list(zip(candidate.tasks, best, strict=True))
+            self._spread.add(candidate, offer.state.id, task)
+        return placed
 
     def _key(
         self, candidate: Candidate, eligible: Scope, scopes: list[Scope], avoids_headroom: bool
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/late_starts.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/late_starts.py
@@ -173,6 +173,14 @@
                 found[start.task] = name if is_free and is_only else NOWHERE
         return found
 
+    def list_tasks(self) -> list[tuple[str, TaskKey]]:
+        """Return the tasks with an unresolved start, each with the executor's id."""
+        return [
+            (executor, start.task)
+            for executor in list(self._until)
+            for start in self.list_unresolved(executor)
+        ]
+
     def find_open_run(self, task: TaskKey, executor: str) -> int:
         """Return the highest run number of a task's unresolved starts there, 0 if it has none."""
         starts = (start for start in self.list_unresolved(executor) if start.task == task)
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/owner.py
@@ -564,6 +564,7 @@
             self.parts.can_write_store(),
             self.cell.find_required_executors(),
             learned=self.cell.learned,
+            late_starts=self.cell.late_starts.list_tasks(),
         )
         planner.number = next(self._plan_numbers)
         planner.steps_to_explain = self.stall_monitor.take_explanation_requests()
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -65,7 +65,7 @@
     that may run it. `steps_to_explain` lists steps by the keys of their first tasks; `causes`
     receives the reason why each of them waits, once the plan has reached it. `learned` is what the
     owner knows of speeds, lengths, urgent demand and customers. `number` identifies the plan in
-    the log.
+    the log. `late_starts` are the unanswered starts that may yet be carried out, by executor id.
     """
 
     def __init__(
@@ -83,6 +83,7 @@
         can_write_store: bool = True,
         pins: Mapping[TaskKey, str] | None = None,
         learned: LearnedState | None = None,
+        late_starts: Iterable[tuple[str, TaskKey]] = (),
     ) -> None:
         self.policy = policy
         self.learned = learned or LearnedState()
@@ -120,7 +121,7 @@
         peaks = {p: n for p, n in (urgent_peaks or {}).items() if p not in self.room.demands}
         self._headroom = Headroom(self.offers, peaks, self._states.values())
         speed_placement = SpeedPlacement(speeds, now)
-        self._spread = SpreadAccount(self._states.values())
+        self._spread = SpreadAccount(self._states.values(), late_starts)
         self._gangs = GangPlacer(
             now, policy, self._spread, speed_placement, self._headroom.is_mostly_idle
         )
@@ -277,7 +278,7 @@
         if not step.spec.spread_limit:
             return [Start(job, step, task, offer.state) for task, offer in placed]
         allowed_count = None if allowed is None else len(allowed)
-        counts = Counter(self._spread.held(candidate))
+        counts = self._spread.list_held(candidate)
         counts.subtract(offer.state.id for _, offer in placed)
         starts = []
         for task, offer in placed:
@@ -540,28 +541,28 @@
         for task in candidate.tasks:
             name = candidate.pins.get(task.index, NOWHERE)
             offer = self._find_pinned_offer(candidate, name)
-            if offer is None or not self._has_room(candidate, offer):
+            if offer is None or not self._has_room(candidate, offer, task):
                 continue
-            self._allocate(candidate, offer)
+            self._allocate(candidate, offer, task)
             placed.append((task, offer))
         return placed
 
-    def _has_room(self, candidate: Candidate, offer: Offer) -> bool:
-        """Whether one more task of a step fits and its spread limit allows it."""
+    def _has_room(self, candidate: Candidate, offer: Offer, task: TaskState | None = None) -> bool:
+        """Whether a task of a step fits and its spread limit allows one more."""
         return offer.fits(candidate.step.spec.need) and bool(
-            self._spread.room(candidate, offer.state.id)
+            self._spread.room(candidate, offer.state.id, task)
         )
 
-    def _allocate(self, candidate: Candidate, offer: Offer) -> None:
+    def _allocate(self, candidate: Candidate, offer: Offer, task: TaskState) -> None:
         """Allocate capacity for one task of a step."""
         offer.allocate(candidate.step.spec.need)
-        self._spread.add(candidate, offer.state.id)
+        self._spread.add(candidate, offer.state.id, task)
 
     def _release_all(self, candidate: Candidate, placed: list[tuple[TaskState, Offer]]) -> None:
         """Release the capacity allocated for some tasks of a step."""
-        for _, offer in placed:
+        for task, offer in placed:
             offer.release(candidate.step.spec.need)
-            self._spread.remove(candidate, offer.state.id)
+            self._spread.remove(candidate, offer.state.id, task)
 
     def _find_pinned_offer(self, candidate: Candidate, name: str) -> Offer | None:
         """Return the offer of the executor a task is pinned to, None if it cannot accept it."""
@@ -665,7 +666,7 @@
             for offer in offers[first:]:
                 if task.avoids(offer.state.id, self.now) or not self._has_room(candidate, offer):
                     continue
-                self._allocate(candidate, offer)
+                self._allocate(candidate, offer, task)
                 placed.append((task, offer))
                 break
         return placed
@@ -709,7 +710,7 @@
                 return
             wait_s = self._find_end_wait_s(candidate)
         best: tuple[float, list[Attempt], list[Offer]] | None = None
-        held = self._spread.held(candidate)
+        held = self._spread.list_held(candidate)
         for scope in scopes:
             max_cost = float("inf") if best is None else best[0]
             found = self._victims.find_victims(candidate, missing, scope, max_cost, wait_s, held)
--- a/packages/heronthread-dispatch/tests/test_spread.py
+++ b/packages/heronthread-dispatch/tests/test_spread.py
@@ -24,7 +24,8 @@
 from heronthread_dispatch.run_monitor import RunMonitor
 from heronthread_dispatch.spread import count_runs
 from heronthread_dispatch.step_state import Attempt, Phase
-from heronthread_emulator import EmulatedSite, captured_events
+from heronthread_emulator import EmulatedSite, captured_events, check_promises
+from heronthread_emulator.checker import Told
 
 Clock = trio.testing.MockClock
 
@@ -277,3 +278,54 @@
         state = cell.executors[other]
         state.executor = replace(state.executor, pool="other")
         assert not monitor._has_healthy_room(job, job.steps[0], 1)
+
+
+async def test_late_starts_of_two_tasks_exceed_no_spread_limit(autojump_clock: Clock) -> None:
+    """Both starts go unanswered at one life of an executor, and the next life obeys both."""
+    async with EmulatedSite.open(hosts=2, executors=1) as site:
+        site.said_after_s = 1000.0
+        owner = await site.wait_for_owner()
+        await trio.sleep(13.0)
+        place = site.executors.by_id["e0"]
+        place.lose_starts, place.late_s = 3, 11.0
+        host = site.hosts[next(name for name in site.hosts if name != owner)]
+        record = site.make_job("a", count=2, spread_limit=1, work_s=30.0)
+        site.nursery.start_soon(site.accept, host, record, 2.0)
+        while place.lose_starts:
+            await trio.sleep(0.002)
+        current = site.hosts[owner].owner
+        assert current is not None
+        first, other = current.cell.jobs["a"].steps[0].tasks
+        attempt = first.attempt
+        while first.attempt is attempt:
+            await trio.sleep(0.002)
+        # The start of the run before, which confirms that it is refused, is turned away.
+        place.shed = 6
+        with trio.move_on_after(5.0):
+            while other.attempt is None:
+                await trio.sleep(0.001)
+            place.shed, place.lose_starts, place.late_s = 0, 3, 7.0
+            while place.lose_starts:
+                await trio.sleep(0.002)
+            site.restart_executor("e0", 0.3)
+            while site.executors.by_id["e0"] is place:
+                await trio.sleep(0.0005)
+            site.executors.by_id["e0"].is_cut = True
+        await trio.sleep(15.0)
+        told = {"a": Told(record, taken=True, cancelled=True)}
+        promises = {violation.promise for violation in check_promises(site.executors, told)}
+        assert "steps keep to their spread limits" not in promises
+        runs = [task.member for task, _ in site.executors.by_id["e0"].running]
+        assert len(runs) <= 1, runs
+
+
+@pytest.mark.parametrize(("limit", "started"), [(1, {0}), (2, {0, 1})])
+def test_late_start_counts_for_the_other_tasks_of_its_step(limit: int, started: set[int]) -> None:
+    """Task 0 may be started at e0 again, where its own late start is refused by now."""
+    states = _make_executors(1)
+    job = _make_job("a", 3, limit)
+    first = TaskKey("a", 0, 0)
+    planner = Planner(
+        [job], states, DESIRED, NOW, NOW, pins={first: "e0"}, late_starts=[("e0", first)]
+    )
+    assert {start.task.index for group in planner.make().groups for start in group} == started
