Set aside stored jobs whose numbers or texts can't be planned or sent

What callers saw: one job of 10**30 accelerators in the store ended each owner in turn, as the summary of the load can't hold an integer beyond 64 bits; other jobs never ended. Texts with lone surrogates, infinite times and 10**12 occurrences were read as well. Cause: the decoder of jobs took any number and text, and json.loads reads NaN, Infinity and lone surrogates. A caller could submit an estimate of "inf" or 4,001 digits of cores. Change: stored jobs are read by orjson and with bounds (numbers to 2**53, times to 1e12 s, 1,000,000 tasks over all occurrences). Bodies of jobs and routes have the same bounds, so what is accepted is read back. Measured: of 28 odd parts of a job 27 were taken before; all are set aside now. The play with an owner failed before and passes. With the platform's bounds left out the read-back test fails for the odd numbers that bodies and routes took.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
@@ -8,6 +8,9 @@
 from enum import StrEnum
 from typing import Any
 
+import orjson
+
+from .field_bounds import MAX_NUMBER, read_int, read_number
 from .model import (
     ApprovalTerms,
     ExecutorInstance,
@@ -34,6 +37,8 @@
 """The exceptions that decoding malformed bytes may raise."""
 MAX_TASKS = 1_000_000
 """Above the limit for accepted jobs, so a record with more tasks is malformed."""
+MAX_DURATION_S = 1e12
+"""Bound of durations and times in a job, with which sums of them stay finite."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,7 +90,7 @@
     @classmethod
     def decode(cls, data: bytes) -> JobRecord:
         """Read the stored form."""
-        return cls.read(json.loads(data))
+        return cls.read(orjson.loads(data))
 
     @classmethod
     def read(cls, value: dict[str, Any]) -> JobRecord:
@@ -97,10 +102,10 @@
             str(value["tenant"]),
             str(value["payload"]),
             steps,
-            float(value["accepted"]),
+            _read_time(value["accepted"]),
             _decode_schedule(value["schedule"]) if "schedule" in value else None,
         )
-        _check_steps(steps)
+        _check_steps(spec)
         return cls(spec, bool(value.get("cancelled", False)))
 
 
@@ -118,7 +123,7 @@
 def decode_job(data: bytes) -> JobRecord | CancelledBeforeAccept | Unreadable:
     """Decode the value of a job's key."""
     try:
-        value = json.loads(data)
+        value = orjson.loads(data)
         if "cancelled_untaken" in value:
             return CancelledBeforeAccept(str(value["cancelled_untaken"]))
         return JobRecord.read(value)
@@ -134,10 +139,13 @@
         return Unreadable(repr(error))
 
 
-def _check_steps(steps: tuple[StepSpec, ...]) -> None:
+def _check_steps(spec: JobSpec) -> None:
     """Raise `ValueError` unless each step has tasks and depends on earlier steps only."""
-    for number, step in enumerate(steps):
-        if not 1 <= step.count <= MAX_TASKS:
+    tasks = sum(step.count for step in spec.steps) * spec.occurrences
+    if not 1 <= tasks <= MAX_TASKS:
+        raise ValueError(f"a job of {tasks} tasks")
+    for number, step in enumerate(spec.steps):
+        if step.count < 1:
             raise ValueError(f"step {number} has {step.count} tasks")
         if not all(0 <= earlier < number for earlier in step.after):
             raise ValueError(f"step {number} depends on a step that is not an earlier one")
@@ -145,7 +153,22 @@
 
 def _decode_schedule(value: list[Any]) -> Schedule:
     count, first_at, interval_s = value
-    return Schedule(int(count), float(first_at), float(interval_s))
+    return Schedule(read_int(count, MAX_TASKS), _read_time(first_at), _read_duration(interval_s))
+
+
+def _read_duration(value: Any) -> float:
+    return read_number(value, MAX_DURATION_S)
+
+
+def _read_signed(value: Any, limit: float) -> float:
+    """Return a number whose distance from 0 is within a limit; raises `ValueError` if it is not."""
+    if not isinstance(value, int | float) or not abs(value) <= limit:
+        raise ValueError(f"not from -{limit:g} to {limit:g}: {value!r:.40}")
+    return value
+
+
+def _read_time(value: Any) -> float:
+    return float(_read_signed(value, MAX_DURATION_S))
 
 
 def _encode_queue(queue: Queue) -> list[Any]:
@@ -170,12 +193,12 @@
         str(host),
         str(prefix),
         str(pool),
-        int(priority),
-        int(attempts),
-        float(stretch),
-        float(target_s),
+        int(_read_signed(priority, MAX_NUMBER)),
+        int(_read_signed(attempts, MAX_NUMBER)),
+        _read_time(stretch),
+        _read_time(target_s),
         bool(public),
-        ApprovalTerms(*map(float, approval)) if approval else None,
+        ApprovalTerms(*map(_read_duration, approval)) if approval else None,
     )
 
 
@@ -198,22 +221,22 @@
 def _decode_step(value: list[Any]) -> StepSpec:
     count, need, estimate, after, flags, label, rack, limit, target, may_miss = value
     gang, same_rack, checkpointing, lasting, fills = (flag == "1" for flag in flags)
-    cpu, memory_mb, accelerators = map(int, need)
+    cpu, memory_mb, accelerators = (read_int(amount, MAX_NUMBER) for amount in need)
     return StepSpec(
-        int(count),
+        read_int(count, MAX_TASKS),
         Resources(cpu, memory_mb, accelerators),
-        float(estimate),
-        tuple(map(int, after)),
+        _read_duration(estimate),
+        tuple(read_int(earlier, MAX_TASKS) for earlier in after),
         gang,
         same_rack,
         str(label),
         str(rack),
-        int(limit),
+        read_int(limit, MAX_NUMBER),
         checkpointing,
         lasting,
-        float(target),
+        _read_duration(target),
         fills,
-        int(may_miss),
+        read_int(may_miss, MAX_NUMBER),
     )
 
 
--- a/packages/heronthread-dispatch/tests/test_record.py
+++ b/packages/heronthread-dispatch/tests/test_record.py
@@ -3,6 +3,7 @@
 import json
 import random
 
+import pytest
 import trio
 from heronthread_dispatch.executors_in_use import decode_used
 from heronthread_dispatch.host_lease import HostRecord
@@ -136,3 +137,64 @@
 def test_unanswered_starts_with_too_few_run_numbers_are_set_aside() -> None:
     data = b'{"status":"pending","steps":[],"starts":[["e0",0,0,0]],"start_runs":[]}'
     assert isinstance(decode_progress(data), Unreadable)
+
+
+ODD_PARTS: tuple[tuple[tuple[str | int, ...], object], ...] = (
+    (("id",), "a\ud800"),
+    (("payload",), "a\ud800"),
+    (("tenant",), "a\ud800"),
+    (("steps",), []),
+    (("steps", 0, 0), 10**400),
+    (("steps", 0, 1, 0), 10**30),
+    (("steps", 0, 1, 1), -1),
+    (("steps", 0, 1, 2), 10**30),
+    (("steps", 0, 2), float("inf")),
+    (("steps", 0, 2), float("nan")),
+    (("steps", 0, 2), "inf"),
+    (("steps", 0, 2), -1.0),
+    (("steps", 0, 5), "a\ud800"),
+    (("steps", 0, 7), -1),
+    (("steps", 0, 8), float("nan")),
+    (("steps", 0, 9), -1),
+    (("queue", 4), 10**30),
+    (("queue", 5), 10**30),
+    (("queue", 6), float("nan")),
+    (("queue", 7), "inf"),
+    (("queue", 9), [float("inf"), 0.1, 5.0]),
+    (("accepted",), float("inf")),
+    (("schedule",), [10**12, 1.0, 1.0]),
+    (("schedule",), [0, 1.0, 1.0]),
+    (("schedule",), [-1, 1.0, 1.0]),
+    (("schedule",), [2, float("nan"), 1.0]),
+    (("schedule",), [2, 1.0, float("inf")]),
+    (("schedule",), [2, 1.0, -1.0]),
+)
+
+
+def _encode_odd(path: tuple[str | int, ...], other: object, name: str = "a") -> bytes:
+    """Return the stored form of a job of which one part is replaced."""
+    value = json.loads(EXAMPLE.encode()) | {"id": name}
+    inner = value
+    for part in path[:-1]:
+        inner = inner[part]
+    inner[path[-1]] = other
+    return json.dumps(value).encode()
+
+
+@pytest.mark.parametrize(("path", "other"), ODD_PARTS)
+def test_job_that_can_neither_be_planned_nor_sent_is_set_aside(
+    path: tuple[str | int, ...], other: object
+) -> None:
+    assert isinstance(decode_job(_encode_odd(path, other)), Unreadable)
+
+
+async def test_job_of_numbers_beyond_64_bits_ends_no_owner(autojump_clock: Clock) -> None:
+    async with EmulatedSite.open(hosts=2) as site:
+        await site.wait_for_owner()
+        value = json.loads(site.make_job("odd", work_s=2.0).encode())
+        value["steps"][0][1][2] = 10**30
+        site.store.put(job_key("odd"), json.dumps(value).encode())
+        await site.hosts["h0"].requests.accept(site.make_job("a", work_s=4.0), 2.0)
+        await trio.sleep(20.0)
+        view = await site.hosts["h1"].requests.find_job("a")
+        assert getattr(view, "status", None) is JobStatus.SUCCEEDED
--- a/tests/platform/test_fuzz.py
+++ b/tests/platform/test_fuzz.py
@@ -3,6 +3,7 @@
 import json
 from typing import Any
 
+import pytest
 import trio
 from heronthread_dispatch.entries import InvalidEntry
 from heronthread_dispatch.executor_link import (
@@ -23,7 +24,8 @@
     Missing,
     Transaction,
 )
-from heronthread_dispatch.model import DesiredState, Executor, Resources
+from heronthread_dispatch.model import DesiredState, Executor, JobSpec, Queue, Resources
+from heronthread_dispatch.record import JobRecord, decode_job
 from heronthread_platform.configuration import ConfigurationParser
 from heronthread_platform.entries import EntryParser
 from heronthread_platform.executors import PlatformExecutorLink
@@ -37,16 +39,11 @@
     lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(max_size=6), inner),
     max_leaves=8,
 )
-STEP = st.fixed_dictionaries(
-    {},
-    optional={
-        name: VALUES
-        for name in (
-            *("count", "cpu", "mem-mb", "gpus", "after", "gang", "requirements", "affinity"),
-            *("long-running", "target-ms", "fills", "may-miss"),
-        )
-    },
+STEP_FIELDS = (
+    *("count", "cpu", "mem-mb", "gpus", "after", "gang", "requirements", "affinity"),
+    *("long-running", "target-ms", "fills", "may-miss", "estimated-ms"),
 )
+STEP = st.fixed_dictionaries({}, optional={name: VALUES for name in STEP_FIELDS})
 TIMES = {name: VALUES for name in ("repeat-count", "start-at-ms", "interval-ms")}
 JOB = st.fixed_dictionaries(
     {}, optional={"spec": VALUES, "steps": st.lists(STEP) | VALUES, **TIMES}
@@ -87,6 +84,29 @@
     assert isinstance(found, str | JobBody)
 
 
+LARGE = (2**53 + 1, 2**64 - 1, 1e30, -1e300, 1e300, "inf", "-inf", "nan", "1" + "0" * 4000)
+QUEUE = {"name": "q", "host": "h", "path-prefix": "/", "service": "p"}
+ADVICE = ("decision-ms", "per-item-ms", "validity-ms")
+
+
+@pytest.mark.parametrize("value", LARGE)
+def test_accepted_job_of_large_numbers_is_read_back(value: object) -> None:
+    """What is accepted from callers and operators stays within the bounds of stored jobs."""
+    bodies = [{"steps": [{}], "repeat-count": 2, name: value} for name in TIMES]
+    bodies += [{"steps": [{name: value}]} for name in (*STEP_FIELDS, "anti-affinity")]
+    jobs = [parse_job_body(_encode(body)) for body in bodies]
+    names = ("priority", "max-attempts", "stretch", "target-latency-ms")
+    routes = [QUEUE, *({**QUEUE, name: value} for name in names)]
+    routes += [{**QUEUE, "advice": {name: value}} for name in ADVICE]
+    states = [ConfigurationParser().parse(_encode({"version": 1, "routes": [r]})) for r in routes]
+    queues: list[Queue] = [queue for state in states if state is not None for queue in state.queues]
+    assert queues
+    for job in [parse_job_body(b'{"steps": [{}]}'), *jobs]:
+        for queue in queues if isinstance(job, JobBody) else ():
+            spec = JobSpec("a", queue, "t", job.payload, job.steps, 1.0, job.schedule)
+            assert isinstance(decode_job(JobRecord(spec).encode()), JobRecord)
+
+
 @DETERMINISTIC
 @given(st.binary(max_size=40))
 def test_any_bytes_are_parsed_or_rejected(data: bytes) -> None:
