Escape the names in the labels of metrics

What callers saw: a customer, queue or kind with a quote or a line feed in its name made the whole page of metrics unreadable, and could forge lines; a lone surrogate was an error 500. Cause: names were put between quotes as they are. Change: quotes, backslashes and line feeds are escaped as the text format asks.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/statistics.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/statistics.py
@@ -8,6 +8,7 @@
 from heronthread_coordination import Histograms, Measure
 
 PREFIX = "heronthread"
+LABEL_ESCAPES = str.maketrans({"\\": "\\\\", '"': '\\"', "\n": "\\n"})
 QUANTILES = (("0.5", "p50"), ("0.95", "p95"), ("0.99", "p99"))
 
 
@@ -30,14 +31,19 @@
         """Return all metrics in the Prometheus text format."""
         lines = [f"{PREFIX}_{name} {value:g}" for name, value in sorted(gauges.items())]
         for (name, label), count in sorted(self.counts.items()):
-            tag = f'{{kind="{label}"}}' if label else ""
+            tag = f'{{kind="{_escape(label)}"}}' if label else ""
             lines.append(f"{PREFIX}_{name}_total{tag} {count}")
         for key in sorted(self.histograms.by_key, key=str):
             summary = self.histograms.summarise(key)
-            tags = f'tenant="{key.customer}",queue="{key.job_class}"'
+            tags = f'tenant="{_escape(key.customer)}",queue="{_escape(key.job_class)}"'
             name = f"{PREFIX}_{key.measure.value}_ms"
             for quantile, field_name in QUANTILES:
                 value = getattr(summary, field_name)
                 lines.append(f'{name}{{{tags},quantile="{quantile}"}} {value}')
             lines.append(f"{name}_count{{{tags}}} {summary.count}")
         return "\n".join(lines) + "\n"
+
+
+def _escape(label: str) -> str:
+    """Return a label's value as the text format writes it; names come from other writers."""
+    return label.translate(LABEL_ESCAPES).encode("utf-8", "backslashreplace").decode()
