Write a log line with any value

What callers saw: a field with an integer beyond 64 bits, a lone surrogate, a key that is no text or deep nesting raised in the log writer, and the line was lost. Cause: orjson can't express these values. Change: such a field is written as a short text in ASCII, the rest of the line as it is.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/log_writer.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/log_writer.py
@@ -83,7 +83,11 @@
         message.pop("task_uuid", None)
         message.pop("task_level", None)
         message.setdefault("host", self.host)
-        line = orjson.dumps(message, default=str) + b"\n"
+        try:
+            line = orjson.dumps(message, default=str) + b"\n"
+        except TypeError:
+            message = {name: _make_writable(value) for name, value in message.items()}
+            line = orjson.dumps(message, default=str) + b"\n"
         if len(line) <= WHOLE_BYTES:
             return line
         return orjson.dumps(_shorten(message), default=str) + b"\n"
@@ -144,6 +148,22 @@
             select.select([], [self.descriptor], [], left)
 
 
+def _make_writable(value: Any) -> Any:
+    """Return a value that JSON can express: itself, or a short text of it in ASCII."""
+    try:
+        orjson.dumps(value, default=str)
+    except TypeError:
+        return _describe(value)[:SHORTENED_CHARS].encode("ascii", "backslashreplace").decode()
+    return value
+
+
+def _describe(value: Any) -> str:
+    try:
+        return str(value)
+    except (ValueError, RecursionError):
+        return f"{type(value).__name__} that can't be written"
+
+
 def _shorten(message: dict[str, Any]) -> dict[str, Any]:
     """Return a message shortened to fit one line, with the names of the shortened fields."""
     found = dict(message)
--- a/packages/heronthread-dispatch/tests/test_log_writer.py
+++ b/packages/heronthread-dispatch/tests/test_log_writer.py
@@ -142,3 +142,24 @@
     message = json.loads(line)
     assert (message["message_type"], message["job"], message["host"]) == ("x", "ab", "h1")
     assert message["cut"]
+
+
+@pytest.mark.parametrize(
+    "value",
+    [2**64, -(2**70), "a\ud800", {"b": "\udfff"}, {"a\ud800": 1}, {3: 10**400}, ["\ud800"] * 9000],
+)
+def test_line_with_any_value_is_written(value: object) -> None:
+    lines = LogWriter(host="h1")
+    lines({"message_type": "x", "job": "j", "value": value, "executor": "e" * 9000})
+    (line,) = lines.waiting
+    assert len(line) <= WHOLE_BYTES
+    assert json.loads(line)["message_type"] == "x"
+
+
+def test_line_of_nested_values_is_written() -> None:
+    value: list[object] = []
+    for _ in range(3000):
+        value = [value]
+    lines = LogWriter(host="h1")
+    lines({"message_type": "x", "value": value})
+    assert json.loads(lines.waiting[0])["message_type"] == "x"
