Go on over a malformed counter of terms

What callers saw: with anything but a number under the counter's key each host ended as it took the cell, and an owner as it took a token; a number beyond 64 bits became a token that no order can carry. Cause: the counter was read by int() alone. Change: a malformed counter is logged and replaced by the revision of its key. Each number took a revision, so none that was handed out is higher. The revision isn't that of an earlier term, so the next owner waits for its predecessor in full.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/fence_recorder.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/fence_recorder.py
@@ -10,7 +10,7 @@
 
 import trio
 
-from .fences import Fence, FenceRecord, encode_fences, fences_key
+from .fences import Fence, FenceRecord, encode_fences, fences_key, read_counter
 from .fleet import ExecutorState
 from .keystore import ConditionFailed, Put
 from .owned_cell import OwnedCell
@@ -127,7 +127,7 @@
         """Read the counter after a conflict; a write of this owner without an answer raised it."""
         item = outcome.items.get(self._cell.term.counter_key)
         if item is not None:
-            self._number, self._counter_revision = int(item.value), item.revision
+            self._number, self._counter_revision = read_counter(item), item.revision
 
 
 def _is_starting(state: ExecutorState) -> bool:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/fences.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/fences.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from .events import log_event
+from .field_bounds import MAX_NUMBER, read_int
 from .keystore import Item
 from .model import ExecutorInstance
 from .record import MALFORMED, decode_instance, read_remaining_s, round_remaining_s
@@ -46,6 +47,18 @@
     return f"{counter_key}/fences"
 
 
+def read_counter(item: Item) -> int:
+    """Return the last number handed out; a malformed one is logged, and its revision returned.
+
+    Each number took a revision of the store, so none was higher than that.
+    """
+    try:
+        return read_int(int(item.value), MAX_NUMBER - 1)
+    except ValueError as error:
+        log_event("record.unreadable", key=item.key, reason=f"{error!r:.100}")
+        return item.revision
+
+
 def encode_fences(record: FenceRecord) -> bytes:
     """Return the stored form; the revision is not part of it."""
     rows = {name: _encode_fence(fence) for name, fence in record.fences.items()}
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host_lease.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host_lease.py
@@ -10,7 +10,7 @@
 
 from .clock import boot_time
 from .events import log_event
-from .fences import FenceRecord, decode_fences, fences_key
+from .fences import FenceRecord, decode_fences, fences_key, read_counter
 from .keystore import (
     Committed,
     ConditionFailed,
@@ -210,7 +210,7 @@
             return None
         items = {item.key: item for item in current.items}
         counter, fences = items.get(self._term_key), items.get(fences_key(self._term_key))
-        number, revision = _read_counter(counter)
+        number, revision = (0, 0) if counter is None else (read_counter(counter), counter.revision)
         transaction = Transaction(
             (
                 (self.owner_key, held.revision if held else 0),
@@ -239,7 +239,3 @@
     async def _release_after_unknown(self) -> None:
         """Revoke the lease after an unknown outcome, so that the write can't hold the cell."""
         await self.release()
-
-
-def _read_counter(item: Item | None) -> tuple[int, int]:
-    return (0, 0) if item is None else (int(item.value), item.revision)
--- a/packages/heronthread-dispatch/tests/test_fence_recorder.py
+++ b/packages/heronthread-dispatch/tests/test_fence_recorder.py
@@ -131,3 +131,19 @@
         token = site.executors.by_id["e0"].token
         assert token == int(site.store.items["term/0"].value) > 1
         assert site.executors.by_id["e0"].running
+
+
+async def test_malformed_counter_in_a_term_is_followed_by_a_higher_token(
+    autojump_clock: Clock,
+) -> None:
+    async with EmulatedSite.open(hosts=2, executors=1) as site:
+        owner = await site.wait_for_owner()
+        await site.hosts[owner].requests.accept(site.make_job("b", work_s=60.0), 2.0)
+        await trio.sleep(2.0)
+        site.store.put("term/0", b"x")
+        odd = site.store.items["term/0"]
+        site.restart_executor("e0", 0.3)
+        await trio.sleep(8.0)
+        assert site.owner_name() == owner
+        token = site.executors.by_id["e0"].token
+        assert token == int(site.store.items["term/0"].value) > odd.revision
--- a/packages/heronthread-dispatch/tests/test_host_lease.py
+++ b/packages/heronthread-dispatch/tests/test_host_lease.py
@@ -1,10 +1,11 @@
 """The numbers of terms, and what a new owner learns with its own."""
 
+import pytest
 import trio
 from heronthread_dispatch.fences import FenceRecord, encode_fences, fences_key
 from heronthread_dispatch.host_lease import HostLease, HostRecord, Term
 from heronthread_dispatch.keystore import Put, Transaction
-from heronthread_emulator import EmulatedStore, StoreView
+from heronthread_emulator import EmulatedStore, StoreView, captured_events
 
 Clock = trio.testing.MockClock
 COUNTER_KEY = "term/0"
@@ -46,3 +47,27 @@
     await lease.release()
     third, _ = await _take(view, nursery, "h2")
     assert (third.number, third.previous_revision) == (7, second.guard[1])
+
+
+@pytest.mark.parametrize(
+    "value", [b"", b"x", b"-1", b"1.5", b"\xff", b"9" * 5000, b"9" * 30, b"9007199254740992"]
+)
+async def test_malformed_counter_is_replaced_by_its_revision(
+    autojump_clock: Clock, nursery: trio.Nursery, value: bytes
+) -> None:
+    """Each number took a revision, so no token is given again."""
+    store = EmulatedStore()
+    nursery.start_soon(store.run)
+    view = StoreView(store, nursery)
+    first, lease = await _take(view, nursery, "h0")
+    await _raise_counter(view, first, first.number + 1)
+    await lease.release()
+    store.put(COUNTER_KEY, value)
+    odd = store.items[COUNTER_KEY]
+    with captured_events() as events:
+        second, _ = await _take(view, nursery, "h1")
+    assert second.number == odd.revision + 1 > first.number + 1
+    assert second.previous_revision == odd.revision
+    told = [event for event in events if event["message_type"] == "record.unreadable"]
+    assert [event["key"] for event in told] == [COUNTER_KEY]
+    assert all(len(event["reason"]) <= 100 for event in told)
