Read the news of peers with bounds

What callers saw: news of any size and number were kept: a revision of 5,000 digits, which int() refuses, names with lone surrogates, infinite durations, a highest revision beyond 64 bits, which every later one is compared with. Cause: news were checked for types only; bodies that are no object weren't told apart. Change: names, revisions and durations have bounds; news outside are malformed.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/field_bounds.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/field_bounds.py
@@ -10,9 +10,10 @@
 
 
 def read_name(value: object) -> str:
-    """Return a name; raises `ValueError` if it is none or too long."""
+    """Return a name; raises `ValueError` if it is none, too long or can't be encoded."""
     if not isinstance(value, str) or len(value) > MAX_NAME_CHARS:
         raise ValueError(f"not a name: {value!r:.40}")
+    value.encode()
     return value
 
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/peer_messages.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/peer_messages.py
@@ -7,6 +7,7 @@
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
+from .field_bounds import MAX_NUMBER, read_int, read_name, read_number
 from .packed import decode_packed, encode_packed
 from .peer import Peers, PeerUnreachable
 from .record import MALFORMED, JobRecord
@@ -14,6 +15,8 @@
 
 CALL_S = 0.8
 COMPACT = (",", ":")
+MAX_REVISION = 2**64 - 1
+"""The largest number that a request to the store and a line of the log can name."""
 
 OK = 200
 NOT_HERE = 421
@@ -139,22 +142,42 @@
     """Read news from a body; None if malformed."""
     try:
         news = News(**{name: body[name] for name in News.__slots__ if name in body})
-    except TypeError:
+        _check_news(news)
+    except MALFORMED:
         return None
-    is_sound = all(isinstance(getattr(news, name), kind) for name, kind in NEWS_FIELD_TYPES.items())
-    return news if is_sound and _are_durations(news) and _are_numbers(news) else None
-
-
-def _are_durations(news: News) -> bool:
-    """Return whether the durations of news are numbers from 0."""
+    return news
+
+
+def _check_news(news: News) -> None:
+    """Raise one of `MALFORMED` unless all fields have their types and bounds."""
+    for name, kind in NEWS_FIELD_TYPES.items():
+        if not isinstance(getattr(news, name), kind):
+            raise TypeError(name)
+    for text in (news.host, news.address, news.owner):
+        read_name(text)
+    for number in (
+        abs(news.version),
+        news.term,
+        news.store_revision,
+        news.member_revision,
+        news.closed_preassignments,
+        news.confirmed_digest,
+        *news.used_preassignments.values(),
+    ):
+        read_int(number, MAX_REVISION)
+    for revision in news.used_preassignments:
+        if not (revision.isascii() and revision.isdecimal()):
+            raise ValueError(f"not a revision: {revision!r:.40}")
+        read_int(int(revision), MAX_REVISION)
+    _check_durations(news)
+
+
+def _check_durations(news: News) -> None:
     durations = [news.no_orders_s, news.store_up_s, news.confirmed_s, *news.owners_seen_s.values()]
-    return all(isinstance(value, float) and value >= 0.0 for value in durations)
-
-
-def _are_numbers(news: News) -> bool:
-    """Return whether the preassignments of news are numbers by revisions."""
-    rows = news.used_preassignments.items()
-    return all(revision.isdecimal() and isinstance(number, int) for revision, number in rows)
+    for value in durations:
+        if not isinstance(value, float):
+            raise TypeError(f"not a duration: {value!r:.40}")
+        read_number(value, MAX_NUMBER)
 
 
 __all__ = [
--- a/packages/heronthread-dispatch/tests/test_news.py
+++ b/packages/heronthread-dispatch/tests/test_news.py
@@ -250,3 +250,44 @@
             site.paths.cut(["h1"], ["h0", "h2"])
         await trio.sleep(3.0)
         assert site.hosts["h1"].news.find_outage_end() == float("inf")
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("used_preassignments", {"9" * 5000: 1}),
+        ("used_preassignments", {"7": True}),
+        ("used_preassignments", {"7": -1}),
+        ("used_preassignments", {"\u0663": 1}),
+        ("used_preassignments", {"7": 2**70}),
+        ("closed_preassignments", 2**70),
+        ("store_revision", 2**70),
+        ("store_revision", -1),
+        ("member_revision", -1),
+        ("term", 2**70),
+        ("version", 2**70),
+        ("confirmed_digest", -1),
+        ("host", "h" * 1000),
+        ("host", "h\ud800"),
+        ("address", "a" * 1000),
+        ("address", "a\ud800"),
+        ("owner", "h" * 1000),
+        ("no_orders_s", float("inf")),
+        ("confirmed_s", float("inf")),
+        ("owners_seen_s", {"1": float("inf")}),
+    ],
+)
+async def test_news_out_of_bounds_are_malformed_and_end_no_host(
+    name: str, value: object, autojump_clock: Clock
+) -> None:
+    async with EmulatedSite.open(hosts=2) as site:
+        await site.wait_for_owner()
+        host = site.hosts["h0"]
+        body = json.loads(json.dumps({**encode_news(host.news.make()), name: value}))
+        assert decode_news(body) is None
+        await host.news.take(decode_news(body))
+
+
+@pytest.mark.parametrize("body", [[], ["host"], "host", 7, None, {}])
+def test_news_that_are_no_object_are_malformed(body: object) -> None:
+    assert decode_news(body) is None  # type: ignore[arg-type]
