Set aside stored records whose numbers or names can't leave again

What callers saw: run numbers, start times and revisions beyond 64 bits, negative ones, names and checkpoints with lone surrogates, infinite waits and strengths in the records of progress, used executors, quorum, fences and hosts were kept, and went into orders, logs and the records of the next owner. Cause: these records were read by json.loads, int() and float() without bounds. Change: they are read by orjson and with bounds, as stored jobs are. One bound for revisions, in field_bounds.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/executors_in_use.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/executors_in_use.py
@@ -8,17 +8,26 @@
 from dataclasses import dataclass
 from typing import Any
 
+import orjson
 import trio
 from heronthread_coordination import Unavailable
 
 from .events import log_event
 from .fence_recorder import FenceRecorder
+from .field_bounds import MAX_REVISION, read_int
 from .fleet import ExecutorState, RecordedLapse, make_executor_state
 from .keystore import Committed, ConditionFailed, Listing, Put, Transaction
 from .model import Executor, Resources, TaskKey
 from .owned_cell import OwnedCell
 from .progress import JobState
-from .record import MALFORMED, Unreadable, decode_instance, read_remaining_s, round_remaining_s
+from .record import (
+    MALFORMED,
+    MAX_TASKS,
+    Unreadable,
+    decode_instance,
+    read_remaining_s,
+    round_remaining_s,
+)
 from .task_masks import TaskMasks
 
 USED_KEY = "used/0"
@@ -262,7 +271,7 @@
     Earlier versions stored no start time and no `is_listed_by_jobs`.
     """
     try:
-        return {str(name): _read_row(name, *row) for name, row in json.loads(data).items()}
+        return {str(name): _read_row(name, *row) for name, row in orjson.loads(data).items()}
     except MALFORMED as error:
         return Unreadable(repr(error))
 
@@ -303,9 +312,11 @@
     left_s = read_remaining_s(value)
     if left_s is None:
         raise ValueError("a lapse without a remaining time")
-    return RecordedLapse(int(revision), left_s)
+    return RecordedLapse(read_int(revision, MAX_REVISION), left_s)
 
 
 def _read_task(value: list[Any]) -> TaskKey:
     job, step, member, occurrence = value
-    return TaskKey(str(job), int(step), int(member), int(occurrence))
+    return TaskKey(
+        str(job), *(read_int(number, MAX_TASKS) for number in (step, member, occurrence))
+    )
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/fences.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/fences.py
@@ -7,8 +7,10 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+import orjson
+
 from .events import log_event
-from .field_bounds import MAX_NUMBER, read_int
+from .field_bounds import MAX_NUMBER, MAX_REVISION, read_int
 from .keystore import Item
 from .model import ExecutorInstance
 from .record import MALFORMED, decode_instance, read_remaining_s, round_remaining_s
@@ -79,9 +81,14 @@
     if item is None:
         return FenceRecord()
     try:
-        number, term_revision, rows = json.loads(item.value)
+        number, term_revision, rows = orjson.loads(item.value)
         fences = {str(name): _read_fence(name, *row) for name, row in rows.items()}
-        return FenceRecord(int(number), int(term_revision), fences, item.revision)
+        return FenceRecord(
+            read_int(number, MAX_REVISION),
+            read_int(term_revision, MAX_REVISION),
+            fences,
+            item.revision,
+        )
     except MALFORMED as error:
         log_event("record.unreadable", key=item.key, reason=repr(error))
         return FenceRecord()
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/field_bounds.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/field_bounds.py
@@ -7,6 +7,8 @@
 MAX_NAME_CHARS = 200
 MAX_NUMBER = 2**53
 """Bound of terms and sequence numbers, which JSON readers represent exactly."""
+MAX_REVISION = 2**64 - 1
+"""The largest number that a request to the store and a line of the log can name."""
 
 
 def read_name(value: object) -> str:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/host_lease.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/host_lease.py
@@ -5,12 +5,14 @@
 import json
 from dataclasses import asdict, dataclass, field
 
+import orjson
 import trio
 from heronthread_coordination import Unavailable, Unknown
 
 from .clock import boot_time
 from .events import log_event
 from .fences import FenceRecord, decode_fences, fences_key, read_counter
+from .field_bounds import MAX_NUMBER, read_name, read_number
 from .keystore import (
     Committed,
     ConditionFailed,
@@ -62,10 +64,15 @@
     def decode(cls, data: bytes) -> HostRecord | Unreadable:
         """Read the stored form; records of older hosts lack the strength."""
         try:
-            value = json.loads(data)
-            strength = Strength(float(value.get("cores", 1)), float(value.get("link_mbps", 0)))
+            value = orjson.loads(data)
+            strength = Strength(
+                read_number(value.get("cores", 1), MAX_NUMBER),
+                read_number(value.get("link_mbps", 0), MAX_NUMBER),
+            )
             reads_sparse = bool(value.get("sparse_progress", False))
-            return cls(str(value["host"]), str(value["address"]), strength, reads_sparse)
+            return cls(
+                read_name(value["host"]), read_name(value["address"]), strength, reads_sparse
+            )
         except MALFORMED as error:
             return Unreadable(repr(error))
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/peer_messages.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/peer_messages.py
@@ -7,7 +7,7 @@
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
-from .field_bounds import MAX_NUMBER, read_int, read_name, read_number
+from .field_bounds import MAX_NUMBER, MAX_REVISION, read_int, read_name, read_number
 from .packed import decode_packed, encode_packed
 from .peer import Peers, PeerUnreachable
 from .record import MALFORMED, JobRecord
@@ -15,8 +15,6 @@
 
 CALL_S = 0.8
 COMPACT = (",", ":")
-MAX_REVISION = 2**64 - 1
-"""The largest number that a request to the store and a line of the log can name."""
 
 OK = 200
 NOT_HERE = 421
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/quorum_record.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/quorum_record.py
@@ -7,6 +7,9 @@
 from collections.abc import Collection
 from dataclasses import dataclass
 
+import orjson
+
+from .field_bounds import MAX_REVISION, read_int
 from .fleet import ExecutorState
 from .model import ExecutorInstance
 from .record import MALFORMED, Unreadable, decode_instance
@@ -32,9 +35,9 @@
     def decode(cls, data: bytes) -> QuorumRecord | Unreadable:
         """Read the stored form."""
         try:
-            value = json.loads(data)
+            value = orjson.loads(data)
             members = frozenset(decode_instance(name, born) for name, born in value["members"])
-            return cls(int(value["term_revision"]), members)
+            return cls(read_int(value["term_revision"], MAX_REVISION), members)
         except MALFORMED as error:
             return Unreadable(repr(error))
 
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
@@ -10,7 +10,7 @@
 
 import orjson
 
-from .field_bounds import MAX_NUMBER, read_int, read_number
+from .field_bounds import MAX_NUMBER, MAX_REVISION, read_int, read_number
 from .model import (
     ApprovalTerms,
     ExecutorInstance,
@@ -333,11 +333,11 @@
     @classmethod
     def decode(cls, data: bytes) -> ProgressRecord:
         """Read the stored form."""
-        value = json.loads(data)
+        value = orjson.loads(data)
         steps = [
             StepProgress(
-                int(done, 16),
-                {int(index): list(map(int, runs)) for index, runs in failures.items()},
+                _read_mask(done),
+                {int(index): list(map(_read_run, runs)) for index, runs in failures.items()},
                 {int(index): str(text) for index, text in checkpoints.items()},
             )
             for done, failures, checkpoints in value["steps"]
@@ -362,17 +362,14 @@
             runs_left_s,
             preassigned,
             epoch,
-            None if numbers is None else tuple(map(int, numbers)),
-            int(value.get("done_occurrences", "0"), 16),
+            None if numbers is None else tuple(read_int(number, MAX_TASKS) for number in numbers),
+            _read_mask(value.get("done_occurrences", "0")),
         )
 
 
 def read_remaining_s(value: Any) -> float | None:
     """Decode a remaining time (s), None if there is none; raises `ValueError` if it is invalid."""
-    left_s = None if value is None else float(value)
-    if left_s is not None and not 0.0 <= left_s < math.inf:
-        raise ValueError(f"invalid remaining time: {left_s} s")
-    return left_s
+    return None if value is None else read_number(value, MAX_DURATION_S)
 
 
 def round_remaining_s(left_s: float) -> float:
@@ -385,7 +382,21 @@
     if value is None:
         return None, {}
     (revision, number, hosts), masks = value
-    return PreassignmentEpoch(int(revision), int(number), int(hosts)), decode_masks(masks, masks)
+    epoch = PreassignmentEpoch(
+        read_int(revision, MAX_REVISION), read_int(number, MAX_NUMBER), read_int(hosts, MAX_NUMBER)
+    )
+    return epoch, decode_masks(masks, masks)
+
+
+def _read_mask(text: Any) -> int:
+    mask = int(text, 16)
+    if mask < 0:
+        raise ValueError("a negative mask")
+    return mask
+
+
+def _read_run(value: Any) -> int:
+    return read_int(value, MAX_NUMBER)
 
 
 def _read_starts(rows: Any, value: dict[str, Any]) -> frozenset[UnresolvedStart]:
@@ -399,7 +410,12 @@
 def _read_start(value: list[Any], run: Any, born: Any) -> UnresolvedStart:
     executor, step, member, occurrence = value
     return UnresolvedStart(
-        str(executor), int(step), int(member), int(occurrence), int(run), int(born)
+        str(executor),
+        read_int(step, MAX_TASKS),
+        read_int(member, MAX_TASKS),
+        read_int(occurrence, MAX_TASKS),
+        _read_run(run),
+        read_int(born, MAX_NUMBER),
     )
 
 
@@ -421,4 +437,4 @@
 
 def decode_instance(name: Any, born: Any = 0) -> ExecutorInstance:
     """Decode an executor instance; earlier versions stored no start time."""
-    return ExecutorInstance(str(name), int(born))
+    return ExecutorInstance(str(name), read_int(born, MAX_NUMBER))
--- a/packages/heronthread-dispatch/tests/test_record.py
+++ b/packages/heronthread-dispatch/tests/test_record.py
@@ -6,7 +6,9 @@
 import pytest
 import trio
 from heronthread_dispatch.executors_in_use import decode_used
+from heronthread_dispatch.fences import FenceRecord, decode_fences
 from heronthread_dispatch.host_lease import HostRecord
+from heronthread_dispatch.keystore import Item
 from heronthread_dispatch.model import (
     ApprovalTerms,
     JobSpec,
@@ -17,6 +19,7 @@
     UnresolvedStart,
 )
 from heronthread_dispatch.owned_cell import job_key
+from heronthread_dispatch.quorum_record import QuorumRecord
 from heronthread_dispatch.record import (
     JobRecord,
     JobStatus,
@@ -198,3 +201,95 @@
         await trio.sleep(20.0)
         view = await site.hosts["h1"].requests.find_job("a")
         assert getattr(view, "status", None) is JobStatus.SUCCEEDED
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"starts": [["e0", 0, 0, 0]], "start_runs": [10**30], "start_borns": [0]},
+        {"starts": [["e0", 0, 0, 0]], "start_runs": [-1], "start_borns": [0]},
+        {"starts": [["e0", 0, 0, 0]], "start_runs": [1], "start_borns": [10**30]},
+        {"starts": [["e0", -1, 0, 0]], "start_runs": [1], "start_borns": [0]},
+        {"starts": [["e0", 0, -1, 0]], "start_runs": [1], "start_borns": [0]},
+        {"starts": [["e0", 0, 0, -1]], "start_runs": [1], "start_borns": [0]},
+        {"starts": [["e\ud800", 0, 0, 0]], "start_runs": [1], "start_borns": [0]},
+        {"steps": [["0", {"0": [10**30]}, {}], ["0", {}, {}]]},
+        {"steps": [["0", {"0": [-1]}, {}], ["0", {}, {}]]},
+        {"steps": [["0", {}, {"0": "a\ud800"}], ["0", {}, {}]]},
+        {"steps": [["-1", {}, {}], ["0", {}, {}]]},
+        {"done_occurrences": "-1"},
+        {"occurrences": [10**30]},
+        {"preassigned": [[10**30, 1, 1], {}]},
+        {"preassigned": [[1, -1, 1], {}]},
+        {"crashes": [{"0": [["e0", 10**30, "blamed"]]}, {}]},
+        {"crashes": [{"0": [["e0", -1, "blamed"]]}, {}]},
+    ],
+)
+def test_progress_that_can_neither_be_kept_nor_sent_is_set_aside(change: dict[str, object]) -> None:
+    whole = {"status": "pending", "steps": [["0", {}, {}], ["0", {}, {}]]}
+    assert isinstance(decode_progress(json.dumps(whole).encode()), ProgressRecord)
+    assert isinstance(decode_progress(json.dumps(whole | change).encode()), Unreadable)
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        ["a\ud800", "p", None],
+        ["a:1", "p\ud800", None],
+        ["a:1", "p", [["j", -1, 0, 0]]],
+        ["a:1", "p", [["j", 0, 10**30, 0]]],
+        ["a:1", "p", None, 10**30],
+        ["a:1", "p", None, -1],
+        ["a:1", "p", None, 1, True, float("inf")],
+        ["a:1", "p", None, 1, True, 1.0, 10**30, 1.0],
+        ["a:1", "p", None, 1, True, 1.0, -1, 1.0],
+    ],
+)
+def test_used_executor_that_can_not_be_called_is_set_aside(row: list[object]) -> None:
+    assert isinstance(decode_used(json.dumps({"e0": row}).encode()), Unreadable)
+    assert isinstance(decode_used(b'{"e\\ud800": ["a:1", "p", null]}'), Unreadable)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        {"term_revision": 10**30, "members": []},
+        {"term_revision": -1, "members": []},
+        {"term_revision": 1, "members": [["e\ud800", 1]]},
+        {"term_revision": 1, "members": [["e0", 10**30]]},
+    ],
+)
+def test_quorum_out_of_bounds_is_set_aside(value: dict[str, object]) -> None:
+    assert isinstance(QuorumRecord.decode(json.dumps(value).encode()), Unreadable)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        {"host": "h\ud800", "address": "a:1"},
+        {"host": "h", "address": "a\ud800"},
+        {"host": "h" * 1000, "address": "a:1"},
+        {"host": "h", "address": "a" * 1000},
+        {"host": "h", "address": "a:1", "cores": float("nan")},
+        {"host": "h", "address": "a:1", "link_mbps": "inf"},
+        {"host": "h", "address": "a:1", "cores": -1},
+    ],
+)
+def test_host_out_of_bounds_is_set_aside(value: dict[str, object]) -> None:
+    assert isinstance(HostRecord.decode(json.dumps(value).encode()), Unreadable)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        [10**30, 1, {}],
+        [-1, 1, {}],
+        [1, 10**30, {}],
+        [1, 1, {"e\ud800": [1, 0.0, None]}],
+        [1, 1, {"e0": [10**30, 0.0, None]}],
+        [1, 1, {"e0": [1, "1e300", None]}],
+    ],
+)
+def test_fences_out_of_bounds_count_as_none(value: list[object]) -> None:
+    item = Item("term/0/fences", json.dumps(value).encode(), 7)
+    assert decode_fences(item) == FenceRecord()
