Return an outcome for malformed stored values in the first daemon's readers

Cause: json.loads and the fields were used without a guard. Change: the decoders return Malformed. A malformed lease is waited for as one of the usual duration and followed by an epoch above its revision; ledger and configuration are Unavailable over one, as a record may be lost; a key that is no entry's is passed over. The tuple of exceptions has one copy, in heronthread-coordination.

--- a/packages/heronthread-coordination/src/heronthread_coordination/__init__.py
+++ b/packages/heronthread-coordination/src/heronthread_coordination/__init__.py
@@ -19,10 +19,12 @@
 from .membership import Member, Membership, is_store_down_for_all, rank
 from .memory import MemoryStore, StoreFaults
 from .store import (
+    MALFORMED,
     Absent,
     BudgetedStore,
     Conflict,
     Entry,
+    Malformed,
     Store,
     Unavailable,
     Unknown,
@@ -31,6 +33,8 @@
 )
 
 __all__ = [
+    "MALFORMED",
+    "Malformed",
     "Absent",
     "Admitted",
     "AnswerCollector",
--- a/packages/heronthread-coordination/src/heronthread_coordination/configuration.py
+++ b/packages/heronthread-coordination/src/heronthread_coordination/configuration.py
@@ -10,13 +10,14 @@
 
 import base64
 import json
+import operator as operators
 from dataclasses import dataclass, field
 
 import trio
 import xxhash
 
 from .log import Appended, LogEntry, NumberedLog, Taken
-from .store import Absent, Store, Unavailable, Unknown
+from .store import MALFORMED, Absent, Malformed, Store, Unavailable, Unknown
 
 Sections = dict[str, bytes]
 SNAPSHOT_INTERVAL = 64
@@ -48,12 +49,17 @@
         return json.dumps(content, separators=(",", ":")).encode()
 
     @classmethod
-    def decode(cls, value: bytes) -> Change:
+    def decode(cls, value: bytes) -> Change | Malformed:
         """Decode the stored form."""
-        content = json.loads(value)
-        changed = {n: base64.b85decode(v) for n, v in content.pop("changed").items()}
-        removed = tuple(content.pop("removed"))
-        return cls(changed=changed, removed=removed, **content)
+        try:
+            content = json.loads(value)
+            changed = _decode_sections(content.pop("changed"))
+            removed = tuple(map(str, content.pop("removed")))
+            number = operators.index(content.pop("number"))
+            texts = {name: str(text) for name, text in content.items()}
+            return cls(number=number, changed=changed, removed=removed, **texts)
+        except MALFORMED as error:
+            return Malformed(f"{error!r:.200}")
 
 
 @dataclass(frozen=True, slots=True)
@@ -189,12 +195,28 @@
         return json.dumps(content, separators=(",", ":")).encode()
 
     @classmethod
-    def decode(cls, value: bytes) -> Delta:
+    def decode(cls, value: bytes) -> Delta | Malformed:
         """Decode the form for peers and snapshots."""
-        base, generation, digest, changed, removed, applies = json.loads(value)
-        decoded = {n: base64.b85decode(v) for n, v in changed.items()}
-        listed = tuple((number, apply_id, operator) for number, apply_id, operator in applies)
-        return cls(base, generation, digest, decoded, tuple(removed), listed)
+        try:
+            base, generation, digest, changed, removed, applies = json.loads(value)
+            listed = tuple(
+                (operators.index(n), str(apply_id), str(by)) for n, apply_id, by in applies
+            )
+            return cls(
+                operators.index(base),
+                operators.index(generation),
+                str(digest),
+                _decode_sections(changed),
+                tuple(map(str, removed)),
+                listed,
+            )
+        except MALFORMED as error:
+            return Malformed(f"{error!r:.200}")
+
+
+def _decode_sections(changed: dict[str, str]) -> Sections:
+    """Decode sections; raises one of `MALFORMED`, also if a name can't be encoded again."""
+    return {n.encode().decode(): base64.b85decode(v) for n, v in changed.items()}
 
 
 class ConfigurationLog:
@@ -210,7 +232,10 @@
             if isinstance(contents, Unavailable):
                 return False
             if contents.snapshot is not None:
-                configuration.adopt_delta(Delta.decode(contents.snapshot))
+                whole = Delta.decode(contents.snapshot)
+                if isinstance(whole, Malformed):
+                    return False
+                configuration.adopt_delta(whole)
             return self._adopt_all(configuration, contents.entries)
         entries = await self._log.read_after(configuration.generation)
         if isinstance(entries, Unavailable):
@@ -224,7 +249,7 @@
             return False
         if isinstance(found, Absent):
             return True
-        return configuration.adopt(Change.decode(found.value))
+        return _adopt(configuration, found.value)
 
     async def apply(
         self, configuration: Configuration, sections: Sections, apply_id: str, operator: str
@@ -244,6 +269,8 @@
             return Applied(change.number)
         if isinstance(outcome, Taken):
             winner = Change.decode(outcome.entry.value)
+            if isinstance(winner, Malformed):
+                return Unavailable(f"generation {change.number} is malformed: {winner.reason}")
             configuration.adopt(winner)
             if winner.apply_id == apply_id:
                 return Applied(winner.number)
@@ -267,7 +294,13 @@
 
     @staticmethod
     def _adopt_all(configuration: Configuration, entries: tuple[LogEntry, ...]) -> bool:
-        return all(configuration.adopt(Change.decode(entry.value)) for entry in entries)
+        return all(_adopt(configuration, entry.value) for entry in entries)
+
+
+def _adopt(configuration: Configuration, value: bytes) -> bool:
+    """Adopt a stored generation; return False if it is malformed or not the next one."""
+    change = Change.decode(value)
+    return isinstance(change, Change) and configuration.adopt(change)
 
 
 def make_change(
--- a/packages/heronthread-coordination/src/heronthread_coordination/lease.py
+++ b/packages/heronthread-coordination/src/heronthread_coordination/lease.py
@@ -10,11 +10,23 @@
 
 import trio
 
-from .store import Absent, Conflict, Entry, Store, Unavailable, Unknown, Written, write_idempotent
+from .store import (
+    MALFORMED,
+    Absent,
+    Conflict,
+    Entry,
+    Malformed,
+    Store,
+    Unavailable,
+    Unknown,
+    Written,
+    write_idempotent,
+)
 
 DEFAULT_DURATION_S = 5.0
 DEFAULT_SAFETY_MARGIN_S = 0.5
 RENEWALS_PER_LEASE = 3
+MAX_DURATION_S = 86_400.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,9 +49,26 @@
         return json.dumps(asdict(self)).encode()
 
     @classmethod
-    def decode(cls, value: bytes) -> OwnerRecord:
+    def decode(cls, value: bytes) -> OwnerRecord | Malformed:
         """Decode the stored form."""
-        return cls(**json.loads(value))
+        try:
+            record = cls(**json.loads(value))
+            _check(record)
+        except MALFORMED as error:
+            return Malformed(f"{error!r:.200}")
+        return record
+
+
+def _check(record: OwnerRecord) -> None:
+    """Raise `TypeError` or `ValueError` unless all fields have their types and bounds."""
+    for text in (record.cell, record.host, record.address, record.write_id):
+        if not isinstance(text, str):
+            raise TypeError("names and ids are texts")
+    for number in (record.epoch, record.sequence):
+        if not isinstance(number, int) or number < 0:
+            raise ValueError("epochs and sequences are numbers from 0")
+    if not 0.0 < record.duration_s <= MAX_DURATION_S:
+        raise ValueError(f"a duration is above 0 s, up to {MAX_DURATION_S:g} s")
 
 
 class LeaseState(Enum):
@@ -91,6 +120,7 @@
         self._is_owner = False
         self._observed: tuple[int, int] | None = None
         self._observed_since = 0.0
+        self._is_holder_unknown = False
         self._store_failed = False
         self.changed = trio.Event()
 
@@ -183,13 +213,16 @@
         """Adopt an earlier write of this host whose response was lost; otherwise depose."""
         if isinstance(current, Entry):
             record = OwnerRecord.decode(current.value)
-            if record.host == self.host and record.epoch == self.epoch:
+            if isinstance(record, OwnerRecord) and self._is_own(record):
                 self._revision = current.revision
                 self.record = record
                 return
         self.depose()
         self._observe(current)
 
+    def _is_own(self, record: OwnerRecord) -> bool:
+        return record.host == self.host and record.epoch == self.epoch
+
     async def _contend(self) -> None:
         if not self.is_contender:
             self._observed = None
@@ -204,7 +237,7 @@
             await self._acquire(current)
 
     def _observe(self, current: Entry | Absent) -> None:
-        record = OwnerRecord.decode(current.value) if isinstance(current, Entry) else None
+        record = self._read(current) if isinstance(current, Entry) else None
         seen = (record.epoch, record.sequence) if record else (0, 0)
         if seen != self._observed:
             self._observed = seen
@@ -215,8 +248,21 @@
         if changed:
             self._notify()
 
+    def _read(self, current: Entry) -> OwnerRecord:
+        """Return the stored lease, in place of a malformed one that of an unknown host.
+
+        Each epoch took a write, so none was higher than the revision.
+        """
+        record = OwnerRecord.decode(current.value)
+        self._is_holder_unknown = isinstance(record, Malformed)
+        if isinstance(record, Malformed):
+            return OwnerRecord(self.cell, "", "", current.revision, 0, self.duration_s, "")
+        return record
+
     def _can_acquire(self, current: Entry | Absent) -> bool:
         waited = trio.current_time() - self._observed_since
+        if self._is_holder_unknown and isinstance(current, Entry):
+            return waited >= self.duration_s + self.delay_s
         if self.record is None or not self.record.host:
             return waited >= self.delay_s
         return waited >= self.record.duration_s + self.delay_s
--- a/packages/heronthread-coordination/src/heronthread_coordination/ledger.py
+++ b/packages/heronthread-coordination/src/heronthread_coordination/ledger.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import operator
 import uuid
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -12,7 +13,7 @@
 import trio
 
 from .log import Appended, LogEntry, NumberedLog, Taken
-from .store import Store, Unavailable
+from .store import MALFORMED, Malformed, Store, Unavailable
 
 COMMIT_INTERVAL_S = 1.0
 MAX_COMMIT_BYTES = 900_000
@@ -135,11 +136,15 @@
             return contents
         self.records = LatestRecords()
         if contents.snapshot is not None:
-            self._put_records(json.loads(contents.snapshot)["records"])
+            whole = _decode_records(contents.snapshot)
+            if isinstance(whole, Malformed):
+                return Unavailable(f"the snapshot is malformed: {whole.reason}")
+            self._put_records(whole)
         self._snapshot_number = contents.snapshot_number
         self.number = contents.snapshot_number
         for entry in contents.entries:
-            self._replay_entry(entry)
+            if isinstance(malformed := self._replay_entry(entry), Unavailable):
+                return malformed
         return await self._append_epoch_entry()
 
     async def _append_epoch_entry(self) -> Committed | Deposed | Unavailable:
@@ -151,7 +156,8 @@
                 self.number = outcome.number
                 return Committed(outcome.number)
             if isinstance(outcome, Taken):
-                self._replay_entry(outcome.entry)
+                if isinstance(malformed := self._replay_entry(outcome.entry), Unavailable):
+                    return malformed
                 continue
             return Unavailable(outcome.reason)
         return self.deposed
@@ -228,8 +234,9 @@
                 self._finish_commit(batch, outcome.number, len(value))
                 return
             if isinstance(outcome, Taken):
-                epoch = json.loads(outcome.entry.value)["epoch"]
-                self._depose(f"epoch {epoch} writes the ledger")
+                epoch = _decode_epoch(outcome.entry.value)
+                known = "another writer" if isinstance(epoch, Malformed) else f"epoch {epoch}"
+                self._depose(f"{known} writes the ledger")
                 return
             self.is_stalled = True
             await trio.sleep(RETRY_S)
@@ -257,16 +264,20 @@
         entry = {"epoch": self.epoch, "id": uuid.uuid4().hex, "records": records}
         return json.dumps(entry, separators=(",", ":")).encode()
 
-    def _replay_entry(self, entry: LogEntry) -> None:
-        content = json.loads(entry.value)
-        if content["epoch"] > self.epoch:
-            self._depose(f"epoch {content['epoch']} writes the ledger")
-        self._put_records(content["records"])
+    def _replay_entry(self, entry: LogEntry) -> Unavailable | None:
+        """Apply an entry; a malformed one makes the ledger unavailable, as records may be lost."""
+        epoch, records = _decode_epoch(entry.value), _decode_records(entry.value)
+        if isinstance(epoch, Malformed) or isinstance(records, Malformed):
+            return Unavailable(f"entry {entry.number} is malformed")
+        if epoch > self.epoch:
+            self._depose(f"epoch {epoch} writes the ledger")
+        self._put_records(records)
         self.number = entry.number
+        return None
 
-    def _put_records(self, records: list[dict[str, Any]]) -> None:
-        for item in records:
-            self.records.put(Record(item["k"], item["t"], bool(item["f"]), item["b"]))
+    def _put_records(self, records: list[Record]) -> None:
+        for record in records:
+            self.records.put(record)
 
     def _depose(self, reason: str) -> None:
         if self.deposed is None:
@@ -280,3 +291,24 @@
 
 def _to_json(record: Record) -> dict[str, Any]:
     return {"k": record.key, "t": record.at, "f": int(record.final), "b": record.body}
+
+
+def _decode_epoch(value: bytes) -> int | Malformed:
+    try:
+        return operator.index(json.loads(value)["epoch"])
+    except MALFORMED as error:
+        return Malformed(f"{error!r:.200}")
+
+
+def _decode_records(value: bytes) -> list[Record] | Malformed:
+    """Decode the records of an entry or a snapshot."""
+    try:
+        return [_decode_record(item) for item in json.loads(value)["records"]]
+    except MALFORMED as error:
+        return Malformed(f"{error!r:.200}")
+
+
+def _decode_record(item: dict[str, Any]) -> Record:
+    if not isinstance(item["k"], str) or not isinstance(item["t"], int | float):
+        raise TypeError("a record has a text as its key and a time")
+    return Record(item["k"], item["t"], bool(item["f"]), item["b"])
--- a/packages/heronthread-coordination/src/heronthread_coordination/log.py
+++ b/packages/heronthread-coordination/src/heronthread_coordination/log.py
@@ -9,13 +9,16 @@
 from __future__ import annotations
 
 import json
+import operator
 from dataclasses import dataclass
 
 from .store import (
+    MALFORMED,
     MAX_VALUE_BYTES,
     Absent,
     Conflict,
     Entry,
+    Malformed,
     Store,
     Unavailable,
     Unknown,
@@ -24,6 +27,7 @@
 )
 
 NUMBER_DIGITS = 12
+MAX_PARTS = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,7 +95,9 @@
         snapshot: bytes | None = None
         number = 0
         if isinstance(head, Entry):
-            described = json.loads(head.value)
+            described = _decode_head(head.value)
+            if isinstance(described, Malformed):
+                return Unavailable(f"the head is malformed: {described.reason}")
             number = described["number"]
             read = await self._read_parts(number, described["parts"])
             if isinstance(read, Unavailable):
@@ -109,7 +115,10 @@
             return found
         entries = []
         for entry in found:
-            next_number = int(entry.key.rsplit("/", 1)[1])
+            digits = entry.key.removeprefix(f"{self._prefix}/entry/")
+            if not (digits.isascii() and digits.isdigit() and len(digits) == NUMBER_DIGITS):
+                continue  # no writer of the log makes such a key
+            next_number = int(digits)
             if next_number != number + 1:
                 return Unavailable(f"entry {number + 1} is missing")
             number = next_number
@@ -132,8 +141,8 @@
         head = await self._store.read(head_key)
         if isinstance(head, Unavailable):
             return False
-        old = json.loads(head.value) if isinstance(head, Entry) else {"number": 0, "parts": 0}
-        if old["number"] >= number:
+        old = _decode_head(head.value) if isinstance(head, Entry) else {"number": 0, "parts": 0}
+        if isinstance(old, Malformed) or old["number"] >= number:
             return False
         parts = [value[i : i + MAX_VALUE_BYTES] for i in range(0, len(value), MAX_VALUE_BYTES)]
         for index, part in enumerate(parts or [b""]):
@@ -169,3 +178,15 @@
             await self._store.delete(self._part_key(old["number"], index))
         for past in range(old["number"] + 1, number + 1):
             await self._store.delete(self.key(past))
+
+
+def _decode_head(value: bytes) -> dict[str, int] | Malformed:
+    """Decode the number of a snapshot and of its parts."""
+    try:
+        described = json.loads(value)
+        number, parts = described["number"], described["parts"]
+        if not 0 <= number < 10**NUMBER_DIGITS or not 0 <= parts <= MAX_PARTS:
+            raise ValueError("numbers out of range")
+        return {"number": operator.index(number), "parts": operator.index(parts)}
+    except MALFORMED as error:
+        return Malformed(f"{error!r:.200}")
--- a/packages/heronthread-coordination/src/heronthread_coordination/store.py
+++ b/packages/heronthread-coordination/src/heronthread_coordination/store.py
@@ -17,6 +17,17 @@
 MAX_WRITE_ATTEMPTS = 5
 WRITE_RETRY_DELAY_S = 0.2
 
+MALFORMED = (
+    KeyError,
+    IndexError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+"""The exceptions that decoding malformed bytes may raise."""
+
 Outcome = TypeVar("Outcome")
 
 
@@ -65,6 +76,13 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class Malformed:
+    """The stored or received value is not as agreed."""
+
+    reason: str
+
+
 ReadOutcome = Entry | Absent | Unavailable
 WriteOutcome = Written | Conflict | Unavailable | Unknown
 
--- a/packages/heronthread-daemon/src/heronthread_daemon/host.py
+++ b/packages/heronthread-daemon/src/heronthread_daemon/host.py
@@ -13,6 +13,7 @@
     CustomerLimits,
     Delta,
     LeaseState,
+    Malformed,
     Member,
     RetryBudget,
     Superseded,
@@ -216,7 +217,11 @@
         reply = await self.parts.peers.call(member.address, frame, CALL_TIMEOUT_S)
         if isinstance(reply, PeerUnreachable) or not reply.changes.delta:
             return
-        self.configuration.adopt_delta(Delta.decode(reply.changes.delta))
+        delta = Delta.decode(reply.changes.delta)
+        if isinstance(delta, Malformed):
+            self.log("config.malformed", peer=member.name, error=delta.reason)
+            return
+        self.configuration.adopt_delta(delta)
         self._apply_configuration()
 
     def _make_heartbeat(self) -> Heartbeat:
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import orjson
+from heronthread_coordination import MALFORMED as MALFORMED
 
 from .field_bounds import MAX_NUMBER, MAX_REVISION, read_int, read_number
 from .model import (
@@ -25,16 +26,6 @@
 )
 from .task_masks import TaskMasks, decode_masks, encode_masks
 
-MALFORMED = (
-    KeyError,
-    IndexError,
-    TypeError,
-    ValueError,
-    AttributeError,
-    OverflowError,
-    RecursionError,
-)
-"""The exceptions that decoding malformed bytes may raise."""
 MAX_TASKS = 1_000_000
 """Above the limit for accepted jobs, so a record with more tasks is malformed."""
 MAX_DURATION_S = 1e12
