--- a/packages/heronthread-dispatch/src/heronthread_dispatch/fences.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/fences.py
@@ -7,7 +7,10 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+import orjson
+
 from .events import log_event
+from .field_bounds import MAX_NUMBER, MAX_REVISION, read_int
 from .keystore import Item
 from .model import ExecutorInstance
 from .record import MALFORMED, decode_instance, read_remaining_s, round_remaining_s
@@ -46,6 +49,18 @@
     return f"{counter_key}/fences"
 
 
+def read_counter(item: Item) -> int:
+    """Return the last number handed out; a malformed one is logged, and its revision returned.
+
+    Each number took a revision of the store, so none was higher than that.
+    """
+    try:
+        return read_int(int(item.value), MAX_NUMBER - 1)
+    except ValueError as error:
+        log_event("record.unreadable", key=item.key, reason=f"{error!r:.100}")
+        return item.revision
+
+
 def encode_fences(record: FenceRecord) -> bytes:
     """Return the stored form; the revision is not part of it."""
     rows = {name: _encode_fence(fence) for name, fence in record.fences.items()}
@@ -66,9 +81,14 @@
     if item is None:
         return FenceRecord()
     try:
-        number, term_revision, rows = json.loads(item.value)
+        number, term_revision, rows = orjson.loads(item.value)
         fences = {str(name): _read_fence(name, *row) for name, row in rows.items()}
-        return FenceRecord(int(number), int(term_revision), fences, item.revision)
+        return FenceRecord(
+            read_int(number, MAX_REVISION),
+            read_int(term_revision, MAX_REVISION),
+            fences,
+            item.revision,
+        )
     except MALFORMED as error:
         log_event("record.unreadable", key=item.key, reason=repr(error))
         return FenceRecord()
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/field_bounds.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/field_bounds.py
@@ -7,12 +7,15 @@
 MAX_NAME_CHARS = 200
 MAX_NUMBER = 2**53
 """Bound of terms and sequence numbers, which JSON readers represent exactly."""
+MAX_REVISION = 2**64 - 1
+"""The largest number that a request to the store and a line of the log can name."""
 
 
 def read_name(value: object) -> str:
-    """Return a name; raises `ValueError` if it is none or too long."""
+    """Return a name; raises `ValueError` if it is none, too long or can't be encoded."""
     if not isinstance(value, str) or len(value) > MAX_NAME_CHARS:
         raise ValueError(f"not a name: {value!r:.40}")
+    value.encode()
     return value
 
 
