Judge spread limits, labels, pools and the order of steps in the emulated site

Change: the checker returns the starts beyond a spread limit (all runs at the executor's instance count), before the steps that a step comes after have ended done, and at executors of another pool or without the step's label. Measured: 21 new cases of the checker's tests pass; each promise is broken in some and kept in others.

--- a/packages/heronthread-emulator/src/heronthread_emulator/checker.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/checker.py
@@ -112,6 +112,8 @@
             found += _check_crashes(task, events)
         found += _check_due(task, events, told)
         found += _check_cancelled(task, events, told)
+    found += _check_spread(executors.events, told)
+    found += _check_order(by_task, told)
     found += _check_tokens(executors.events)
     found += _check_told(by_task, told)
     return found
@@ -223,6 +225,74 @@
     return found
 
 
+def _check_spread(events: list[Event], told: dict[str, Told]) -> list[Violation]:
+    """Return the starts beyond a step's spread limit; whatever is at an executor counts."""
+    alive: dict[tuple[ExecutorInstance, str, int, int], set[tuple[int, int]]] = defaultdict(set)
+    found = []
+    for event in events:
+        step = _find_step(event.task, told)
+        if step is None or not step.spread_limit:
+            continue
+        task = event.task
+        runs = alive[event.instance, task.job, task.step, task.occurrence]
+        if event.what != "start":
+            runs.discard((task.member, event.run))
+            continue
+        runs.add((task.member, event.run))
+        if len(runs) > step.spread_limit:
+            found.append(Violation("steps keep to their spread limits", f"{event} {sorted(runs)}"))
+    return found
+
+
+def _check_order(by_task: dict[TaskKey, list[Event]], told: dict[str, Told]) -> list[Violation]:
+    """Return the starts before every task of the steps that a step comes after has ended done."""
+    found = []
+    for task, events in by_task.items():
+        step = _find_step(task, told)
+        if step is None or not step.after:
+            continue
+        ready_at = max(_find_done_at(task, number, told, by_task) for number in step.after)
+        found += [
+            Violation("steps keep their order", str(event))
+            for event in events
+            if event.what == "start" and event.at < ready_at
+        ]
+    return found
+
+
+def _find_done_at(
+    task: TaskKey, number: int, told: dict[str, Told], by_task: dict[TaskKey, list[Event]]
+) -> float:
+    """Return when a step of a task's occurrence was done, infinite if it never was."""
+    spec = told[task.job].record.spec.steps[number]
+    ends = [
+        min((e.at for e in by_task.get(key, ()) if e.what == "done"), default=float("inf"))
+        for key in (TaskKey(task.job, number, n, task.occurrence) for n in range(spec.count))
+    ]
+    return min(ends) if spec.gang else max(ends)
+
+
+def _find_step(task: TaskKey, told: dict[str, Told]) -> StepSpec | None:
+    """Return the step of a task, None if callers know no such step."""
+    known = told.get(task.job)
+    steps = known.record.spec.steps if known is not None else ()
+    return steps[task.step] if task.step < len(steps) else None
+
+
+def check_places(executors: EmulatedExecutors, told: dict[str, Told]) -> list[Violation]:
+    """Return the starts at executors of another pool than the job's, or without a step's label."""
+    found = []
+    for event in executors.starts():
+        step, place = _find_step(event.task, told), executors.by_id.get(event.executor)
+        if step is None or place is None:
+            continue
+        pool = told[event.task.job].record.spec.queue.pool
+        executor = place.executor
+        if executor.pool != pool or (step.label and step.label not in executor.labels):
+            found.append(Violation("nothing starts where it may not run", str(event)))
+    return found
+
+
 def _check_tokens(events: list[Event]) -> list[Violation]:
     highest: dict[ExecutorInstance, int] = {}
     found = []
--- a/packages/heronthread-emulator/tests/test_checker.py
+++ b/packages/heronthread-emulator/tests/test_checker.py
@@ -1,4 +1,6 @@
-"""When a start in an evacuated domain, or of a rejected job, counts as a broken promise."""
+"""When starts count as broken promises: where, when, and of which jobs and steps."""
+
+from typing import Any
 
 import pytest
 from heronthread_dispatch.model import Executor, JobSpec, Resources, StepSpec, TaskKey
@@ -7,7 +9,7 @@
     EmulatedExecutors,
     check_evacuations,
 )
-from heronthread_emulator.checker import Told, check_promises
+from heronthread_emulator.checker import Told, Violation, check_places, check_promises
 from heronthread_emulator.executors import EmulatedExecutor, Event
 from heronthread_emulator.site import make_queue
 from heronthread_emulator.spans import Span
@@ -58,3 +60,77 @@
     found = check_promises(_executors(1.0, 1.0), {"a": told})
     promises = [violation.promise for violation in found]
     assert ("not taken means never run" in promises) == broken
+
+
+def _tell(*steps: StepSpec) -> dict[str, Told]:
+    spec = JobSpec("a", make_queue("ordinary"), "first", "", steps, 0.0)
+    return {"a": Told(JobRecord(spec), taken=True)}
+
+
+def _step(count: int = 1, **more: Any) -> StepSpec:
+    return StepSpec(count, Resources(), 1.0, **more)
+
+
+def _event(at: float, what: str, member: int, step: int = 0, **more: Any) -> Event:
+    return Event(at, what, TaskKey("a", step, member), 1, more.pop("executor", "e0"), **more)
+
+
+def _is_broken(promise: str, events: list[Event], *steps: StepSpec) -> bool:
+    executors = EmulatedExecutors()
+    executors.events += events
+    return promise in {violation.promise for violation in check_promises(executors, _tell(*steps))}
+
+
+@pytest.mark.parametrize(
+    ("limit", "events", "broken"),
+    [
+        (1, [_event(1.0, "start", 0), _event(2.0, "start", 1)], True),
+        (2, [_event(1.0, "start", 0), _event(2.0, "start", 1)], False),
+        (0, [_event(1.0, "start", 0), _event(2.0, "start", 1)], False),
+        (1, [_event(1.0, "start", 0), _event(2.0, "start", 1, executor="e1")], False),
+        (1, [_event(1.0, "start", 0), _event(2.0, "start", 1, born=7)], False),
+        *(
+            (1, [_event(1.0, "start", 0), _event(2.0, end, 0), _event(2.0, "start", 1)], False)
+            for end in ("done", "failed", "stopped", "gone")
+        ),
+        (1, [_event(1.0, "start", 0), _event(2.0, "start", 0, step=1)], False),
+    ],
+)
+def test_start_beyond_a_spread_limit(limit: int, events: list[Event], broken: bool) -> None:
+    steps = [_step(2, spread_limit=limit), _step(2, spread_limit=limit)]
+    assert _is_broken("steps keep to their spread limits", events, *steps) == broken
+
+
+def test_spread_limit_counts_each_time_of_a_job_alone() -> None:
+    later = Event(2.0, "start", TaskKey("a", 0, 1, 1), 1, "e0")
+    events = [_event(1.0, "start", 0), later]
+    assert not _is_broken("steps keep to their spread limits", events, _step(2, spread_limit=1))
+
+
+@pytest.mark.parametrize(
+    ("ends", "gang", "broken"),
+    [
+        ([], False, True),
+        ([_event(2.0, "done", 0)], False, True),
+        ([_event(2.0, "done", 0), _event(3.0, "failed", 1)], False, True),
+        ([_event(2.0, "done", 0), _event(3.0, "done", 1)], False, False),
+        ([_event(2.0, "done", 0), _event(5.0, "done", 1)], False, True),
+        ([_event(2.0, "done", 0)], True, False),
+    ],
+)
+def test_start_before_the_steps_it_comes_after(ends: list[Event], gang: bool, broken: bool) -> None:
+    steps = [_step(2, gang=gang), _step(after=(0,))]
+    events = [*ends, _event(4.0, "start", 0, step=1)]
+    assert _is_broken("steps keep their order", events, *steps) == broken
+
+
+@pytest.mark.parametrize(
+    ("label", "pool", "broken"),
+    [("", "pool", False), ("fast", "pool", False), ("slow", "pool", True), ("", "other", True)],
+)
+def test_start_at_an_executor_of_another_pool_or_label(label: str, pool: str, broken: bool) -> None:
+    executors = _executors(1.0, 1.0)
+    executor = Executor("e0", "e0", pool, "z0", "r0", ("fast",), Resources())
+    executors.by_id["e0"] = EmulatedExecutor(executor)
+    found: list[Violation] = check_places(executors, _tell(_step(label=label)))
+    assert [v.promise for v in found] == (["nothing starts where it may not run"] if broken else [])
