Play steps with limits and later steps, and catch a plan that counts parts apart

Cause: the load of the emulated soak had no spread limits, labels or second steps. Change: run_soak has has_limits: ten executors, such steps, some wider than their limit allows at once, and outages of the store in which most executors fail what they run. Ruled out: wider sites alone. Measured: the planted defect is caught by seed 3 (one start beyond a limit of one) and the seed breaks nothing without it.

--- a/packages/heronthread-emulator/src/heronthread_emulator/plants.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/plants.py
@@ -10,7 +10,7 @@
 from unittest.mock import patch
 
 import trio
-from heronthread_dispatch import executor_watch
+from heronthread_dispatch import executor_watch, spares
 from heronthread_dispatch.crashes import Crashes
 from heronthread_dispatch.directory import Directory
 from heronthread_dispatch.entries import EntryFault, InvalidEntry
@@ -25,7 +25,8 @@
 from heronthread_dispatch.owned_cell import OwnedCell
 from heronthread_dispatch.owner import ENTRY_RETURN_TIMEOUT_S, Owner
 from heronthread_dispatch.placements import JobPlacements
-from heronthread_dispatch.plan import Start
+from heronthread_dispatch.plan import Candidate, Start
+from heronthread_dispatch.planner import Planner
 from heronthread_dispatch.progress import JobState
 from heronthread_dispatch.record import MALFORMED, ProgressRecord
 from heronthread_dispatch.requests import Requests
@@ -261,7 +262,25 @@
     return stack
 
 
+def _count_parts_of_a_step_apart() -> Any:
+    """Parts of a step don't count what the same plan has placed of the others.
+
+    A small site has as many spare executors as a large one, so that parts share some of them.
+    """
+    original = Planner._plan_step
+
+    def plan_step(self: Planner, candidate: Candidate) -> None:
+        self._spread.reset()
+        original(self, candidate)
+
+    stack = ExitStack()
+    stack.enter_context(patch.object(Planner, "_plan_step", plan_step))
+    stack.enter_context(patch.object(spares, "POOL_DIVISOR", 1))
+    return stack
+
+
 PLANTS: dict[str, Plant] = {
+    "count-parts-of-a-step-apart": _count_parts_of_a_step_apart,
     "start-before-the-barrier": _start_before_the_barrier,
     "forget-ends-unrecorded": _forget_ends_unrecorded,
     "obey-lower-tokens": _obey_lower_tokens,
--- a/packages/heronthread-emulator/src/heronthread_emulator/soak.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak.py
@@ -21,11 +21,13 @@
     check_capacity,
     check_evacuations,
     check_foreign,
+    check_places,
     check_promises,
 )
 from .executors import EmulatedExecutor
 from .site import ENTRIES, EmulatedSite
 from .soak_executors import ExecutorTroubles
+from .soak_limits import LIMITED_EXECUTORS, FailingOutages, LimitedLoad
 from .soak_power import PowerLosses
 from .standing_site import StandingWitness
 
@@ -64,18 +66,22 @@
 class Soak:
     """One run of a site under faults drawn from a seed."""
 
-    def __init__(self, site: EmulatedSite, seed: int, only: Collection[str] = ()) -> None:
+    def __init__(
+        self, site: EmulatedSite, seed: int, only: Collection[str] = (), has_limits: bool = False
+    ) -> None:
         self.site = site
+        self._limits = LimitedLoad(site.executors, seed) if has_limits else None
         self.random = random.Random(seed)
         self.operator = random.Random(f"operator {seed}")
         self.told: dict[str, Told] = {}
         self.result = SoakResult(seed)
         self.troubles = ExecutorTroubles(site, seed, only)
         self.power = PowerLosses(site, seed, only)
+        self.outages = FailingOutages(site, seed, only)
         self.standing = StandingWitness(site, self.told)
         self._version = 1
         self._next_host = HOSTS
-        self._next_executor = EXECUTORS
+        self._next_executor = len(site.executors.by_id)
         self._faults: list[Callable[[], Awaitable[None]]] = [
             self.kill_owner,
             self.kill_all,
@@ -117,11 +123,14 @@
             nursery.start_soon(self.troubles.restart_executors, until)
             if self.power.is_drawn:
                 nursery.start_soon(self.power.play, until)
+            if self._limits is not None and self.outages.is_drawn:
+                nursery.start_soon(self.outages.play, until)
             nursery.start_soon(self._play_callers)
             nursery.start_soon(self._play_faults)
             nursery.start_soon(self._play_operator)
         await self._settle()
         self.result.violations = check_promises(self.site.executors, self.told)
+        self.result.violations += check_places(self.site.executors, self.told)
         self.result.violations += self.standing.close()
         self.result.violations += check_evacuations(
             self.site.executors, self.site.evacuated, self.site.trouble
@@ -135,6 +144,7 @@
         self.result.faults["foreign_entries"] += self.troubles.foreign_count
         self.result.faults["executors_restart"] += self.troubles.restart_count
         self.result.faults["power_lost"] += self.power.count
+        self.result.faults["store_down_beside_failures"] += self.outages.count
         self.result.faults["capacity_changes"] += len(self.troubles.resized)
         self.result.jobs = len(self.told)
         self.result.starts = len(self.site.executors.starts())
@@ -186,6 +196,8 @@
             checkpointing=self.random.random() < 0.4,
             schedule=self._choose_schedule(),
         )
+        if self._limits is not None:
+            record = self._limits.limit(record)
         told = self.told[job_id] = Told(record)
         for _ in range(self.random.choice([1, CALLER_TRIES])):
             host = self.site.any_host(self.random)
@@ -441,17 +453,19 @@
         self.site.configure(self._version)
 
 
-async def _play(seed: int, only: Collection[str]) -> SoakResult:
-    async with EmulatedSite.open(hosts=HOSTS, executors=EXECUTORS, zones=ZONES) as site:
-        return await Soak(site, seed, only).run()
+async def _play(seed: int, only: Collection[str], has_limits: bool) -> SoakResult:
+    executors = LIMITED_EXECUTORS if has_limits else EXECUTORS
+    async with EmulatedSite.open(hosts=HOSTS, executors=executors, zones=ZONES) as site:
+        return await Soak(site, seed, only, has_limits).run()
 
 
-def run_soak(seed: int, only: Collection[str] = ()) -> SoakResult:
+def run_soak(seed: int, only: Collection[str] = (), has_limits: bool = False) -> SoakResult:
     """Play one seed in virtual time; the same seed plays the same run.
 
-    With `only` the faults of these names are played.
+    With `only` the faults of these names are played. With `has_limits` the site is larger, and
+    steps have spread limits, labels and steps that they come after; a seed without plays as before.
     """
-    return run_seeded(seed, _play, seed, only)
+    return run_seeded(seed, _play, seed, only, has_limits)
 
 
 def run_seeded(seed: int, play: Callable[..., Awaitable[Played]], *arguments: object) -> Played:
--- a/packages/heronthread-emulator/tests/test_plants.py
+++ b/packages/heronthread-emulator/tests/test_plants.py
@@ -1,5 +1,5 @@
 import pytest
-from heronthread_emulator import run_soak
+from heronthread_emulator import SoakResult, run_soak
 from heronthread_emulator.plants import PLANTS, planted
 from heronthread_emulator.standing import PROMISE
 
@@ -23,6 +23,7 @@
     "forget-late-starts": 0,
     "withhold-beside-silent-executors": 3,
     "start-where-no-record-names": 0,
+    "count-parts-of-a-step-apart": 3,
 }
 SEEDS_TRIED = 40
 ONLY = {
@@ -36,25 +37,34 @@
         "executor_silent",
         "power_lost",
     ),
+    "count-parts-of-a-step-apart": ("store_down_beside_failures",),
 }
 """Defects that so few seeds of the mix show that their own faults are played, and no others."""
 
 BREAKS = {
     "withhold-beside-silent-executors": PROMISE,
     "start-where-no-record-names": "runs at most once at a time",
+    "count-parts-of-a-step-apart": "steps keep to their spread limits",
 }
 """Defects that must break one promise; the others must break any but that of standing jobs."""
 
+LIMITED = {"count-parts-of-a-step-apart"}
+"""Defects that only steps with spread limits show."""
+
 
 def test_every_defect_has_a_seed() -> None:
     assert set(FIRST_SEED) == set(PLANTS)
 
 
+def _play(name: str, seed: int) -> SoakResult:
+    return run_soak(seed, ONLY.get(name, ()), has_limits=name in LIMITED)
+
+
 def _find_catching_seed(name: str) -> int:
     """Return a seed by which the defect is caught; any change of the product reorders runs."""
     for seed in [FIRST_SEED[name], *range(SEEDS_TRIED)]:
         with planted(name):
-            broken = {v.promise for v in run_soak(seed, ONLY.get(name, ())).violations}
+            broken = {v.promise for v in _play(name, seed).violations}
         if BREAKS[name] in broken if name in BREAKS else broken - {PROMISE}:
             return seed
     raise AssertionError(f"{name} is not caught in {SEEDS_TRIED} seeds")
@@ -62,7 +72,7 @@
 
 def _check_caught(name: str) -> None:
     seed = _find_catching_seed(name)
-    assert run_soak(seed, ONLY.get(name, ())).violations == []
+    assert _play(name, seed).violations == []
 
 
 @pytest.mark.parametrize("name", sorted(PLANTS.keys() - {"obey-lower-tokens"}))
