Pass late starts through the comparison of recorded plans

Cause: gave Planner an argument that the wrapper of both planners lacks. Change: it takes it, and asserts that the recorded run has none. Measured: the test failed on (TypeError) and passes.

--- a/tests/test_planner_equivalence.py
+++ b/tests/test_planner_equivalence.py
@@ -4,6 +4,7 @@
 
 import random
 from collections import Counter
+from collections.abc import Iterable
 from dataclasses import replace
 
 import pytest
@@ -416,8 +417,15 @@
 
     compared = 0
 
-    def __init__(self, *arguments: object, learned: LearnedState) -> None:
-        super().__init__(*arguments, learned=learned)  # type: ignore[arg-type]
+    def __init__(
+        self,
+        *arguments: object,
+        learned: LearnedState,
+        late_starts: Iterable[tuple[str, TaskKey]],
+    ) -> None:
+        late_starts = list(late_starts)
+        assert not late_starts, "late starts are tried in test_spread"
+        super().__init__(*arguments, learned=learned, late_starts=late_starts)  # type: ignore[arg-type]
         given = list(arguments)
         given[6] = given[6] or (lambda task: False)
         self._plain = ReferencePlanner(*given)  # type: ignore[arg-type]
