Judge that all was done by the moment a success is told, and show the defect in a crowded play

Change: the judge counts the ends up to the first answer that says succeeded, also of a success that is taken back. The test plays 40 jobs on the same four executors, so that tasks of a job start piecemeal; its seeds and what it asserts are unchanged, and it waits 10 s for the jobs that the defect leaves running for ever.

--- a/packages/heronthread-emulator/src/heronthread_emulator/checker.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/checker.py
@@ -46,7 +46,11 @@
 
 @dataclass(slots=True)
 class Told:
-    """What callers were told of one job, and whether they have asked to cancel it."""
+    """What callers were told of one job, and whether they have asked to cancel it.
+
+    `succeeded_at` is when a caller was first told that it has succeeded, in seconds on the clock of
+    the events.
+    """
 
     record: JobRecord
     taken: bool = False
@@ -56,6 +60,13 @@
     cancelled_at: float | None = None
     cancel_asked: bool = False
     shown: JobStatus | None = None
+    succeeded_at: float | None = None
+
+    def show(self, status: JobStatus, at: float) -> None:
+        """Take in which status a caller was shown, and when (s)."""
+        self.shown = status
+        if status is JobStatus.SUCCEEDED and self.succeeded_at is None:
+            self.succeeded_at = at
 
 
 EVACUATE_S = 5.0
@@ -244,7 +255,7 @@
         only_refused = known.refused and not (known.taken or known.unsettled)
         if only_refused and job in started:
             found.append(Violation("not taken means never run", job))
-        if known.shown is JobStatus.SUCCEEDED:
+        if known.shown is JobStatus.SUCCEEDED or known.succeeded_at is not None:
             found += _check_all_done(job, known, by_task)
         is_given_up = _failed_often(job, known, by_task) or _crashed_often(known, by_task)
         if known.shown is JobStatus.FAILED and not is_given_up:
@@ -259,9 +270,14 @@
 
 
 def _check_all_done(job: str, known: Told, by_task: dict[TaskKey, list[Event]]) -> list[Violation]:
+    """Every task, or one of each gang, was done by the time a caller was told of the success."""
+    told_at = float("inf") if known.succeeded_at is None else known.succeeded_at
     found = []
     for step, tasks in _list_steps(known.record.spec):
-        done = [any(e.what == "done" for e in by_task.get(task, ())) for task in tasks]
+        done = [
+            any(e.what == "done" and e.at <= told_at for e in by_task.get(task, ()))
+            for task in tasks
+        ]
         if not all(done) and not (step.gang and any(done)):
             found.append(Violation("succeeded means all is done", job))
     return found
--- a/packages/heronthread-emulator/src/heronthread_emulator/soak.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak.py
@@ -237,7 +237,7 @@
                 continue
             found = await host.requests.find_job(job_id)
             if isinstance(found, JobView):
-                told.shown = found.status
+                told.show(found.status, trio.current_time())
             all_final &= not told.taken or (told.shown is not None and told.shown.is_final)
         return all_final
 
--- a/packages/heronthread-emulator/src/heronthread_emulator/soak_history.py
+++ b/packages/heronthread-emulator/src/heronthread_emulator/soak_history.py
@@ -206,4 +206,4 @@
     elif call["call"] == "DELETE":
         told.cancelled |= not call["unsent"] and status not in (410, 429, 503)
     elif call["state"]:
-        told.shown = JobStatus(call["state"])
+        told.show(JobStatus(call["state"]), call["timestamp"])
--- a/packages/heronthread-emulator/tests/test_checker.py
+++ b/packages/heronthread-emulator/tests/test_checker.py
@@ -1,8 +1,8 @@
-"""When a start in an evacuated domain, or of a rejected job, counts as a broken promise."""
+"""When a start in an evacuated domain or of a rejected job, or an early success, is a violation."""
 
 import pytest
 from heronthread_dispatch.model import Executor, JobSpec, Resources, StepSpec, TaskKey
-from heronthread_dispatch.record import JobRecord
+from heronthread_dispatch.record import JobRecord, JobStatus
 from heronthread_emulator import (
     EmulatedExecutors,
     check_evacuations,
@@ -58,3 +58,44 @@
     found = check_promises(_executors(1.0, 1.0), {"a": told})
     promises = [violation.promise for violation in found]
     assert ("not taken means never run" in promises) == broken
+
+
+def _find_broken(told: Told, ends: list[tuple[int, float]]) -> set[str]:
+    """Return the broken promises of a job whose tasks ended as done at some times."""
+    executors = EmulatedExecutors()
+    for number, (member, at) in enumerate(ends):
+        task = TaskKey("a", 0, member)
+        executors.events.append(Event(at, "done", task, 1, "e0", number=number))
+    return {violation.promise for violation in check_promises(executors, {"a": told})}
+
+
+@pytest.mark.parametrize(
+    ("gang", "ends", "broken"),
+    [
+        (False, [(0, 1.0), (1, 2.0)], False),
+        (False, [(0, 1.0), (1, 2.1)], True),
+        (False, [(0, 1.0)], True),
+        (False, [(0, 2.1), (1, 2.1)], True),
+        (True, [(0, 1.0), (1, 2.1)], False),  # the first member's end counts for all
+        (True, [(0, 2.1), (1, 2.1)], True),
+    ],
+)
+def test_success_is_told_after_the_ends(
+    gang: bool, ends: list[tuple[int, float]], broken: bool
+) -> None:
+    step = StepSpec(2, Resources(), 1.0, gang=gang)
+    record = JobRecord(JobSpec("a", make_queue("ordinary"), "first", "", (step,), 0.0))
+    told = Told(record, taken=True)
+    told.show(JobStatus.RUNNING, 0.5)
+    told.show(JobStatus.SUCCEEDED, 2.0)
+    told.show(JobStatus.SUCCEEDED, 3.0)
+    assert _find_broken(told, ends) == ({"succeeded means all is done"} if broken else set())
+
+
+def test_success_that_is_taken_back_counts() -> None:
+    step = StepSpec(2, Resources(), 1.0)
+    record = JobRecord(JobSpec("a", make_queue("ordinary"), "first", "", (step,), 0.0))
+    told = Told(record, taken=True, cancelled=True)
+    told.show(JobStatus.SUCCEEDED, 2.0)
+    told.show(JobStatus.CANCELLED, 3.0)
+    assert _find_broken(told, [(0, 1.0)]) == {"succeeded means all is done"}
--- a/packages/heronthread-emulator/tests/test_soak_history.py
+++ b/packages/heronthread-emulator/tests/test_soak_history.py
@@ -40,7 +40,9 @@
 
 def test_state_is_the_one_shown_last(tmp_path):
     calls = [make_call("GET", 200, state="running"), make_call("GET", 200, state="succeeded")]
-    assert read(tmp_path, *calls).told[JOB].shown is JobStatus.SUCCEEDED
+    told = read(tmp_path, *calls).told[JOB]
+    assert (told.shown, told.succeeded_at) == (JobStatus.SUCCEEDED, 5.5)
+    assert read(tmp_path, calls[0]).told[JOB].succeeded_at is None
 
 
 def test_doubt_about_a_cancelling_excuses_a_job(tmp_path):
--- a/packages/heronthread-emulator/tests/test_soak_run.py
+++ b/packages/heronthread-emulator/tests/test_soak_run.py
@@ -13,6 +13,8 @@
 
 ROOT = Path(__file__).parents[3]
 SMALL = {"hosts": 3, "executors": 4, "jobs": 12, "faults_s": 6.0}
+CROWDED = {**SMALL, "jobs": 40, "settle_s": 10.0}
+"""More than fits at a time, so that tasks of a job wait while others of it end."""
 GROUPS = {
     1: "orders_late_beside_refusals,orders_unanswered,change_configuration",
     2: "kill_owner,stop_any,reload_settings,change_configuration",
@@ -33,10 +35,8 @@
 
 def test_planted_defect_is_caught_and_its_logs_are_kept(tmp_path):
     """A job of several tasks that differ in their ends is shown as succeeded too early."""
-    sites = [
-        SiteSettings(seed, ROOT, plant="show-success-early", only="change_configuration", **SMALL)
-        for seed in range(SEEDS_TRIED)
-    ]
+    planted = {"plant": "show-success-early", "only": "change_configuration"}
+    sites = [SiteSettings(seed, ROOT, **planted, **CROWDED) for seed in range(SEEDS_TRIED)]
     outcomes = run_seeds(sites, tmp_path, at_once=SEEDS_TRIED)
     assert [outcome.failure for outcome in outcomes] == [""] * SEEDS_TRIED
     caught = [outcome for outcome in outcomes if outcome.violations]
