Set aside progress with done occurrences beside the steps of all of them

What callers saw: nothing; a trial of the fuzz test with 4,000 examples read such a record, whose done occurrences the next write left out. Cause: the field was read without the list of occurrences that it belongs to. Measured: one more case in test_record.py passes; the trial's example was read before.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
@@ -344,6 +344,9 @@
         runs_left_s = read_remaining_s(value.get("runs_left_s"))
         epoch, preassigned = _read_preassigned(value.get("preassigned"))
         numbers = value.get("occurrences")
+        done_occurrences = _read_mask(value.get("done_occurrences", "0"))
+        if numbers is None and done_occurrences:
+            raise ValueError("done occurrences beside the steps of all")
         return cls(
             JobStatus(value["status"]),
             steps,
@@ -354,7 +357,7 @@
             preassigned,
             epoch,
             None if numbers is None else tuple(read_int(number, MAX_TASKS) for number in numbers),
-            _read_mask(value.get("done_occurrences", "0")),
+            done_occurrences,
         )
 
 
--- a/packages/heronthread-dispatch/tests/test_record.py
+++ b/packages/heronthread-dispatch/tests/test_record.py
@@ -218,6 +218,7 @@
         {"steps": [["0", {}, {"0": "a\ud800"}], ["0", {}, {}]]},
         {"steps": [["-1", {}, {}], ["0", {}, {}]]},
         {"done_occurrences": "-1"},
+        {"done_occurrences": "2"},
         {"occurrences": [10**30]},
         {"preassigned": [[10**30, 1, 1], {}]},
         {"preassigned": [[1, -1, 1], {}]},
