--- a/packages/heronthread-emulator/tests/test_soak_faults.py
+++ b/packages/heronthread-emulator/tests/test_soak_faults.py
@@ -3,6 +3,7 @@
 
 import pytest
 import trio
+from heronthread_emulator import run_soak
 from heronthread_emulator.sight import Sight
 from heronthread_emulator.soak_faults import PLANNED, SoakFaults, list_faults
 from heronthread_emulator.soak_site import LARGE_EXECUTORS, SiteSettings, SoakSite
@@ -78,3 +79,7 @@
     faults._all = [make(number) for number in range(100)]
     await faults.play()
     assert max(counts) == at_once
+
+
+def test_no_job_stands_beside_free_room_while_nobody_is_silent() -> None:
+    assert run_soak(22).violations == []
