Set aside progress whose preassigned tasks are no masks by executor

What callers saw: nothing; a trial of the fuzz test with 3,000 examples read a list of names as executors at which any task was preassigned. Cause: the decoder of masks takes any names. Change: preassigned tasks are an object. Measured: one more case in test_record.py, failed before, passes.

--- a/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/record.py
@@ -376,6 +376,8 @@
     if value is None:
         return None, {}
     (revision, number, hosts), masks = value
+    if not isinstance(masks, dict):
+        raise TypeError("preassigned tasks are masks by executor")
     epoch = PreassignmentEpoch(
         read_int(revision, MAX_REVISION), read_int(number, MAX_NUMBER), read_int(hosts, MAX_NUMBER)
     )
