--- a/packages/heronthread-emulator/tests/test_soak_limits.py
+++ b/packages/heronthread-emulator/tests/test_soak_limits.py
@@ -13,10 +13,10 @@
     assert result.faults["store_down_beside_failures"]
 
 
-@pytest.mark.parametrize("seed", [3, 24])
-def test_no_job_stands_while_executors_rest_after_failures(seed: int) -> None:
+def test_no_job_stands_while_executors_rest_after_failures() -> None:
     """Several executors rest as runs failed there, and all that would hold a task are idle."""
-    assert run_soak(seed, has_limits=True).violations == []
+    violations = [run_soak(seed, has_limits=True).violations for seed in (3, 24)]
+    assert violations == [[], []]
 
 
 def test_load_has_limits_labels_and_steps_to_come_after() -> None:
