--- a/packages/heronthread-dispatch/tests/test_record.py
+++ b/packages/heronthread-dispatch/tests/test_record.py
@@ -222,7 +222,7 @@
         {"occurrences": [10**30]},
         {"preassigned": [[10**30, 1, 1], {}]},
         {"preassigned": [[1, -1, 1], {}]},
-        {"preassigned": [[1, 1, 1], ["e0"]]},
+        {"preassigned": [[1, 1, 1], [None]]},
         {"crashes": [{"0": [["e0", 10**30, "blamed"]]}, {}]},
         {"crashes": [{"0": [["e0", -1, "blamed"]]}, {}]},
     ],
