--- a/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/planner.py
@@ -688,7 +688,7 @@
     def _preempt_for_missing(
         self, candidate: Candidate, placed: list[tuple[TaskState, Offer]], eligible: Scope
     ) -> None:
-        """Stop work for the tasks that found no room; for a pinned one where it may run only."""
+        """Stop work for the tasks that found no room, for a pinned task only at its executor."""
         missing = len(candidate.tasks) - len(placed)
         if not candidate.step.spec.gang:
             found = {task.index for task, _ in placed}
--- a/packages/heronthread-dispatch/src/heronthread_dispatch/spread.py
+++ b/packages/heronthread-dispatch/src/heronthread_dispatch/spread.py
@@ -31,10 +31,9 @@
 
     A step may be planned in several parts, so each placement is added at once. Runs count by the
     executor's id: an order may still be carried out by another instance than it was sent to.
-    Orphaned runs count until they are stopped. `late_starts` are unanswered starts by executor id;
-    one counts for all tasks but its own, as both might be carried out by the next instance. A plan
-    made in several calls promises capacity that its stops will free; only these placements outlast
-    a call.
+    Orphaned runs count until they are stopped. `late_starts` are the tasks of unanswered starts, by
+    executor id; such a start counts for the other tasks of its step, as the next instance might
+    carry out both. Placements that wait for the plan's stops are kept over its calls.
     """
 
     def __init__(
@@ -53,7 +52,7 @@
             by_executor.setdefault(executor, set()).add(task)
 
     def reset(self) -> None:
-        """Count anew from the current attempts, after a plan was carried out."""
+        """Count anew from the current attempts, after a call's starts were carried out."""
         self._orphans = None
         self._counts.clear()
         self._placed.clear()
@@ -85,7 +84,7 @@
             self._placed.add((executor, candidate.job.key_of(candidate.step, task)))
 
     def promise(self, candidate: Candidate, executor: str) -> None:
-        """Count a task of a step that will be placed at an executor after the plan's stops."""
+        """Count a task of a step that an executor will hold after the plan's stops."""
         if candidate.step.spec.spread_limit:
             self._count(candidate)[executor] += 1
             self._promised[step_key(candidate.key)][executor] += 1
