List what an unexpected error at one executor does, and share a setup of two tests

Cause: the fault that could not mend soundly stood in the postmortem alone, which docs/developers.md no longer allows; two tests of a split step repeated seven lines.

--- a/packages/heronthread-dispatch/tests/test_executor_watch.py
+++ b/packages/heronthread-dispatch/tests/test_executor_watch.py
@@ -1,6 +1,9 @@
+from typing import Any
+
 import pytest
 import trio
 from heronthread_dispatch.executor_link import HoldOrder, HoldOutcome
+from heronthread_dispatch.executor_watch import ExecutorWatch
 from heronthread_dispatch.fleet import ExecutorState
 from heronthread_dispatch.late_starts import MAX_ORDER_DELAY_S
 from heronthread_dispatch.model import Executor, TaskKey
@@ -135,3 +138,25 @@
         site.store.remove("executors/e0")
         await trio.sleep(4.0)
         assert asked <= 10
+
+
+async def test_unexpected_error_at_one_executor_ends_no_owner(
+    autojump_clock: trio.testing.MockClock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Every owner would meet the error in turn; the task has to start elsewhere."""
+    take_report, broken = ExecutorWatch._take_report, set[str]()
+
+    async def raise_for_broken(self: ExecutorWatch, *arguments: Any) -> None:
+        if self.state.id in broken:
+            raise ZeroDivisionError("an odd report")
+        await take_report(self, *arguments)
+
+    monkeypatch.setattr(ExecutorWatch, "_take_report", raise_for_broken)
+    async with EmulatedSite.open(hosts=1, executors=2) as site:
+        await site.wait_for_owner()
+        await site.hosts["h0"].requests.accept(site.make_job("a", work_s=5.0), 2.0)
+        await trio.sleep(1.0)
+        broken.add(site.executors.starts(TASK)[0].executor)
+        await trio.sleep(30.0)
+        assert await _status(site, "a") is JobStatus.SUCCEEDED
+    assert check_promises(site.executors, {}) == []
--- a/packages/heronthread-dispatch/tests/test_spread.py
+++ b/packages/heronthread-dispatch/tests/test_spread.py
@@ -133,8 +133,8 @@
     assert [attempt.executor for attempt in plan.stops] == ["e1"]
 
 
-def test_preempting_parts_of_a_split_step_share_one_spread_limit() -> None:
-    """Otherwise work is stopped for more tasks than may start at an executor."""
+def _make_split_urgent_step() -> tuple[list[JobState], list[ExecutorState]]:
+    """Return an urgent step of two parts, and others' work that fills both executors."""
     states = _make_executors(2)
     half = Resources(32_000, 100_000, 4)
     urgent = _make_job("urgent", 4, 1, URGENT_QUEUE, half)
@@ -142,7 +142,12 @@
     fillers = [_make_job(f"b{number}", 1, 0, need=half) for number in range(4)]
     for number, filler in enumerate(fillers):
         _occupy(filler, 0, states[number // 2])
-    jobs = [urgent, *fillers]
+    return [urgent, *fillers], states
+
+
+def test_preempting_parts_of_a_split_step_share_one_spread_limit() -> None:
+    """Otherwise work is stopped for more tasks than may start at an executor."""
+    jobs, states = _make_split_urgent_step()
     plan = Planner(jobs, states, DESIRED, NOW, NOW, can_write_store=False).make()
     assert Counter(attempt.executor for attempt in plan.stops) == {"e0": 1, "e1": 1}
 
@@ -244,14 +249,8 @@
 async def test_parts_planned_in_several_calls_share_what_is_stopped_for_them(
     autojump_clock: Clock,
 ) -> None:
-    states = _make_executors(2)
-    half = Resources(32_000, 100_000, 4)
-    urgent = _make_job("urgent", 4, 1, URGENT_QUEUE, half)
-    urgent.places.named = {"e0": 0b1111, "e1": 0b1100}
-    fillers = [_make_job(f"b{number}", 1, 0, need=half) for number in range(4)]
-    for number, filler in enumerate(fillers):
-        _occupy(filler, 0, states[number // 2])
-    planner = Planner([urgent, *fillers], states, DESIRED, NOW, NOW, can_write_store=False)
+    jobs, states = _make_split_urgent_step()
+    planner = Planner(jobs, states, DESIRED, NOW, NOW, can_write_store=False)
     stopped: Counter[str] = Counter()
     while not planner.is_complete:
         for attempt in planner.make(0.0).stops:
